--- /dev/null
+++ b/mesh/model/kind.go
@@ -0,0 +1,51 @@
+package model
+
+import "fmt"
+
+// Kind is the class of the requests of a route.
+type Kind uint8
+
+// The request kinds.
+const (
+	// KindLookup is idempotent and may be retried and hedged within a budget.
+	KindLookup Kind = iota + 1
+	// KindWrite runs at most once and needs an idempotency key.
+	KindWrite
+	// KindUrgent is an idempotent internal query that is served before others.
+	KindUrgent
+)
+
+// Kinds lists every request kind.
+var Kinds = []Kind{KindLookup, KindWrite, KindUrgent}
+
+var kindNames = map[Kind]string{KindLookup: "lookup", KindWrite: "write", KindUrgent: "urgent"}
+
+// Idempotent reports whether a request of this kind may run more than once.
+func (k Kind) Idempotent() bool { return k == KindLookup || k == KindUrgent }
+
+// String returns the name used in notes and logs.
+func (k Kind) String() string {
+	if n, ok := kindNames[k]; ok {
+		return n
+	}
+	return fmt.Sprintf("kind(%d)", uint8(k))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Kind) MarshalText() ([]byte, error) {
+	if n, ok := kindNames[k]; ok {
+		return []byte(n), nil
+	}
+	return nil, fmt.Errorf("unknown request kind %d", uint8(k))
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Kind) UnmarshalText(b []byte) error {
+	for kind, n := range kindNames {
+		if n == string(b) {
+			*k = kind
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown request kind %q: want lookup, write or urgent", b)
+}
--- /dev/null
+++ b/mesh/note/delta.go
@@ -0,0 +1,106 @@
+package note
+
+import (
+	"maps"
+	"reflect"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Delta is the difference between two configurations. It states whole records,
+// so applying it twice changes nothing.
+type Delta struct {
+	Services        []Service                            `cbor:"1,keyasint,omitempty"`
+	RemovedServices []model.ServiceName                  `cbor:"2,keyasint,omitempty"`
+	Routes          []Route                              `cbor:"3,keyasint,omitempty"`
+	RemovedRoutes   []model.RouteName                    `cbor:"4,keyasint,omitempty"`
+	Shares          map[model.ServiceName]Shares         `cbor:"5,keyasint,omitempty"`
+	RemovedShares   []model.ServiceName                  `cbor:"6,keyasint,omitempty"`
+	DataCentres     map[model.DataCentre]DataCentreState `cbor:"7,keyasint,omitempty"`
+}
+
+// Empty reports whether the delta changes nothing.
+func (d Delta) Empty() bool {
+	return len(d.Services)+len(d.RemovedServices)+len(d.Routes)+len(d.RemovedRoutes)+
+		len(d.Shares)+len(d.RemovedShares)+len(d.DataCentres) == 0
+}
+
+// Diff returns the delta that turns from into to.
+func Diff(from, to Config) Delta {
+	var d Delta
+	d.Services, d.RemovedServices = diffMap(from.Services, to.Services)
+	d.Routes, d.RemovedRoutes = diffMap(from.Routes, to.Routes)
+	changed, removed := diffKeys(from.Shares, to.Shares)
+	for _, s := range changed {
+		if d.Shares == nil {
+			d.Shares = map[model.ServiceName]Shares{}
+		}
+		d.Shares[s] = to.Shares[s]
+	}
+	d.RemovedShares = removed
+	d.DataCentres = diffDataCentres(from, to)
+	return d
+}
+
+func diffDataCentres(from, to Config) map[model.DataCentre]DataCentreState {
+	changed, removed := diffKeys(from.DataCentres, to.DataCentres)
+	if len(changed)+len(removed) == 0 {
+		return nil
+	}
+	out := map[model.DataCentre]DataCentreState{}
+	for _, dc := range changed {
+		out[dc] = to.DataCentres[dc]
+	}
+	for _, dc := range removed {
+		out[dc] = DataCentreIn
+	}
+	return out
+}
+
+func diffMap[K comparable, V any](from, to map[K]V) (changed []V, removed []K) {
+	keys, removed := diffKeys(from, to)
+	for _, k := range keys {
+		changed = append(changed, to[k])
+	}
+	return changed, removed
+}
+
+func diffKeys[K comparable, V any](from, to map[K]V) (changed, removed []K) {
+	for k, v := range to {
+		if old, ok := from[k]; !ok || !reflect.DeepEqual(old, v) {
+			changed = append(changed, k)
+		}
+	}
+	for k := range from {
+		if _, ok := to[k]; !ok {
+			removed = append(removed, k)
+		}
+	}
+	return changed, removed
+}
+
+// Apply returns the configuration that results from the delta. It is whole or
+// not at all: a result that does not validate is an error and c is unchanged.
+func (c Config) Apply(d Delta) (Config, error) {
+	n := c.Clone()
+	for _, s := range d.Services {
+		n.Services[s.Name] = s
+	}
+	for _, r := range d.Routes {
+		n.Routes[r.Name] = r
+	}
+	for s, shares := range d.Shares {
+		n.Shares[s] = maps.Clone(shares)
+	}
+	maps.Copy(n.DataCentres, d.DataCentres)
+	for _, r := range d.RemovedRoutes {
+		delete(n.Routes, r)
+	}
+	for _, s := range d.RemovedShares {
+		delete(n.Shares, s)
+	}
+	for _, s := range d.RemovedServices {
+		delete(n.Services, s)
+	}
+	return n, Validate(n)
+}
--- /dev/null
+++ b/mesh/telemetry/log.go
@@ -0,0 +1,46 @@
+// Package telemetry sets up structured logs and serves metrics.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+)
+
+// NewLogger returns a logger that writes JSON lines to w.
+func NewLogger(w io.Writer, level slog.Level, host, role string) *slog.Logger {
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return slog.New(h).With("host", host, "role", role)
+}
+
+// kratosLogger feeds kratos log calls into slog.
+type kratosLogger struct{ log *slog.Logger }
+
+// KratosLogger adapts log to the logger interface of kratos.
+func KratosLogger(log *slog.Logger) klog.Logger { return kratosLogger{log: log} }
+
+var kratosLevels = map[klog.Level]slog.Level{
+	klog.LevelDebug: slog.LevelDebug,
+	klog.LevelInfo:  slog.LevelInfo,
+	klog.LevelWarn:  slog.LevelWarn,
+	klog.LevelError: slog.LevelError,
+	klog.LevelFatal: slog.LevelError,
+}
+
+// Log implements the kratos Logger interface.
+func (k kratosLogger) Log(level klog.Level, keyvals ...any) error {
+	msg := "kratos"
+	attrs := make([]slog.Attr, 0, len(keyvals)/2)
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		key := fmt.Sprint(keyvals[i])
+		if key == klog.DefaultMessageKey {
+			msg = fmt.Sprint(keyvals[i+1])
+			continue
+		}
+		attrs = append(attrs, slog.Any(key, keyvals[i+1]))
+	}
+	k.log.LogAttrs(nil, kratosLevels[level], msg, attrs...) //nolint:staticcheck // kratos passes no context
+	return nil
+}
--- /dev/null
+++ b/mesh/telemetry/metrics.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// MetricsHandler writes the process's metrics as one JSON object.
+func MetricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(metrics.DefaultRegistry, w)
+	})
+}
+
+// Counter returns the named counter of the process.
+func Counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, metrics.DefaultRegistry)
+}
+
+// Gauge returns the named gauge of the process.
+func Gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, metrics.DefaultRegistry)
+}
