Add peer connections: mutual TLS identities and QUIC streams

A process takes the identity and role of its peer from the certificate, and each method states the roles that may use it.

--- /dev/null
+++ b/mesh/peer/credentials.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// CredentialFiles names the PEM files of a process.
+type CredentialFiles struct {
+	// CA is the file of the certificate authority that signs all processes.
+	CA string `json:"ca" validate:"required"`
+	// Certificate is the file of this process's certificate.
+	Certificate string `json:"certificate" validate:"required"`
+	// Key is the file of this process's private key.
+	Key string `json:"key" validate:"required"`
+}
+
+// Credentials holds the loaded certificate and reloads it when the file changes.
+type Credentials struct {
+	files CredentialFiles
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	cert   *tls.Certificate
+	id     Identity
+	roots  *x509.CertPool
+	loaded time.Time
+	stamp  time.Time
+}
+
+// reloadInterval bounds how often the certificate file is examined.
+const reloadInterval = 5 * time.Second
+
+// LoadCredentials reads the files and checks that the certificate carries an identity.
+func LoadCredentials(files CredentialFiles) (*Credentials, error) {
+	c := &Credentials{files: files}
+	if err := c.reload(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Identity returns the identity in the current certificate.
+func (c *Credentials) Identity() Identity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.id
+}
+
+func (c *Credentials) reload() error {
+	pem, err := os.ReadFile(c.files.CA)
+	if err != nil {
+		return eris.Wrapf(ErrCertificate, "CA file: %v", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return eris.Wrapf(ErrCertificate, "CA file %s holds no certificate", c.files.CA)
+	}
+	cert, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
+	if err != nil {
+		return eris.Wrapf(ErrCertificate, "certificate %s, key %s: %v", c.files.Certificate, c.files.Key, err)
+	}
+	leaf, err := x509.ParseCertificate(cert.Certificate[0])
+	if err != nil {
+		return eris.Wrapf(ErrCertificate, "certificate %s: %v", c.files.Certificate, err)
+	}
+	id, err := IdentityOf(leaf)
+	if err != nil {
+		return eris.Wrapf(err, "certificate %s", c.files.Certificate)
+	}
+	info, err := os.Stat(c.files.Certificate)
+	if err != nil {
+		return eris.Wrapf(ErrCertificate, "certificate %s: %v", c.files.Certificate, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cert, c.id, c.roots = &cert, id, roots
+	c.stamp, c.loaded = info.ModTime(), time.Now()
+	return nil
+}
+
+// current returns the certificate and the roots, reloaded if the file changed.
+// A file that cannot be used keeps the former certificate in force.
+func (c *Credentials) current() (*tls.Certificate, *x509.CertPool) {
+	c.mu.Lock()
+	due := time.Since(c.loaded) > reloadInterval
+	stamp := c.stamp
+	if due {
+		c.loaded = time.Now()
+	}
+	c.mu.Unlock()
+	if due {
+		if info, err := os.Stat(c.files.Certificate); err == nil && !info.ModTime().Equal(stamp) {
+			_ = c.reload()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cert, c.roots
+}
+
+// ServerTLS returns a configuration that requires a certificate of the CA.
+func (c *Credentials) ServerTLS(protocols ...string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, roots := c.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    roots,
+				NextProtos:   protocols,
+			}, nil
+		},
+		NextProtos: protocols,
+	}
+}
+
+// ClientTLS returns a configuration that accepts only a peer whose identity
+// matches want. Names in certificates are not used: processes are reached by
+// address, and the identity is the URI.
+func (c *Credentials) ClientTLS(want Identity, protocols ...string) *tls.Config {
+	cert, roots := c.current()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{*cert},
+		NextProtos:         protocols,
+		InsecureSkipVerify: true, // the chain is verified in VerifyConnection
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			return verifyPeer(cs.PeerCertificates, roots, want)
+		},
+	}
+}
+
+func verifyPeer(chain []*x509.Certificate, roots *x509.CertPool, want Identity) error {
+	if len(chain) == 0 {
+		return eris.Wrap(ErrIdentity, "peer sent no certificate")
+	}
+	inter := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		inter.AddCert(c)
+	}
+	opts := x509.VerifyOptions{Roots: roots, Intermediates: inter, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	if _, err := chain[0].Verify(opts); err != nil {
+		return eris.Wrapf(ErrIdentity, "verify: %v", err)
+	}
+	id, err := IdentityOf(chain[0])
+	if err != nil {
+		return err
+	}
+	if !id.Matches(want) {
+		return eris.Wrapf(ErrIdentity, "peer is %s, want %s", id, want)
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/peer/endpoint.go
@@ -0,0 +1,280 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// Config is the configuration of an Endpoint.
+type Config struct {
+	// Listen is the UDP address to listen on.
+	Listen string
+	// Credentials are the certificate and the CA of this process.
+	Credentials *Credentials
+	// KeepAlive is the interval of heartbeats on a connection with streams.
+	// A shorter one finds a silent connection sooner and costs bytes.
+	KeepAlive time.Duration
+	// IdleLimit is the silence after which a connection counts as lost. It must
+	// cover a few keep-alives; a shorter one reconnects needlessly under load.
+	IdleLimit time.Duration
+	// Log receives one line for each connection that is made, lost or refused.
+	Log *slog.Logger
+}
+
+// Defaults of Config.
+const (
+	DefaultKeepAlive = 300 * time.Millisecond
+	DefaultIdleLimit = time.Second
+	handshakeLimit   = 2 * time.Second
+	maxStreams       = 4096
+	protocol         = "balsamtrail-control/1"
+)
+
+const (
+	connClosed    quic.ApplicationErrorCode = 0
+	connRefused   quic.ApplicationErrorCode = 1
+	streamAborted quic.StreamErrorCode      = 1
+)
+
+// Handler serves one stream; the stream ends when it returns.
+type Handler func(ctx context.Context, st Stream) error
+
+type method struct {
+	roles   []Role
+	handler Handler
+}
+
+// Endpoint is one UDP socket that accepts and makes connections.
+type Endpoint struct {
+	cfg       Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	wg        sync.WaitGroup
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	methods map[string]method
+	conns   map[string]*outbound
+}
+
+// outbound is the connection to one address; mu serialises dialling.
+type outbound struct {
+	mu   sync.Mutex
+	conn *quic.Conn
+	peer Identity
+}
+
+// Listen opens the socket. Register methods before calling Serve.
+func Listen(cfg Config) (*Endpoint, error) {
+	if cfg.KeepAlive == 0 {
+		cfg.KeepAlive = DefaultKeepAlive
+	}
+	if cfg.IdleLimit == 0 {
+		cfg.IdleLimit = DefaultIdleLimit
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	addr, err := net.ResolveUDPAddr("udp", cfg.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "listen address %q: %v", cfg.Listen, err)
+	}
+	sock, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
+	}
+	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}}
+	e.transport = &quic.Transport{Conn: sock}
+	e.listener, err = e.transport.Listen(cfg.Credentials.ServerTLS(protocol), e.quicConfig())
+	if err != nil {
+		_ = sock.Close()
+		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
+	}
+	return e, nil
+}
+
+func (e *Endpoint) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeLimit,
+		MaxIdleTimeout:        e.cfg.IdleLimit,
+		KeepAlivePeriod:       e.cfg.KeepAlive,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+// Addr returns the address of the socket.
+func (e *Endpoint) Addr() net.Addr { return e.transport.Conn.LocalAddr() }
+
+// Handle registers the handler of a method and the roles that may use it.
+func (e *Endpoint) Handle(name string, roles []Role, h Handler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.methods[name] = method{roles: roles, handler: h}
+}
+
+// Serve accepts connections until ctx ends, then closes the socket and waits
+// for the connection goroutines.
+func (e *Endpoint) Serve(ctx context.Context) error {
+	for {
+		conn, err := e.listener.Accept(ctx)
+		if err != nil {
+			break
+		}
+		e.wg.Go(func() { e.serveConn(ctx, conn) })
+	}
+	_ = e.listener.Close()
+	e.closeOutbound()
+	_ = e.transport.Close()
+	_ = e.transport.Conn.Close()
+	e.wg.Wait()
+	return ctx.Err()
+}
+
+func (e *Endpoint) closeOutbound() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, o := range e.conns {
+		if c := o.conn; c != nil {
+			_ = c.CloseWithError(connClosed, "shutting down")
+		}
+	}
+}
+
+// serveConn serves the streams of one accepted connection.
+func (e *Endpoint) serveConn(ctx context.Context, conn *quic.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	id, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		e.cfg.Log.Warn("peer connection refused", "remote", conn.RemoteAddr().String(), "reason", err.Error())
+		_ = conn.CloseWithError(connRefused, "identity")
+		return
+	}
+	e.cfg.Log.Debug("peer connection accepted", "peer", id.String())
+	var wg sync.WaitGroup
+	for {
+		st, err := conn.AcceptStream(ctx)
+		if err != nil {
+			break
+		}
+		wg.Go(func() { e.serveStream(ctx, &quicStream{st: st, peer: id}) })
+	}
+	_ = conn.CloseWithError(connClosed, "")
+	cancel()
+	wg.Wait()
+}
+
+// serveStream reads the method of one stream and runs its handler.
+func (e *Endpoint) serveStream(ctx context.Context, s *quicStream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	var h hello
+	if err := s.Recv(&h); err != nil {
+		s.Abort()
+		return
+	}
+	m, err := e.lookup(h.Method, s.peer)
+	if err != nil {
+		e.cfg.Log.Warn("peer method refused", "peer", s.peer.String(), "method", h.Method, "reason", err.Error())
+		_ = s.Send(reply{Error: err.Error(), Code: codeOf(err)})
+		_ = s.Close()
+		return
+	}
+	if err := m.handler(ctx, s); err != nil {
+		e.cfg.Log.Debug("peer stream ended", "peer", s.peer.String(), "method", h.Method, "reason", err.Error())
+		s.Abort()
+		return
+	}
+	_ = s.Close()
+	s.st.CancelRead(streamAborted)
+}
+
+func (e *Endpoint) lookup(name string, id Identity) (method, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m, ok := e.methods[name]
+	if !ok {
+		return m, eris.Wrapf(ErrUnknownMethod, "%q", name)
+	}
+	if !slices.Contains(m.roles, id.Role) {
+		return m, eris.Wrapf(ErrForbidden, "%q by %s", name, id)
+	}
+	return m, nil
+}
+
+// Open opens a stream for the method on the connection to addr, which is made
+// if there is none. The peer's identity must match want.
+func (e *Endpoint) Open(ctx context.Context, addr string, want Identity, name string) (Stream, error) {
+	conn, id, err := e.connect(ctx, addr, want)
+	if err != nil {
+		return nil, err
+	}
+	st, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
+	}
+	s := &quicStream{st: st, peer: id}
+	if err := s.Send(hello{Method: name}); err != nil {
+		s.Abort()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (e *Endpoint) connect(ctx context.Context, addr string, want Identity) (*quic.Conn, Identity, error) {
+	o := e.outbound(addr)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.conn != nil && o.conn.Context().Err() == nil {
+		if !o.peer.Matches(want) {
+			return nil, Identity{}, eris.Wrapf(ErrIdentity, "%s is %s, want %s", addr, o.peer, want)
+		}
+		return o.conn, o.peer, nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
+	}
+	conn, err := e.transport.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(want, protocol), e.quicConfig())
+	if err != nil {
+		return nil, Identity{}, dialError(addr, err)
+	}
+	id, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		_ = conn.CloseWithError(connRefused, "identity")
+		return nil, Identity{}, err
+	}
+	e.mu.Lock()
+	o.conn, o.peer = conn, id
+	e.mu.Unlock()
+	return conn, id, nil
+}
+
+func (e *Endpoint) outbound(addr string) *outbound {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o, ok := e.conns[addr]
+	if !ok {
+		o = &outbound{}
+		e.conns[addr] = o
+	}
+	return o
+}
+
+func dialError(addr string, err error) error {
+	if errors.Is(err, ErrIdentity) {
+		return eris.Wrapf(ErrIdentity, "%s: %v", addr, err)
+	}
+	return eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
+}
--- /dev/null
+++ b/mesh/peer/message.go
@@ -0,0 +1,18 @@
+package peer
+
+// hello is the first frame of each stream and names the method.
+type hello struct {
+	Method string `cbor:"1,keyasint"`
+}
+
+// reply is the last frame of a unary call.
+type reply struct {
+	Error string `cbor:"1,keyasint,omitempty"`
+	Code  string `cbor:"2,keyasint,omitempty"`
+	Body  []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// request is the second frame of a unary call.
+type request struct {
+	Body []byte `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/mesh/peer/stream.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// Stream carries frames in both directions. Send may be called by one
+// goroutine while another one is in Recv.
+type Stream interface {
+	// Send writes v as one frame.
+	Send(v any) error
+	// Recv reads one frame into v; io.EOF when the other side closed its half.
+	Recv(v any) error
+	// Peer is the identity in the other side's certificate.
+	Peer() Identity
+	// Context ends when the stream or its connection ends.
+	Context() context.Context
+	// Close ends the sending half; the other side's Recv returns io.EOF.
+	Close() error
+	// Abort ends both halves at once; a blocked Recv returns.
+	Abort()
+}
+
+// sendTimeout bounds one Send: a peer that does not read for so long is
+// treated as silent.
+const sendTimeout = 5 * time.Second
+
+// quicStream is a Stream over one QUIC stream.
+type quicStream struct {
+	st   *quic.Stream
+	peer Identity
+
+	// mu serialises Send.
+	mu sync.Mutex
+}
+
+func (s *quicStream) Send(v any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.st.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return eris.Wrapf(ErrClosed, "deadline: %v", err)
+	}
+	return writeFrame(countWriter{s.st}, v)
+}
+
+func (s *quicStream) Recv(v any) error         { return readFrame(countReader{s.st}, v) }
+func (s *quicStream) Peer() Identity           { return s.peer }
+func (s *quicStream) Context() context.Context { return s.st.Context() }
+func (s *quicStream) Close() error             { return s.st.Close() }
+
+func (s *quicStream) Abort() {
+	s.st.CancelRead(streamAborted)
+	s.st.CancelWrite(streamAborted)
+}
+
+// bytesSent and bytesReceived count the control traffic of the process.
+var bytesSent, bytesReceived atomic.Int64
+
+// Traffic returns the bytes of frames that this process has sent and received.
+func Traffic() (sent, received int64) { return bytesSent.Load(), bytesReceived.Load() }
+
+type countWriter struct{ w io.Writer }
+
+func (c countWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	bytesSent.Add(int64(n))
+	return n, err
+}
+
+type countReader struct{ r io.Reader }
+
+func (c countReader) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	bytesReceived.Add(int64(n))
+	return n, err
+}
