--- /dev/null
+++ b/bench/load/report.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	minLatencyMicros = 1
+	maxLatencyMicros = 60_000_000
+	histogramDigits  = 3
+	maxDetails       = 20
+)
+
+// FlowReport is what the tool saw of one flow.
+type FlowReport struct {
+	Name     string            `json:"name"`
+	Kind     string            `json:"kind"`
+	Sent     int64             `json:"sent"`
+	Outcomes map[Outcome]int64 `json:"outcomes"`
+	Versions map[string]int64  `json:"versions"`
+	P50      float64           `json:"p50_ms"`
+	P99      float64           `json:"p99_ms"`
+	Max      float64           `json:"max_ms"`
+	Seconds  []SecondReport    `json:"seconds"`
+	hist     *hdrhistogram.Histogram
+	seconds  map[int64]*SecondReport
+}
+
+// SecondReport is one second of a flow, by scheduled start.
+type SecondReport struct {
+	Second   int64             `json:"second"`
+	Versions map[string]int64  `json:"versions"`
+	Outcomes map[Outcome]int64 `json:"outcomes"`
+}
+
+// Report collects the results of all flows; the mutex guards every field.
+type Report struct {
+	mu      sync.Mutex
+	start   time.Time
+	flows   map[string]*FlowReport
+	details []string
+}
+
+// NewReport returns an empty report whose seconds count from start.
+func NewReport(start time.Time) *Report {
+	return &Report{start: start, flows: map[string]*FlowReport{}}
+}
+
+func (r *Report) add(f Flow, res result, due time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fr, ok := r.flows[f.Name]
+	if !ok {
+		fr = &FlowReport{
+			Name: f.Name, Kind: f.Kind.String(),
+			Outcomes: map[Outcome]int64{}, Versions: map[string]int64{},
+			hist:    hdrhistogram.New(minLatencyMicros, maxLatencyMicros, histogramDigits),
+			seconds: map[int64]*SecondReport{},
+		}
+		r.flows[f.Name] = fr
+	}
+	fr.Sent++
+	fr.Outcomes[res.outcome]++
+	second := fr.second(int64(due.Sub(r.start) / time.Second))
+	second.Outcomes[res.outcome]++
+	if res.outcome == OutcomeOK {
+		fr.Versions[res.version]++
+		second.Versions[res.version]++
+		_ = fr.hist.RecordValue(max(res.latency.Microseconds(), minLatencyMicros))
+	}
+	if res.outcome != OutcomeOK && len(r.details) < maxDetails {
+		r.details = append(r.details, fmt.Sprintf("%s %s status %d: %s", f.Name, res.outcome, res.status, res.detail))
+	}
+}
+
+func (f *FlowReport) second(n int64) *SecondReport {
+	s, ok := f.seconds[n]
+	if !ok {
+		s = &SecondReport{Second: n, Versions: map[string]int64{}, Outcomes: map[Outcome]int64{}}
+		f.seconds[n] = s
+	}
+	return s
+}
+
+// Flows returns the finished reports in order of name.
+func (r *Report) Flows() []FlowReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []FlowReport
+	for _, name := range slices.Sorted(maps.Keys(r.flows)) {
+		f := *r.flows[name]
+		f.P50 = float64(f.hist.ValueAtQuantile(50)) / 1000
+		f.P99 = float64(f.hist.ValueAtQuantile(99)) / 1000
+		f.Max = float64(f.hist.Max()) / 1000
+		f.Seconds = nil
+		for _, n := range slices.Sorted(maps.Keys(f.seconds)) {
+			f.Seconds = append(f.Seconds, *f.seconds[n])
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// Details returns the first answers that were not ok.
+func (r *Report) Details() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.details)
+}
+
+// Count sums one outcome over all flows.
+func (r *Report) Count(o Outcome) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var n int64
+	for _, f := range r.flows {
+		n += f.Outcomes[o]
+	}
+	return n
+}
+
+// WriteTable writes one row for each flow.
+func (r *Report) WriteTable(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "flow\tkind\tsent\tok\tnot-run\tunknown\tfailed\tlate\twrong\tlost\tp50 ms\tp99 ms\tmax ms")
+	for _, f := range r.Flows() {
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\n", f.Name, f.Kind, f.Sent,
+			f.Outcomes[OutcomeOK], f.Outcomes[OutcomeNotRun], f.Outcomes[OutcomeUnknown], f.Outcomes[OutcomeFailed],
+			f.Outcomes[OutcomeLate], f.Outcomes[OutcomeWrong], f.Outcomes[OutcomeLost], f.P50, f.P99, f.Max)
+	}
+	return tw.Flush()
+}
+
+// WriteJSON writes all flows with their seconds.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r.Flows())
+}
--- /dev/null
+++ b/bench/standin/server.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers that the stand-in understands and sets.
+const (
+	HeaderNotRun         = "Balsamtrail-Not-Run"
+	HeaderTimeout        = "Balsamtrail-Timeout-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderNonce          = "X-Nonce"
+	HeaderVersion        = "X-Standin-Version"
+	HeaderHost           = "X-Standin-Host"
+)
+
+const maxBody = 8 << 20
+
+// Server is one stand-in backend server.
+type Server struct {
+	cfg    Config
+	slots  chan struct{}
+	ledger ledger
+	client *http.Client
+}
+
+// New returns a stand-in that is not yet listening.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, slots: make(chan struct{}, cfg.Slots)}
+	s.ledger.stats.Runs = map[string]int{}
+	s.ledger.startedAt = time.Now()
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}}
+	return s
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", s.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Handler returns the HTTP handler of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /_standin/stats", s.serveStats)
+	mux.HandleFunc("POST /_standin/drain", s.serveDrain)
+	mux.HandleFunc("POST /_standin/cold", s.serveCold)
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc("/", s.serveRequest)
+	return mux
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.ledger.snapshot())
+}
+
+func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	s.ledger.draining = time.Now()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveCold turns the server cold again without any notice to its node.
+func (s *Server) serveCold(w http.ResponseWriter, _ *http.Request) {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	s.ledger.served = 0
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveHealth lags: it keeps saying ok for HealthLag after a drain.
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	s.ledger.mu.Lock()
+	draining := s.ledger.draining
+	s.ledger.mu.Unlock()
+	if !draining.IsZero() && time.Since(draining) > s.cfg.HealthLag {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if !s.ledger.admit(s.cfg, time.Now()) {
+		w.Header().Set(HeaderNotRun, "1")
+		http.Error(w, "no slot", http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := requestContext(r)
+	defer cancel()
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		s.ledger.abandon()
+		w.Header().Set(HeaderNotRun, "1")
+		http.Error(w, "deadline passed in the backlog", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.run(ctx, w, r)
+}
+
+func requestContext(r *http.Request) (context.Context, context.CancelFunc) {
+	if ms, err := strconv.Atoi(r.Header.Get(HeaderTimeout)); err == nil && ms > 0 {
+		return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	}
+	return context.WithCancel(r.Context())
+}
+
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	slow := s.ledger.begin(s.cfg, r.Header.Get(HeaderIdempotencyKey))
+	if err != nil {
+		s.ledger.end(true, true)
+		return
+	}
+	fail, stretch := s.misbehave(r.URL.Path)
+	canceled := !sleep(ctx, s.cfg.Latency*time.Duration(slow*stretch))
+	defer func() { s.ledger.end(fail, canceled) }()
+	if canceled {
+		http.Error(w, "canceled", http.StatusGatewayTimeout)
+		return
+	}
+	nested := ""
+	if rest, ok := strings.CutPrefix(r.URL.Path, "/nested/"); ok && !fail {
+		nested, fail = s.callNested(ctx, rest, r)
+	}
+	w.Header().Set(HeaderVersion, s.cfg.Version)
+	w.Header().Set(HeaderHost, s.cfg.Host)
+	if fail {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	answer := Answer(s.cfg.Service, r.Method, r.URL.Path, r.Header.Get(HeaderNonce), body) + nested
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+// Answer is the body that a healthy stand-in gives to a request; the load tool
+// computes it too and compares.
+func Answer(service, method, path, nonce string, body []byte) string {
+	sum := sha256.Sum256(body)
+	return fmt.Sprintf("%s %s %s %s %s\n", service, method, path, nonce, hex.EncodeToString(sum[:8]))
+}
+
+// misbehave returns whether the request fails and how much longer it takes.
+func (s *Server) misbehave(path string) (fail bool, stretch int) {
+	s.ledger.mu.Lock()
+	running, age := s.ledger.running, time.Since(s.ledger.startedAt)
+	s.ledger.mu.Unlock()
+	hit := rand.IntN(100) < s.cfg.BadShare
+	switch {
+	case !hit:
+		return false, 1
+	case s.cfg.Bad == BadAtOnce,
+		s.cfg.Bad == BadLater && age > s.cfg.BadAfter,
+		s.cfg.Bad == BadUnderLoad && running > s.cfg.Slots/4,
+		s.cfg.Bad == BadOneRoute && strings.HasPrefix(path, s.cfg.BadRoute):
+		return true, 1
+	case s.cfg.Bad == BadSlow:
+		return false, 10
+	}
+	return false, 1
+}
+
+// callNested sends a lookup to the own node, one level less deep.
+func (s *Server) callNested(ctx context.Context, rest string, r *http.Request) (string, bool) {
+	depth, err := strconv.Atoi(rest)
+	if err != nil || depth <= 0 || s.cfg.Outgoing == "" {
+		return "", err != nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.cfg.Outgoing+"/nested/"+strconv.Itoa(depth-1), nil)
+	if err != nil {
+		return "", true
+	}
+	for name, values := range r.Header {
+		if strings.HasPrefix(name, "Balsamtrail-") {
+			req.Header[name] = values
+		}
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return "", true
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err != nil || resp.StatusCode != http.StatusOK
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
