Forward requests to the own backend server exactly once

Cause: http.Transport repeats a request by itself after a lost kept-alive connection if it has no body and carries an Idempotency-Key, which would run a write twice. Change: every request gets a body that cannot be rewound, and an error after a connection was obtained counts as outcome unknown.

--- /dev/null
+++ b/mesh/node/backend.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Headers between callers, nodes and backend servers.
+const (
+	// HeaderNotRun marks a refusal of a request that did not run; its value is the reason.
+	HeaderNotRun = "Balsamtrail-Not-Run"
+	// HeaderTimeout carries the remaining time of a call in milliseconds.
+	HeaderTimeout = "Balsamtrail-Timeout-Ms"
+	// HeaderRetryBudget carries the tries that a call and its nested calls may still make.
+	HeaderRetryBudget = "Balsamtrail-Retry-Budget"
+	// HeaderOutcome says why a write has no answer: in-progress, unknown, body-mismatch or expired.
+	HeaderOutcome = "Balsamtrail-Outcome"
+	// HeaderIdempotencyKey carries the idempotency key of a write.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// backendConfig describes the connections to the node's own backend server.
+type backendConfig struct {
+	base        *url.URL
+	connections int
+	// dialTimeout bounds a new connection; the host is the same one, so it is short.
+	dialTimeout time.Duration
+}
+
+// backend forwards requests to the node's own backend server over connections
+// that are kept alive.
+type backend struct {
+	base      *url.URL
+	transport *http.Transport
+}
+
+// idleConnLimit drops connections that were unused for long, so that one which
+// went silent is seldom met.
+const idleConnLimit = 30 * time.Second
+
+func newBackend(cfg backendConfig) *backend {
+	d := net.Dialer{Timeout: cfg.dialTimeout, KeepAlive: 5 * time.Second}
+	return &backend{
+		base: cfg.base,
+		transport: &http.Transport{
+			DialContext:         d.DialContext,
+			MaxConnsPerHost:     cfg.connections,
+			MaxIdleConnsPerHost: cfg.connections,
+			IdleConnTimeout:     idleConnLimit,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// backendRequest is one request to the backend server.
+type backendRequest struct {
+	method, path string
+	header       http.Header
+	body         io.Reader
+	length       int64
+	timeout      time.Duration
+	budget       int
+}
+
+// do sends one request exactly once. ErrNotRun means that no connection was
+// obtained or that the backend server itself said so; after any other error the
+// request may have run.
+func (b *backend) do(ctx context.Context, r backendRequest) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := b.newRequest(ctx, r)
+	if err != nil {
+		return nil, eris.Wrapf(ErrNotRun, "malformed request: %v", err)
+	}
+	resp, err := b.transport.RoundTrip(req)
+	if err != nil {
+		if connected.Load() {
+			return nil, eris.Wrapf(ErrOutcomeUnknown, "backend server: %v", err)
+		}
+		return nil, eris.Wrapf(ErrNotRun, "backend server unreachable: %v", err)
+	}
+	return resp, nil
+}
+
+func (b *backend) newRequest(ctx context.Context, r backendRequest) (*http.Request, error) {
+	target, err := b.base.Parse(r.path)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = r.header
+	// http.Transport sends a request again after a lost connection if it has no
+	// body and carries an Idempotency-Key. A body without GetBody prevents that.
+	req.Body = onceBody{r.body}
+	req.GetBody = nil
+	req.ContentLength = r.length
+	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(r.timeout.Milliseconds(), 1), 10))
+	req.Header.Set(HeaderRetryBudget, strconv.Itoa(r.budget))
+	return req, nil
+}
+
+func (b *backend) close() { b.transport.CloseIdleConnections() }
+
+// onceBody is a request body that cannot be rewound.
+type onceBody struct{ r io.Reader }
+
+func (o onceBody) Read(p []byte) (int, error) {
+	if o.r == nil {
+		return 0, io.EOF
+	}
+	return o.r.Read(p)
+}
+
+func (onceBody) Close() error { return nil }
+
+// hopHeaders are meant for one connection only and are not forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+// forwardable returns a copy of h without the headers of the connection.
+func forwardable(h http.Header) http.Header {
+	n := h.Clone()
+	for _, name := range h.Values("Connection") {
+		n.Del(name)
+	}
+	for _, name := range hopHeaders {
+		n.Del(name)
+	}
+	return n
+}
--- /dev/null
+++ b/mesh/node/backend_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// lossyServer answers the first request of each connection and closes the
+// connection without an answer at every further one. It returns the base URL and
+// the number of requests that arrived.
+func lossyServer(t *testing.T) (*url.URL, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var arrived atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveLossy(c, &arrived)
+		}
+	}()
+	return &url.URL{Scheme: "http", Host: l.Addr().String()}, &arrived
+}
+
+func serveLossy(c net.Conn, arrived *atomic.Int64) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_ = req.Body.Close()
+		arrived.Add(1)
+		if n > 0 {
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+func writeRequest() backendRequest {
+	h := http.Header{}
+	h.Set(HeaderIdempotencyKey, "1-abcdefgh")
+	return backendRequest{method: http.MethodPost, path: "/restocks", header: h, timeout: time.Second}
+}
+
+// A write on a kept-alive connection that the backend server closes must not be
+// sent a second time by the HTTP transport, although it carries an Idempotency-Key.
+func TestWriteIsNotResentAfterLostConnection(t *testing.T) {
+	base, arrived := lossyServer(t)
+	b := newBackend(backendConfig{base: base, connections: 1, dialTimeout: time.Second})
+	defer b.close()
+	resp, err := b.do(context.Background(), writeRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	_, err = b.do(context.Background(), writeRequest())
+	if !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("second write: error %v, want %v", err, ErrOutcomeUnknown)
+	}
+	if n := arrived.Load(); n != 2 {
+		t.Errorf("%d requests arrived for 2 writes", n)
+	}
+}
+
+// A backend server that does not listen yields a true "not run".
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := &url.URL{Scheme: "http", Host: l.Addr().String()}
+	_ = l.Close()
+	b := newBackend(backendConfig{base: base, connections: 1, dialTimeout: time.Second})
+	if _, err := b.do(context.Background(), writeRequest()); !errors.Is(err, ErrNotRun) {
+		t.Errorf("error %v, want %v", err, ErrNotRun)
+	}
+}
