Dial each peer connection from a local port of its own

Cause: all connections left from the listening socket, so that a fresh connection had the same pair of ports as the silent one, and a middlebox that dropped the former flow dropped the new one too. Dialling also held a lock, so that calls with a short deadline waited for the handshake of another one. Change: one socket per outgoing connection; callers that share a dial wait for it or for their own deadline.

--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"slices"
@@ -63,13 +62,7 @@
 	mu      sync.Mutex
 	methods map[string]method
 	conns   map[string]*outbound
-}
-
-// outbound is the connection to one address; mu serialises dialling.
-type outbound struct {
-	mu   sync.Mutex
-	conn *quic.Conn
-	peer Identity
+	closed  bool
 }
 
 // Listen opens the socket. Register methods before calling Serve.
@@ -139,16 +132,6 @@
 	return ctx.Err()
 }
 
-func (e *Endpoint) closeOutbound() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, o := range e.conns {
-		if c := o.conn; c != nil {
-			_ = c.CloseWithError(connClosed, "shutting down")
-		}
-	}
-}
-
 // serveConn serves the streams of one accepted connection.
 func (e *Endpoint) serveConn(ctx context.Context, conn *quic.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -231,50 +214,3 @@
 	}
 	return s, nil
 }
-
-func (e *Endpoint) connect(ctx context.Context, addr string, want Identity) (*quic.Conn, Identity, error) {
-	o := e.outbound(addr)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.conn != nil && o.conn.Context().Err() == nil {
-		if !o.peer.Matches(want) {
-			return nil, Identity{}, eris.Wrapf(ErrIdentity, "%s is %s, want %s", addr, o.peer, want)
-		}
-		return o.conn, o.peer, nil
-	}
-	udp, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
-	}
-	conn, err := e.transport.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(want, protocol), e.quicConfig())
-	if err != nil {
-		return nil, Identity{}, dialError(addr, err)
-	}
-	id, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
-	if err != nil {
-		_ = conn.CloseWithError(connRefused, "identity")
-		return nil, Identity{}, err
-	}
-	e.mu.Lock()
-	o.conn, o.peer = conn, id
-	e.mu.Unlock()
-	return conn, id, nil
-}
-
-func (e *Endpoint) outbound(addr string) *outbound {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	o, ok := e.conns[addr]
-	if !ok {
-		o = &outbound{}
-		e.conns[addr] = o
-	}
-	return o
-}
-
-func dialError(addr string, err error) error {
-	if errors.Is(err, ErrIdentity) {
-		return eris.Wrapf(ErrIdentity, "%s: %v", addr, err)
-	}
-	return eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
-}
--- /dev/null
+++ b/mesh/peer/outbound.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// outbound is the connection to one address, or the attempt to make it. conn,
+// peer and err are set before ready is closed and never change afterwards.
+type outbound struct {
+	addr  string
+	want  Identity
+	ready chan struct{}
+	conn  *quic.Conn
+	peer  Identity
+	err   error
+}
+
+// usable reports whether calls to want may use o or wait for it.
+func (o *outbound) usable(want Identity) bool {
+	select {
+	case <-o.ready:
+		return o.err == nil && o.conn.Context().Err() == nil && o.peer.Matches(want)
+	default:
+		return o.want == want
+	}
+}
+
+// connect returns the connection to addr; calls that arrive while it is dialled
+// share the attempt.
+func (e *Endpoint) connect(ctx context.Context, addr string, want Identity) (*quic.Conn, Identity, error) {
+	e.mu.Lock()
+	if e.closed {
+		e.mu.Unlock()
+		return nil, Identity{}, eris.Wrap(ErrClosed, "endpoint is closed")
+	}
+	o := e.conns[addr]
+	if o == nil || !o.usable(want) {
+		o = &outbound{addr: addr, want: want, ready: make(chan struct{})}
+		e.conns[addr] = o
+		e.wg.Go(func() { e.run(o) })
+	}
+	e.mu.Unlock()
+	select {
+	case <-o.ready:
+		return o.conn, o.peer, o.err
+	case <-ctx.Done():
+		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", addr, ctx.Err())
+	}
+}
+
+// run dials and keeps the connection registered until it ends.
+func (e *Endpoint) run(o *outbound) {
+	sock, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		o.err = eris.Wrapf(ErrUnreachable, "socket: %v", err)
+		close(o.ready)
+		e.forget(o)
+		return
+	}
+	// Each connection has a local port of its own. Something between the ends
+	// that has lost track of the former connection would also drop a new one
+	// between the same ports.
+	tr := &quic.Transport{Conn: sock}
+	o.conn, o.peer, o.err = e.dial(tr, o)
+	close(o.ready)
+	if o.err == nil {
+		e.cfg.Log.Debug("peer connection made", "address", o.addr, "peer", o.peer.String())
+		<-o.conn.Context().Done()
+		e.cfg.Log.Info("peer connection ended", "address", o.addr, "peer", o.peer.String(),
+			"reason", context.Cause(o.conn.Context()).Error())
+	}
+	e.forget(o)
+	_ = tr.Close()
+	_ = sock.Close()
+}
+
+func (e *Endpoint) dial(tr *quic.Transport, o *outbound) (*quic.Conn, Identity, error) {
+	udp, err := net.ResolveUDPAddr("udp", o.addr)
+	if err != nil {
+		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", o.addr, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeLimit)
+	defer cancel()
+	conn, err := tr.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(o.want, protocol), e.quicConfig())
+	if err != nil {
+		return nil, Identity{}, dialError(o.addr, err)
+	}
+	id, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		_ = conn.CloseWithError(connRefused, "identity")
+		return nil, Identity{}, err
+	}
+	return conn, id, nil
+}
+
+func (e *Endpoint) forget(o *outbound) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns[o.addr] == o {
+		delete(e.conns, o.addr)
+	}
+}
+
+// closeOutbound ends all connections that this endpoint made.
+func (e *Endpoint) closeOutbound() {
+	e.mu.Lock()
+	e.closed = true
+	conns := e.conns
+	e.conns = map[string]*outbound{}
+	e.mu.Unlock()
+	for _, o := range conns {
+		<-o.ready
+		if o.conn != nil {
+			_ = o.conn.CloseWithError(connClosed, "shutting down")
+		}
+	}
+}
+
+func dialError(addr string, err error) error {
+	if errors.Is(err, ErrIdentity) {
+		return eris.Wrapf(ErrIdentity, "%s: %v", addr, err)
+	}
+	return eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
+}
--- /dev/null
+++ b/mesh/peer/silent_test.go
@@ -0,0 +1,125 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/peer"
+)
+
+// udpRelay forwards datagrams and can drop those of all flows seen so far; a
+// flow is known by its source port, as a middlebox knows it.
+type udpRelay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*udpFlow
+}
+
+type udpFlow struct {
+	back   *net.UDPConn
+	silent bool
+}
+
+func startRelay(target string) *udpRelay {
+	addr, err := net.ResolveUDPAddr("udp", target)
+	Expect(err).NotTo(HaveOccurred())
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	r := &udpRelay{front: front, target: addr, flows: map[string]*udpFlow{}}
+	go r.forward()
+	DeferCleanup(func() {
+		_ = front.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, f := range r.flows {
+			_ = f.back.Close()
+		}
+	})
+	return r
+}
+
+func (r *udpRelay) forward() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, src, err := r.front.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if f := r.flow(src); f != nil {
+			_, _ = f.back.Write(buf[:n])
+		}
+	}
+}
+
+// flow returns the flow of a source, or nil if it has gone silent.
+func (r *udpRelay) flow(src *net.UDPAddr) *udpFlow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f, ok := r.flows[src.String()]
+	if !ok {
+		back, err := net.DialUDP("udp", nil, r.target)
+		if err != nil {
+			return nil
+		}
+		f = &udpFlow{back: back}
+		r.flows[src.String()] = f
+		go r.backward(f, src)
+	}
+	if f.silent {
+		return nil
+	}
+	return f
+}
+
+func (r *udpRelay) backward(f *udpFlow, src *net.UDPAddr) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := f.back.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		silent := f.silent
+		r.mu.Unlock()
+		if !silent {
+			_, _ = r.front.WriteToUDP(buf[:n], src)
+		}
+	}
+}
+
+func (r *udpRelay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.silent = true
+	}
+}
+
+var _ = Describe("a connection that goes silent", func() {
+	It("is replaced by a fresh one from another port within two idle limits", func() {
+		dir := GinkgoT().TempDir()
+		c1 := peer.Identity{Role: peer.RoleControl, DataCentre: "thun", Host: "c1"}
+		control := endpoint(dir, c1)
+		node := endpoint(dir, peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "n1"})
+		peer.HandleCall(control, "echo", []peer.Role{peer.RoleNode},
+			func(_ context.Context, _ peer.Identity, req echo) (echo, error) { return req, nil })
+		relay := startRelay(control.Addr().String())
+		call := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), peer.DefaultIdleLimit+500*time.Millisecond)
+			defer cancel()
+			var out echo
+			return node.Call(ctx, relay.front.LocalAddr().String(), c1, "echo", echo{Text: "hello"}, &out)
+		}
+		Expect(call()).To(Succeed())
+		relay.silence()
+		Expect(call()).NotTo(Succeed(), "the relay drops this connection")
+		Eventually(call).WithTimeout(2 * peer.DefaultIdleLimit).Should(Succeed())
+	})
+})
