Add the endpoint table, leases and the announce stream

Entry nodes need to know the backend servers, and a crash must be in force everywhere in under 4 s without a lapse when the source is silent.

The table keeps the newest announcement of each host with a local change sequence, bounded tombstones and a digest for peer repair. The keeper suspends expiry without contact to the quorum and extends all leases after a pause of its own process. The announce stream checks each announcement against the certificate.

Tested with go test -race ./mesh/membership: differential tests against a map and the lifecycle under virtual time pass.

--- /dev/null
+++ b/mesh/membership/announce.go
@@ -0,0 +1,150 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// replyTimeout bounds the wait for the answer to a renewal, so that half of
+// the lease remains to renew with another control host.
+const replyTimeout = time.Second
+
+// Holder is a control host's side of all announce streams.
+type Holder struct {
+	Table  *Table
+	Keeper *LeaseKeeper
+	// Status returns the position in force and whether the leader is heard.
+	Status func() (model.Position, bool)
+	// Log receives one line for each refused announcement and each change of state.
+	Log *slog.Logger
+}
+
+// ServeAnnounce answers the renewals of one node until it leaves, falls silent
+// for a lease or ctx ends. The announcement must be of the host and data
+// centre in the node's certificate.
+func ServeAnnounce(ctx context.Context, h Holder, st peer.Stream) error {
+	defer context.AfterFunc(ctx, st.Abort)()
+	for {
+		var r renewal
+		if err := recvWithin(st, &r, LeaseTime); err != nil {
+			return err
+		}
+		a := r.Announcement
+		if err := admit(st.Peer(), a); err != nil {
+			h.Log.Warn("announcement refused", "peer", st.Peer().String(), "host", a.Host, "reason", err.Error())
+			return err
+		}
+		if err := st.Send(h.renew(time.Now(), a)); err != nil {
+			return eris.Wrapf(ErrClosed, "reply: %v", err)
+		}
+		if a.State == StateLeft {
+			return nil
+		}
+	}
+}
+
+// admit checks that the peer may send the announcement.
+func admit(id peer.Identity, a Announcement) error {
+	if id.Role != peer.RoleNode || id.Host != a.Host || id.DataCentre != a.DataCentre {
+		return eris.Wrapf(ErrIdentity, "%s announced host %q in data centre %q", id, a.Host, a.DataCentre)
+	}
+	if a.State == StateLapsed {
+		return eris.Wrap(ErrInvalid, "a node cannot announce itself lapsed")
+	}
+	return a.Check()
+}
+
+// renew merges the announcement and renews the lease if it is the newest record.
+func (h Holder) renew(now time.Time, a Announcement) Reply {
+	var reply Reply
+	reply.Position, reply.InContact = h.Status()
+	if h.Table.Merge(a) {
+		h.Log.Info("announcement accepted", "host", a.Host, "service", a.Service, "version", a.Version,
+			"state", a.State.String(), "incarnation", a.Incarnation, "sequence", a.Sequence)
+	}
+	seen, ok := h.Table.Get(a.Host)
+	if ok && newer(seen, a) {
+		reply.Seen = &seen
+		return reply
+	}
+	h.Keeper.Renew(now, a)
+	return reply
+}
+
+// Contact holds what a node last heard from its lease holder. One mutex guards it.
+type Contact struct {
+	mu    sync.Mutex
+	reply Reply
+	at    time.Time
+}
+
+// Last returns the last reply and when it came; the zero time means never.
+func (c *Contact) Last() (Reply, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reply, c.at
+}
+
+func (c *Contact) record(now time.Time, r Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reply, c.at = r, now
+}
+
+// Announce renews the node's lease over one stream every RenewInterval and at
+// once on each change. It returns nil when the node has left and an error when
+// the caller should try another control host.
+func Announce(ctx context.Context, p *Publisher, c *Contact, st peer.Stream) error {
+	defer context.AfterFunc(ctx, st.Abort)()
+	tick := time.NewTicker(RenewInterval)
+	defer tick.Stop()
+	for {
+		a := p.Current()
+		if err := st.Send(renewal{Announcement: a}); err != nil {
+			return eris.Wrapf(ErrClosed, "renewal: %v", err)
+		}
+		var r Reply
+		if err := recvWithin(st, &r, replyTimeout); err != nil {
+			return err
+		}
+		c.record(time.Now(), r)
+		if r.Seen != nil {
+			p.Observe(*r.Seen)
+		} else if a.State == StateLeft {
+			_ = st.Close()
+			return nil
+		}
+		select {
+		case <-p.Changed(a):
+		case <-tick.C:
+		case <-ctx.Done():
+			return eris.Wrapf(ErrClosed, "%v", ctx.Err())
+		}
+	}
+}
+
+// recvWithin reads one frame and aborts the stream if none comes in time.
+func recvWithin(st peer.Stream, v any, limit time.Duration) error {
+	timer := time.AfterFunc(limit, st.Abort)
+	err := st.Recv(v)
+	inTime := timer.Stop()
+	switch {
+	case err == nil:
+		return nil
+	case !inTime:
+		return eris.Wrapf(ErrSilent, "%s sent nothing for %s", st.Peer(), limit)
+	case errors.Is(err, io.EOF):
+		return eris.Wrapf(ErrClosed, "%s ended the stream", st.Peer())
+	default:
+		return eris.Wrapf(ErrClosed, "%s: %v", st.Peer(), err)
+	}
+}
--- /dev/null
+++ b/mesh/membership/announce_test.go
@@ -0,0 +1,131 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// serve starts ServeAnnounce for a node's stream and returns the node's end.
+func serve(ctx context.Context, h Holder, id peer.Identity) (peer.Stream, chan error) {
+	node, control := peer.Pipe(id, controlID)
+	done := make(chan error, 1)
+	go func() { done <- ServeAnnounce(ctx, h, control); control.Abort() }()
+	return node, done
+}
+
+// TestAnnounceLifecycle guards against a node that is not leased while it
+// renews, whose drain or leave waits for the next interval, or that does not
+// return after it was declared lapsed.
+func TestAnnounceLifecycle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := holder()
+		p := NewPublisher(announcement("n1", 0, 0, StateServing), time.Now())
+		st, served := serve(t.Context(), h, nodeID)
+		contact, done := &Contact{}, make(chan error, 1)
+		go func() { done <- Announce(t.Context(), p, contact, st) }()
+		for range 40 {
+			time.Sleep(TickInterval)
+			h.Table.MergeAll(h.Keeper.Expire(time.Now()))
+		}
+		expectState(t, h, StateServing)
+		if r, _ := contact.Last(); !r.InContact || r.Position != (model.Position{Epoch: 1, Index: 7}) {
+			t.Fatalf("reply %+v", r)
+		}
+		lapsed, _ := h.Table.Get("n1")
+		lapsed.Sequence, lapsed.State = lapsed.Sequence+1, StateLapsed
+		h.Table.Merge(lapsed)
+		time.Sleep(RenewInterval + time.Millisecond)
+		expectState(t, h, StateServing)
+		if got := p.Current().Incarnation; got != lapsed.Incarnation+1 {
+			t.Fatalf("incarnation %d after lapse of %d", got, lapsed.Incarnation)
+		}
+		p.Drain()
+		synctest.Wait()
+		expectState(t, h, StateDraining)
+		p.Leave()
+		p.Drain()
+		synctest.Wait()
+		expectState(t, h, StateLeft)
+		if err := errors.Join(<-done, <-served); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func expectState(t *testing.T, h Holder, want State) {
+	t.Helper()
+	if a, _ := h.Table.Get("n1"); a.State != want {
+		t.Fatalf("state %s, want %s", a.State, want)
+	}
+}
+
+// TestAnnounceRefusals guards against a node that announces for another host
+// or data centre, a control host that announces, a node that declares itself
+// lapsed, and an announcement without addresses.
+func TestAnnounceRefusals(t *testing.T) {
+	good := announcement("n1", 1, 1, StateServing)
+	bad := func(change func(*Announcement)) Announcement { a := good; change(&a); return a }
+	cases := map[string]struct {
+		id   peer.Identity
+		ann  Announcement
+		want error
+	}{
+		"other host":        {nodeID, bad(func(a *Announcement) { a.Host = "n2" }), ErrIdentity},
+		"other data centre": {nodeID, bad(func(a *Announcement) { a.DataCentre = "burgdorf" }), ErrIdentity},
+		"control role":      {peer.Identity{Role: peer.RoleControl, DataCentre: "thun", Host: "n1"}, good, ErrIdentity},
+		"lapsed":            {nodeID, bad(func(a *Announcement) { a.State = StateLapsed }), ErrInvalid},
+		"no address":        {nodeID, bad(func(a *Announcement) { a.CallAddress = "" }), ErrInvalid},
+		"no slots":          {nodeID, bad(func(a *Announcement) { a.Slots = 0 }), ErrInvalid},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := holder()
+			st, done := serve(t.Context(), h, c.id)
+			if err := st.Send(renewal{Announcement: c.ann}); err != nil {
+				t.Fatal(err)
+			}
+			if err := <-done; !errors.Is(err, c.want) {
+				t.Fatalf("error %v, want %v", err, c.want)
+			}
+			if len(h.Table.All())+len(h.Keeper.Held()) != 0 {
+				t.Fatal("a refused announcement left a record or lease")
+			}
+		})
+	}
+}
+
+// TestSilentSides guards against a node that waits for ever for a control host
+// that went silent, and a stream that outlives a silent node.
+func TestSilentSides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node, _ := peer.Pipe(nodeID, controlID)
+		start := time.Now()
+		err := Announce(t.Context(), NewPublisher(announcement("n1", 0, 0, 0), start), &Contact{}, node)
+		if !errors.Is(err, ErrSilent) || time.Since(start) > replyTimeout {
+			t.Fatalf("node: %v after %s", err, time.Since(start))
+		}
+		_, done := serve(t.Context(), holder(), nodeID)
+		if err := <-done; !errors.Is(err, ErrSilent) {
+			t.Fatalf("control host: %v", err)
+		}
+	})
+}
+
+// TestPublisherClockBackwards guards against a restarted node whose clock went
+// backwards and whose announcements would lose against its former ones.
+func TestPublisherClockBackwards(t *testing.T) {
+	p := NewPublisher(announcement("n1", 0, 0, StateServing), epoch)
+	former := announcement("n1", uint64(epoch.Add(time.Hour).UnixMilli()), 4, StateServing)
+	if !p.Observe(former) || !newer(p.Current(), former) {
+		t.Fatalf("current %+v, former %+v", p.Current(), former)
+	}
+	if p.Observe(former) {
+		t.Fatal("raised again by an older record")
+	}
+}
--- /dev/null
+++ b/mesh/membership/lease.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// The times of a lease.
+const (
+	// RenewInterval is how often a node renews its lease.
+	RenewInterval = 500 * time.Millisecond
+	// LeaseTime is the silence after which a node is declared lapsed. It covers
+	// three lost renewals and leaves 2 s of the 4 s target for the fan-out.
+	LeaseTime = 2 * time.Second
+	// TickInterval is how often the owner of a LeaseKeeper calls Expire.
+	TickInterval = 250 * time.Millisecond
+	// PauseLimit is the gap between two ticks from which the own process counts
+	// as paused. It is below LeaseTime minus RenewInterval, so that a shorter
+	// pause cannot lapse a node that kept renewing.
+	PauseLimit = time.Second
+)
+
+// LeaseKeeper decides on a control host which nodes have lapsed. It reads no
+// clock. One mutex guards it.
+type LeaseKeeper struct {
+	mu        sync.Mutex
+	leases    map[model.HostID]lease
+	lastTick  time.Time
+	suspended bool
+	pauses    uint64
+}
+
+type lease struct {
+	ann   Announcement
+	until time.Time
+}
+
+// NewLeaseKeeper returns a keeper without leases.
+func NewLeaseKeeper() *LeaseKeeper { return &LeaseKeeper{leases: map[model.HostID]lease{}} }
+
+// Renew grants the announced host a lease from now. A record that is older
+// than the leased one changes nothing; a host that left has no lease.
+func (k *LeaseKeeper) Renew(now time.Time, ann Announcement) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l, ok := k.leases[ann.Host]; ok && newer(l.ann, ann) {
+		return
+	}
+	if !ann.Alive() {
+		delete(k.leases, ann.Host)
+		return
+	}
+	k.leases[ann.Host] = lease{ann: ann, until: now.Add(LeaseTime)}
+}
+
+// Adopt gives hosts whose keeper was lost two leases of time to renew with any
+// keeper. Hosts that hold a lease here keep it.
+func (k *LeaseKeeper) Adopt(now time.Time, hosts []Announcement) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, a := range hosts {
+		if _, held := k.leases[a.Host]; !held && a.Alive() {
+			k.leases[a.Host] = lease{ann: a, until: now.Add(2 * LeaseTime)}
+		}
+	}
+}
+
+// Release drops the lease of a host that renews with another keeper.
+func (k *LeaseKeeper) Release(h model.HostID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.leases, h)
+}
+
+// Expire returns the lapsed records of the hosts whose lease ran out, for the
+// owner to merge into its table. A gap of PauseLimit since the last call means
+// that this process was paused and could not hear renewals: every lease is
+// then extended instead.
+func (k *LeaseKeeper) Expire(now time.Time) []Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	paused := !k.lastTick.IsZero() && now.Sub(k.lastTick) >= PauseLimit
+	k.lastTick = now
+	if paused {
+		k.pauses++
+		k.extend(now)
+	}
+	if k.suspended {
+		return nil
+	}
+	var out []Announcement
+	for h, l := range k.leases {
+		if now.Before(l.until) {
+			continue
+		}
+		delete(k.leases, h)
+		a := l.ann
+		a.Sequence++
+		a.State = StateLapsed
+		out = append(out, a)
+	}
+	slices.SortFunc(out, byHost)
+	return out
+}
+
+func (k *LeaseKeeper) extend(now time.Time) {
+	for h, l := range k.leases {
+		if full := now.Add(LeaseTime); l.until.Before(full) {
+			l.until = full
+			k.leases[h] = l
+		}
+	}
+}
+
+// Suspend stops expiry: contact with the leader's quorum is lost, and silence
+// no longer tells anything about the nodes.
+func (k *LeaseKeeper) Suspend() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.suspended = true
+}
+
+// Resume starts expiry again; every held lease runs anew from now.
+func (k *LeaseKeeper) Resume(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.suspended {
+		return
+	}
+	k.suspended = false
+	k.extend(now)
+}
+
+// Held returns the leased records by host.
+func (k *LeaseKeeper) Held() []Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]Announcement, 0, len(k.leases))
+	for _, l := range k.leases {
+		out = append(out, l.ann)
+	}
+	slices.SortFunc(out, byHost)
+	return out
+}
+
+// Pauses returns how often Expire found that the process had been paused.
+func (k *LeaseKeeper) Pauses() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pauses
+}
--- /dev/null
+++ b/mesh/membership/message.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// MethodAnnounce is the peer method of the announce stream.
+const MethodAnnounce = "membership.announce"
+
+// maxText bounds each text field of an announcement.
+const maxText = 128
+
+// renewal is sent by a node every RenewInterval and on each change.
+type renewal struct {
+	Announcement Announcement `cbor:"1,keyasint"`
+}
+
+// Reply answers a renewal.
+type Reply struct {
+	// Position is the configuration in force on the lease holder.
+	Position model.Position `cbor:"1,keyasint"`
+	// InContact says that the lease holder hears the leader.
+	InContact bool `cbor:"2,keyasint"`
+	// Seen is the record that the lease holder has of the node if it replaces the sent one.
+	Seen *Announcement `cbor:"3,keyasint,omitempty"`
+}
+
+// Check reports the first bad field of an announcement that a node may send.
+func (a Announcement) Check() error {
+	texts := []struct{ field, value string }{
+		{"host", string(a.Host)}, {"service", string(a.Service)}, {"version", string(a.Version)},
+		{"data_centre", string(a.DataCentre)}, {"call_address", a.CallAddress}, {"peer_address", a.PeerAddress},
+	}
+	for _, t := range texts {
+		if t.value == "" || len(t.value) > maxText {
+			return eris.Wrapf(ErrInvalid, "%s has %d bytes, want 1 to %d", t.field, len(t.value), maxText)
+		}
+	}
+	switch {
+	case a.Incarnation == 0:
+		return eris.Wrap(ErrInvalid, "incarnation is 0")
+	case a.Slots < 1:
+		return eris.Wrapf(ErrInvalid, "slots is %d, want at least 1", a.Slots)
+	case a.State < StateServing || a.State > StateLapsed:
+		return eris.Wrapf(ErrInvalid, "unknown state %d", a.State)
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/membership/table_test.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"balsamtrail.org/mesh/model"
+)
+
+func drawAnnouncement(t *rapid.T) Announcement {
+	a := announcement(model.HostID(fmt.Sprintf("n%d", rapid.IntRange(0, 5).Draw(t, "host"))),
+		rapid.Uint64Range(1, 3).Draw(t, "inc"), rapid.Uint64Range(1, 3).Draw(t, "seq"),
+		State(rapid.IntRange(1, 4).Draw(t, "state")))
+	a.Service = model.ServiceName(rapid.SampledFrom([]string{"ledger", "roster"}).Draw(t, "service"))
+	// One writer never gives two contents to one incarnation, sequence and state.
+	a.Slots = int(a.Incarnation*100 + a.Sequence*10 + uint64(a.State))
+	a.Service = model.ServiceName(fmt.Sprintf("s%d", a.Slots%2))
+	return a
+}
+
+// TestTableMatchesMap guards against a merge, index, change log or digest that
+// disagrees with the plain rule "the newest announcement of each host" when
+// announcements come twice and out of order.
+func TestTableMatchesMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, mirror := NewTable(), NewTable()
+		want := map[model.HostID]Announcement{}
+		var cursor uint64
+		batch := rapid.SliceOfN(rapid.Custom(drawAnnouncement), 1, 60).Draw(t, "batch")
+		for _, a := range batch {
+			old, known := want[a.Host]
+			took := !known || newer(a, old)
+			if table.Merge(a) != took {
+				t.Fatalf("merge of %v over %v", a, old)
+			}
+			if took {
+				want[a.Host] = a
+			}
+			if rapid.Bool().Draw(t, "read") {
+				var out []Announcement
+				out, cursor = table.Batch(cursor, rapid.IntRange(0, 2).Draw(t, "limit"))
+				mirror.MergeAll(out)
+			}
+		}
+		out, _ := table.Since(cursor)
+		mirror.MergeAll(out)
+		compareWithMap(t, table, want)
+		compareWithMap(t, mirror, want)
+		if table.Digest() != mirror.Digest() {
+			t.Fatal("digests of equal tables differ")
+		}
+	})
+}
+
+func compareWithMap(t *rapid.T, table *Table, want map[model.HostID]Announcement) {
+	all := table.All()
+	if len(all) != len(want) {
+		t.Fatalf("%d records, want %d", len(all), len(want))
+	}
+	alive := map[model.ServiceName]int{}
+	for _, a := range all {
+		if want[a.Host] != a {
+			t.Fatalf("have %v, want %v", a, want[a.Host])
+		}
+		if !slices.Contains(table.Service(a.Service), a) {
+			t.Fatalf("%v missing from its service", a)
+		}
+		if a.Alive() {
+			alive[a.Service]++
+		}
+	}
+	for _, s := range []model.ServiceName{"s0", "s1"} {
+		if table.HasAlive(s) != (alive[s] > 0) {
+			t.Fatalf("HasAlive(%s) with %d alive", s, alive[s])
+		}
+	}
+}
+
+// TestTablesConverge guards against two tables that keep different records
+// after they saw the same announcements in different orders.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batch := rapid.SliceOfN(rapid.Custom(drawAnnouncement), 1, 30).Draw(t, "batch")
+		a, b := NewTable(), NewTable()
+		a.MergeAll(batch)
+		b.MergeAll(rapid.Permutation(batch).Draw(t, "order"))
+		if !slices.Equal(a.All(), b.All()) {
+			t.Fatalf("%v\n%v", a.All(), b.All())
+		}
+	})
+}
+
+var _ = Describe("Table", func() {
+	It("wakes a waiting reader on a change and not before", func() {
+		t := NewTable()
+		ch := t.Changed(0)
+		Expect(ch).NotTo(BeClosed())
+		t.Merge(announcement("n1", 1, 1, StateServing))
+		Expect(ch).To(BeClosed())
+		Expect(t.Changed(0)).To(BeClosed())
+		Expect(t.Changed(t.Sequence())).NotTo(BeClosed())
+	})
+
+	It("keeps a tombstone for its life, so that an older record cannot return, and then drops it", func() {
+		t := NewTable()
+		t.Merge(announcement("n1", 2, 1, StateLeft))
+		Expect(t.Prune(epoch)).To(BeZero())
+		Expect(t.Prune(epoch.Add(TombstoneLife - 1))).To(BeZero())
+		Expect(t.Merge(announcement("n1", 1, 9, StateServing))).To(BeFalse())
+		Expect(t.Prune(epoch.Add(TombstoneLife))).To(Equal(1))
+		Expect(t.All()).To(BeEmpty())
+	})
+
+	It("bounds its tombstones and evicts the oldest, never a live host", func() {
+		t := NewTable()
+		t.maxTombs = 2
+		t.Merge(announcement("live", 1, 1, StateServing))
+		for i := range 5 {
+			t.Merge(announcement(model.HostID(fmt.Sprintf("n%d", i)), 1, 1, StateLapsed))
+		}
+		hosts := []model.HostID{}
+		for _, a := range t.All() {
+			hosts = append(hosts, a.Host)
+		}
+		Expect(hosts).To(Equal([]model.HostID{"live", "n3", "n4"}))
+	})
+
+	It("names only the differing buckets to a peer", func() {
+		a, b := NewTable(), NewTable()
+		for i := range 500 {
+			x := announcement(model.HostID(fmt.Sprintf("n%d", i)), 1, 1, StateServing)
+			a.Merge(x)
+			b.Merge(x)
+		}
+		a.Merge(announcement("n7", 1, 2, StateDraining))
+		diff, _ := a.Differing(b.Digest())
+		Expect(len(diff)).To(BeNumerically("<", 50))
+		Expect(b.MergeAll(diff)).To(Equal(1))
+		Expect(a.Digest()).To(Equal(b.Digest()))
+	})
+})
