Add callmux: calls between nodes on one connection per pair

Change: mutual TLS 1.3 over TCP, binary frame headers, CBOR heads, a window per call, one reader and one batching writer goroutine, heartbeats both ways, typed outcomes (ErrNotSent, ErrOutcomeUnknown, ErrBodyTruncated), graceful stop.

--- /dev/null
+++ b/mesh/callmux/callmux_test.go
@@ -0,0 +1,247 @@
+package callmux_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+func TestCallmux(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "callmux")
+}
+
+var (
+	entryID   = peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "n1"}
+	servingID = peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "n2"}
+	controlID = peer.Identity{Role: peer.RoleControl, DataCentre: "thun", Host: "c1"}
+)
+
+func credentials(dir string, id peer.Identity) *peer.Credentials {
+	ca, err := peer.OpenDevCA(dir)
+	Expect(err).NotTo(HaveOccurred())
+	files, err := ca.Issue(id)
+	Expect(err).NotTo(HaveOccurred())
+	creds, err := peer.LoadCredentials(files)
+	Expect(err).NotTo(HaveOccurred())
+	return creds
+}
+
+// echo answers with the request's body and the head fields it received.
+func echo(_ context.Context, from peer.Identity, req *callmux.Request) (*callmux.Response, error) {
+	return &callmux.Response{
+		Status:   200,
+		Header:   map[string][]string{"From": {string(from.Host)}, "Path": {req.Path}},
+		Position: model.Position{Epoch: 1, Index: 7},
+		Limit:    20,
+		Body:     io.NopCloser(req.Body),
+	}, nil
+}
+
+var _ = Describe("Client and Server", func() {
+	var dir, addr string
+	var client *callmux.Client
+	var stop func()
+
+	serve := func(cfg callmux.Config, h callmux.Handler) {
+		cfg.Credentials = credentials(dir, servingID)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr = ln.Addr().String()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- callmux.NewServer(cfg).Serve(ctx, ln, h) }()
+		stop = sync.OnceFunc(func() {
+			cancel()
+			Eventually(done).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		})
+	}
+	do := func(ctx context.Context, req *callmux.Request) (*callmux.Response, error) {
+		return client.Do(ctx, addr, servingID, req)
+	}
+
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(before)).To(Succeed()) })
+		dir = GinkgoT().TempDir()
+		client = callmux.NewClient(callmux.Config{Credentials: credentials(dir, entryID)})
+		stop = func() {}
+		DeferCleanup(func() { client.Close(); stop() })
+	})
+
+	It("returns each caller the whole answer to its own request, small and large, at the same time", func() {
+		serve(callmux.Config{}, echo)
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				body := bytes.Repeat([]byte{byte(i)}, 1+i*i*700)
+				req := &callmux.Request{Path: fmt.Sprint("/", i), Body: bytes.NewReader(body)}
+				if i%2 == 0 {
+					req.BodyLength = int64(len(body))
+				}
+				resp, err := do(context.Background(), req)
+				Expect(err).NotTo(HaveOccurred())
+				defer resp.Body.Close()
+				Expect(resp.Header).To(Equal(map[string][]string{"From": {"n1"}, "Path": {fmt.Sprint("/", i)}}))
+				Expect(resp.Limit).To(Equal(20))
+				Expect(resp.Position).To(Equal(model.Position{Epoch: 1, Index: 7}))
+				got, err := io.ReadAll(resp.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(bytes.Equal(got, body)).To(BeTrue())
+			})
+		}
+		wg.Wait()
+	})
+
+	It("passes on a refusal and what it says about having run", func() {
+		refusal := &callmux.Refusal{Reason: "queue full", NotRun: true}
+		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
+			return &callmux.Response{Refusal: refusal}, nil
+		})
+		resp, err := do(context.Background(), &callmux.Request{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Refusal).To(Equal(refusal))
+	})
+
+	It("does not send to a host other than the expected one, nor from a process that is no node", func() {
+		serve(callmux.Config{}, echo)
+		_, err := client.Do(context.Background(), addr, peer.Identity{Host: "n3"}, &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+		control := callmux.NewClient(callmux.Config{Credentials: credentials(dir, controlID)})
+		defer control.Close()
+		_, err = control.Do(context.Background(), addr, servingID, &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
+	It("reports a call to a closed port and one past its deadline as not sent", func() {
+		serve(callmux.Config{}, echo)
+		stop()
+		_, err := do(context.Background(), &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+		defer cancel()
+		_, err = do(ctx, &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
+	It("ends the handler's context at the deadline and on cancel, and reports the outcome as unknown", func() {
+		causes := make(chan error, 2)
+		remaining := make(chan time.Duration, 2)
+		serve(callmux.Config{}, func(ctx context.Context, _ peer.Identity, req *callmux.Request) (*callmux.Response, error) {
+			remaining <- req.Timeout
+			<-ctx.Done()
+			causes <- context.Cause(ctx)
+			return nil, ctx.Err()
+		})
+		_, err := do(context.Background(), &callmux.Request{Timeout: 100 * time.Millisecond})
+		Expect(errors.Is(err, callmux.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+		Eventually(causes).WithTimeout(3 * time.Second).Should(Receive())
+		Expect(<-remaining).To(BeNumerically("<=", 100*time.Millisecond))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { defer cancel(); <-remaining }()
+		_, err = do(ctx, &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+		Eventually(causes).WithTimeout(3 * time.Second).Should(Receive())
+	})
+
+	It("reports an error of the handler as outcome unknown, without waiting for the deadline", func() {
+		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
+			return nil, errors.New("backend server gone")
+		})
+		_, err := do(context.Background(), &callmux.Request{Timeout: time.Minute})
+		Expect(errors.Is(err, callmux.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+	})
+
+	It("gives the reader an error for a response body that is cut short", func() {
+		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
+			broken := io.MultiReader(strings.NewReader("part"), errReader{})
+			return &callmux.Response{Status: 200, Body: io.NopCloser(broken)}, nil
+		})
+		resp, err := do(context.Background(), &callmux.Request{})
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		Expect(errors.Is(err, callmux.ErrBodyTruncated)).To(BeTrue(), "%v", err)
+	})
+
+	It("does not let a body that nobody reads delay other calls", func() {
+		serve(callmux.Config{}, echo)
+		endless, err := do(context.Background(), &callmux.Request{Body: zeroes{}})
+		Expect(err).NotTo(HaveOccurred())
+		defer endless.Body.Close()
+		for range 20 {
+			resp, err := do(context.Background(), &callmux.Request{Timeout: 2 * time.Second})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+		}
+	})
+
+	It("refuses calls above the bound as not run or not sent", func() {
+		release := make(chan struct{})
+		serve(callmux.Config{MaxCalls: 2}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
+			<-release
+			return &callmux.Response{Status: 200}, nil
+		})
+		errs := make(chan error, 3)
+		for range 3 {
+			go func() { _, err := do(context.Background(), &callmux.Request{}); errs <- err }()
+		}
+		err := <-errs
+		Expect(errors.Is(err, callmux.ErrNotSent) && errors.Is(err, callmux.ErrBusy)).To(BeTrue(), "%v", err)
+		close(release)
+		Expect([]error{<-errs, <-errs}).To(HaveEach(BeNil()))
+	})
+
+	It("refuses a head above its bound before sending it", func() {
+		serve(callmux.Config{}, echo)
+		_, err := do(context.Background(), &callmux.Request{Path: strings.Repeat("x", callmux.MaxHead)})
+		Expect(errors.Is(err, callmux.ErrTooLarge) && errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
+	It("finishes running calls when the server stops", func() {
+		started, release := make(chan struct{}), make(chan struct{})
+		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
+			close(started)
+			<-release
+			return &callmux.Response{Status: 200, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+		})
+		body := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, err := do(context.Background(), &callmux.Request{})
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			body <- string(b)
+		}()
+		<-started
+		time.AfterFunc(50*time.Millisecond, func() { close(release) })
+		stop()
+		Eventually(body).WithTimeout(3 * time.Second).Should(Receive(Equal("whole")))
+	})
+})
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errors.New("backend server reset") }
+
+type zeroes struct{}
+
+func (zeroes) Read(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/mesh/callmux/client.go
@@ -0,0 +1,345 @@
+package callmux
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/peer"
+)
+
+// dialFunc connects to addr and verifies that the peer is want. raw is the
+// socket below rw.
+type dialFunc func(ctx context.Context, addr string, want peer.Identity) (raw, rw net.Conn, id peer.Identity, err error)
+
+// maxDials bounds the connections that one call tries: a connection may be
+// retired between being chosen and being used.
+const maxDials = 3
+
+// Client makes calls to other nodes, on one connection to each address.
+type Client struct {
+	cfg  Config
+	dial dialFunc
+	wg   sync.WaitGroup
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	links  map[linkKey]*link
+	closed bool
+}
+
+// linkKey is an address and the identity expected there.
+type linkKey struct {
+	addr string
+	want peer.Identity
+}
+
+// link is the connection to one node, or the attempt to make it. cn and err
+// are set before ready is closed.
+type link struct {
+	key   linkKey
+	ready chan struct{}
+	cn    *connection
+	err   error
+}
+
+// NewClient returns a client; Close ends its connections.
+func NewClient(cfg Config) *Client {
+	c := &Client{cfg: cfg.withDefaults(), links: map[linkKey]*link{}}
+	c.dial = c.dialTLS
+	return c
+}
+
+// Close ends all connections and their calls, and waits for their goroutines.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	links := c.links
+	c.links = map[linkKey]*link{}
+	c.mu.Unlock()
+	for _, l := range links {
+		<-l.ready
+		if l.cn != nil {
+			l.cn.fail(errClosed)
+		}
+	}
+	c.wg.Wait()
+}
+
+// Do makes one call to the node at addr, whose identity must match want. It
+// returns when the head of the response has arrived; the caller must close the
+// body. The context covers the body too. The error is an ErrNotSent if the
+// request certainly has not run, otherwise an ErrOutcomeUnknown. A body of
+// known length up to 16 KiB is read before anything is sent.
+func (c *Client) Do(ctx context.Context, addr string, want peer.Identity, req *Request) (*Response, error) {
+	ctx, stop := callContext(ctx, req.Timeout)
+	resp, err := c.do(ctx, stop, addr, want, req)
+	if err != nil {
+		stop(errEnded)
+	}
+	return resp, err
+}
+
+// callContext returns a context with the deadline of the call. Its cancel
+// function also releases the timer.
+func callContext(parent context.Context, timeout time.Duration) (context.Context, context.CancelCauseFunc) {
+	if timeout <= 0 {
+		return context.WithCancelCause(parent)
+	}
+	timed, stopTimer := context.WithTimeout(parent, timeout)
+	ctx, cancel := context.WithCancelCause(timed)
+	return ctx, func(cause error) { cancel(cause); stopTimer() }
+}
+
+func (c *Client) do(ctx context.Context, stop context.CancelCauseFunc, addr string, want peer.Identity, req *Request) (*Response, error) {
+	body, whole, err := readShort(req.Body, req.BodyLength)
+	if err != nil {
+		return nil, notSent(eris.Wrap(err, "request body"))
+	}
+	for range maxDials {
+		cn, err := c.connection(ctx, linkKey{addr, want})
+		if err != nil {
+			return nil, notSent(err)
+		}
+		head, err := requestHead(ctx, req, body, whole)
+		if err != nil {
+			return nil, notSent(err)
+		}
+		cl := cn.newCall(ctx, stop)
+		cl.head = make(chan frame, 1)
+		err = cn.start(cl, head)
+		if errors.Is(err, errRetired) {
+			continue // a fresh connection is dialled; nothing of the request was queued
+		}
+		if err != nil {
+			return nil, notSent(err)
+		}
+		if !whole {
+			go sendBody(cn, cl, req)
+		}
+		return await(cn, cl)
+	}
+	return nil, notSent(eris.Wrapf(errRetired, "%s", addr))
+}
+
+// requestHead encodes the request with the remaining time of the context. A
+// call without remaining time is not started.
+func requestHead(ctx context.Context, req *Request, body []byte, whole bool) (frame, error) {
+	head := *req
+	if deadline, ok := ctx.Deadline(); ok {
+		head.Timeout = time.Until(deadline)
+		if head.Timeout <= 0 {
+			return frame{}, context.DeadlineExceeded
+		}
+	}
+	if ctx.Err() != nil {
+		return frame{}, context.Cause(ctx)
+	}
+	payload, err := encodeHead(&head, body)
+	return frame{kind: frameRequest, end: whole, payload: payload}, err
+}
+
+// sendBody streams the request body; a body that cannot be read ends the call.
+func sendBody(cn *connection, cl *call, req *Request) {
+	if err := cn.pump(cl, req.Body); err != nil && cl.ctx.Err() == nil {
+		cause := eris.Wrapf(err, "request body")
+		cl.in.cut(&callError{ErrBodyTruncated, cause})
+		cl.cancel(cause)
+	}
+}
+
+// await waits for the head of the response.
+func await(cn *connection, cl *call) (*Response, error) {
+	select {
+	case f := <-cl.head:
+		return response(cn, cl, f)
+	case <-cl.ctx.Done():
+	}
+	select {
+	case f := <-cl.head:
+		return response(cn, cl, f)
+	default:
+	}
+	cause := context.Cause(cl.ctx)
+	if cn.abandon(cl, cause.Error()) {
+		return nil, outcomeUnknown(cause)
+	}
+	return nil, notSent(cause)
+}
+
+func response(cn *connection, cl *call, f frame) (*Response, error) {
+	resp := &Response{}
+	body, err := decodeHead(f, resp)
+	if err != nil {
+		cn.abandon(cl, "malformed response head")
+		return nil, outcomeUnknown(err)
+	}
+	if f.end {
+		resp.Body = newWholeBody(body)
+	} else {
+		resp.Body = responseBody{cn, cl}
+	}
+	return resp, nil
+}
+
+// connection returns the connection to a node, which is dialled if there is no
+// usable one. Calls that arrive while it is dialled share the attempt.
+func (c *Client) connection(ctx context.Context, key linkKey) (*connection, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, eris.Wrap(ErrConnection, "client is closed")
+	}
+	l := c.links[key]
+	if l == nil || !l.usable() {
+		l = &link{key: key, ready: make(chan struct{})}
+		c.links[key] = l
+		c.wg.Go(func() { c.run(l) })
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.ready:
+		return l.cn, l.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// usable reports whether new calls can use the link or wait for it.
+func (l *link) usable() bool {
+	select {
+	case <-l.ready:
+		return l.err == nil && l.cn.usable()
+	default:
+		return true
+	}
+}
+
+// run dials and then reads the connection until it ends.
+func (c *Client) run(l *link) {
+	l.cn, l.err = c.open(l)
+	close(l.ready)
+	if l.err == nil {
+		c.cfg.Log.Info("call connection made", "address", l.key.addr, "peer", l.cn.peer.String())
+		c.wg.Go(func() { l.cn.writeLoop() })
+		l.cn.fail(readResponses(l.cn))
+		c.cfg.Log.Info("call connection ended", "address", l.key.addr, "peer", l.cn.peer.String(), "reason", l.cn.failure().Error())
+	} else {
+		c.cfg.Log.Warn("call connection not made", "address", l.key.addr, "reason", l.err.Error())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[l.key] == l {
+		delete(c.links, l.key)
+	}
+}
+
+// readResponses is the reader of a client's connection.
+func readResponses(cn *connection) error {
+	for {
+		f, err := readFrame(cn.r)
+		if err != nil {
+			return err
+		}
+		switch f.kind {
+		case frameResponse:
+			err = cn.answered(f)
+		case frameGoAway:
+			cn.retire()
+		default:
+			err = cn.dispatch(f)
+		}
+		if err != nil {
+			return err
+		}
+		if f.end {
+			cn.complete(f.call)
+		}
+	}
+}
+
+// answered hands the head of a response to its call.
+func (cn *connection) answered(f frame) error {
+	c := cn.lookup(f.call)
+	if c == nil {
+		return nil // the call was cancelled here
+	}
+	select {
+	case c.head <- f:
+		return nil
+	default:
+		return eris.Wrapf(ErrProtocol, "second response head of call %d", f.call)
+	}
+}
+
+// complete ends a call whose answer has arrived entirely.
+func (cn *connection) complete(id uint32) {
+	if c := cn.lookup(id); c != nil {
+		cn.out.withdraw(c)
+		cn.remove(c, errEnded)
+	}
+}
+
+func (c *Client) open(l *link) (*connection, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.DialTimeout)
+	defer cancel()
+	raw, rw, id, err := c.dial(ctx, l.key.addr, l.key.want)
+	if err != nil {
+		return nil, err
+	}
+	cn, err := handshake(ctx, c.cfg, raw, rw, id, true)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s", l.key.addr)
+	}
+	return cn, nil
+}
+
+// handshake exchanges hellos within the deadline of the context.
+func handshake(ctx context.Context, cfg Config, raw, rw net.Conn, id peer.Identity, client bool) (*connection, error) {
+	deadline, _ := ctx.Deadline()
+	if err := raw.SetDeadline(deadline); err != nil {
+		_ = raw.Close()
+		return nil, eris.Wrapf(ErrConnection, "deadline: %v", err)
+	}
+	cn, err := newConnection(cfg, raw, rw, id, client)
+	if err == nil {
+		err = raw.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, eris.Wrapf(ErrConnection, "hello: %v", err)
+	}
+	return cn, nil
+}
+
+func (c *Client) dialTLS(ctx context.Context, addr string, want peer.Identity) (net.Conn, net.Conn, peer.Identity, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, nil, peer.Identity{}, eris.Wrapf(ErrConnection, "%s: %v", addr, err)
+	}
+	conn := tls.Client(raw, c.cfg.Credentials.ClientTLS(want, Protocol))
+	id, err := verify(ctx, conn)
+	if err != nil {
+		_ = raw.Close()
+		return nil, nil, id, eris.Wrapf(err, "%s", addr)
+	}
+	return raw, conn, id, nil
+}
+
+// verify completes the TLS handshake and returns the identity in the peer's certificate.
+func verify(ctx context.Context, conn *tls.Conn) (peer.Identity, error) {
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return peer.Identity{}, eris.Wrapf(ErrConnection, "TLS handshake: %v", err)
+	}
+	state := conn.ConnectionState()
+	if state.NegotiatedProtocol != Protocol {
+		return peer.Identity{}, eris.Wrapf(ErrConnection, "peer does not speak %s", Protocol)
+	}
+	return peer.IdentityOf(state.PeerCertificates[0])
+}
--- /dev/null
+++ b/mesh/callmux/connection_test.go
@@ -0,0 +1,319 @@
+package callmux
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"balsamtrail.org/mesh/peer"
+)
+
+// network is a stand-in for the sockets between one client and one server.
+type network struct {
+	server *Server
+	h      Handler
+	dials  atomic.Int32
+	// silent makes connections swallow what is written to them, like a path
+	// that drops all packets; it holds the number of the first silent dial.
+	silent []*silentConn
+}
+
+// silentConn swallows writes once it is silent.
+type silentConn struct {
+	net.Conn
+	on atomic.Bool
+}
+
+func (s *silentConn) Write(p []byte) (int, error) {
+	if s.on.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func (n *network) dial(ctx context.Context, _ string, _ peer.Identity) (net.Conn, net.Conn, peer.Identity, error) {
+	n.dials.Add(1)
+	near, far := net.Pipe()
+	id := peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "n2"}
+	go n.server.serve(ctx, far, far, id, n.h)
+	wrapped := &silentConn{Conn: near}
+	n.silent = append(n.silent, wrapped)
+	return wrapped, wrapped, id, nil
+}
+
+func newNetwork(h Handler) (*network, *Client) {
+	cfg := Config{}
+	n := &network{server: NewServer(cfg), h: h}
+	c := NewClient(cfg)
+	c.dial = n.dial
+	return n, c
+}
+
+func ok(context.Context, peer.Identity, *Request) (*Response, error) {
+	return &Response{Status: 200}, nil
+}
+
+func expectCall(t *testing.T, c *Client, within time.Duration) {
+	t.Helper()
+	began := time.Now()
+	resp, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{})
+	if err != nil || resp.Status != 200 {
+		t.Fatalf("call: %v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+	if took := time.Since(began); took > within {
+		t.Fatalf("call took %s", took)
+	}
+}
+
+// Guards against calls that wait for a connection that went silent: it must
+// fail at the heartbeat deadline, and calls after half of it must be answered
+// at once on a fresh connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newNetwork(ok)
+		defer c.Close()
+		expectCall(t, c, 0)
+		n.silent[0].on.Store(true)
+		lost := make(chan error, 1)
+		began := time.Now()
+		go func() {
+			_, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{Timeout: time.Minute})
+			lost <- err
+		}()
+		time.Sleep(DefaultHeartbeatDeadline/2 + 2*DefaultHeartbeat + time.Millisecond)
+		expectCall(t, c, 0)
+		if err := <-lost; !errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, ErrConnection) {
+			t.Fatalf("call on the silent connection: %v", err)
+		}
+		if took := time.Since(began); took > DefaultHeartbeatDeadline+2*DefaultHeartbeat {
+			t.Fatalf("silence found after %s", took)
+		}
+		if got := n.dials.Load(); got != 2 {
+			t.Fatalf("%d dials", got)
+		}
+	})
+}
+
+// Guards against a false ErrNotSent, and against a false ErrOutcomeUnknown for
+// a request that stood in the queue while the writer was blocked.
+func TestOnlyUnwrittenRequestsAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := NewClient(Config{})
+		defer c.Close()
+		c.dial = func(context.Context, string, peer.Identity) (net.Conn, net.Conn, peer.Identity, error) {
+			return near, near, peer.Identity{}, nil
+		}
+		go func() { // answers the hello and then reads nothing
+			_, _ = newConnection(Config{}.withDefaults(), far, far, peer.Identity{}, false)
+		}()
+		errs := [2]error{}
+		for i := range errs {
+			_, errs[i] = func() (*Response, error) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+				defer cancel()
+				return c.Do(ctx, "n2", peer.Identity{}, &Request{})
+			}()
+		}
+		if !errors.Is(errs[0], ErrOutcomeUnknown) {
+			t.Fatalf("request that the writer holds: %v", errs[0])
+		}
+		if !errors.Is(errs[1], ErrNotSent) {
+			t.Fatalf("request behind the blocked write: %v", errs[1])
+		}
+	})
+}
+
+// Guards against connections that stay open without use for ever.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newNetwork(ok)
+		defer c.Close()
+		expectCall(t, c, 0)
+		time.Sleep(DefaultIdleLimit - 2*time.Second)
+		expectCall(t, c, 0)
+		if got := n.dials.Load(); got != 1 {
+			t.Fatalf("%d dials before the idle limit", got)
+		}
+		time.Sleep(DefaultIdleLimit + time.Second)
+		synctest.Wait()
+		if n.server.mu.Lock(); len(n.server.conns) != 0 {
+			t.Fatal("connection still open")
+		}
+		n.server.mu.Unlock()
+		expectCall(t, c, 0)
+	})
+}
+
+// rawPeer speaks frames by hand to a server or client under test.
+type rawPeer struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (p rawPeer) send(t *testing.T, f frame) {
+	t.Helper()
+	if _, err := p.conn.Write(appendFrame(nil, f)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// next skips heartbeats.
+func (p rawPeer) next(t *testing.T) frame {
+	t.Helper()
+	for {
+		f, err := readFrame(p.r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.kind != framePing && f.kind != framePong {
+			return f
+		}
+	}
+}
+
+// rawServer returns a client whose peer is played by the test.
+func rawServer(t *testing.T) (*Client, rawPeer) {
+	near, far := net.Pipe()
+	c := NewClient(Config{})
+	c.dial = func(context.Context, string, peer.Identity) (net.Conn, net.Conn, peer.Identity, error) {
+		return near, near, peer.Identity{}, nil
+	}
+	opened := make(chan *connection)
+	go func() {
+		cn, err := newConnection(Config{}.withDefaults(), far, far, peer.Identity{}, false)
+		if err != nil {
+			t.Error(err)
+		}
+		opened <- cn
+	}()
+	if _, err := c.connection(t.Context(), linkKey{addr: "n2"}); err != nil {
+		t.Fatal(err)
+	}
+	return c, rawPeer{far, (<-opened).r}
+}
+
+func head(t *testing.T, v any) []byte {
+	t.Helper()
+	p, err := encodeHead(v, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against an answer that reaches the wrong call: answers arrive in
+// reverse order, and one for a call that was given up arrives late.
+func TestLateAndReorderedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, p := rawServer(t)
+		defer c.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan [2]int, 2)
+		given := make(chan error)
+		go func() { _, err := c.Do(ctx, "n2", peer.Identity{}, &Request{}); given <- err }()
+		late := p.next(t)
+		calls := []uint32{}
+		for i := range 2 {
+			go func() {
+				resp, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{RetryBudget: i})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				results <- [2]int{i, resp.Status}
+			}()
+			calls = append(calls, p.next(t).call)
+		}
+		cancel()
+		if err := <-given; !errors.Is(err, ErrOutcomeUnknown) {
+			t.Fatalf("cancelled call: %v", err)
+		}
+		if f := p.next(t); f.kind != frameCancel || f.call != late.call {
+			t.Fatalf("want the cancel of call %d, got %+v", late.call, f)
+		}
+		p.send(t, frame{kind: frameResponse, end: true, call: late.call, payload: head(t, &Response{Status: 999})})
+		p.send(t, frame{kind: frameResponse, end: true, call: calls[1], payload: head(t, &Response{Status: 201})})
+		p.send(t, frame{kind: frameResponse, end: true, call: calls[0], payload: head(t, &Response{Status: 200})})
+		for range calls {
+			if r := <-results; r[1] != 200+r[0] {
+				t.Fatalf("call %d got status %d", r[0], r[1])
+			}
+		}
+	})
+}
+
+// Guards against a short success: the connection ends behind the first half of
+// a body whose end frame never came.
+func TestBodyCutByConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, p := rawServer(t)
+		defer c.Close()
+		go func() {
+			f := p.next(t)
+			p.send(t, frame{kind: frameResponse, call: f.call, payload: head(t, &Response{Status: 200})})
+			p.send(t, frame{kind: frameData, call: f.call, payload: []byte("half")})
+			_ = p.conn.Close()
+		}()
+		resp, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		got, err := io.ReadAll(resp.Body)
+		if !errors.Is(err, ErrBodyTruncated) || !errors.Is(err, ErrConnection) {
+			t.Fatalf("read %q, error %v", got, err)
+		}
+	})
+}
+
+// Guards against unbounded memory and confused state from a faulty peer: each
+// of these frames must end the connection.
+func TestProtocolViolations(t *testing.T) {
+	window := binary.BigEndian.AppendUint32(nil, maxWindow)
+	flood := bytes.Repeat([]byte{1}, maxData)
+	for name, frames := range map[string][]frame{
+		"body beyond its window": {
+			{kind: frameData, payload: flood}, {kind: frameData, payload: flood}, {kind: frameData, payload: flood},
+			{kind: frameData, payload: flood}, {kind: frameData, payload: flood}},
+		"credit beyond its bound": {{kind: frameWindow, payload: window}},
+		"short credit":            {{kind: frameWindow, payload: window[:2]}},
+		"second response head":    {{kind: frameResponse, payload: head(t, &Response{})}, {kind: frameResponse}},
+		"second hello":            {{kind: frameHello}},
+		"unknown kind":            {{kind: 99}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, p := rawServer(t)
+				defer c.Close()
+				failed := make(chan error)
+				go func() {
+					resp, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{})
+					if err == nil {
+						time.Sleep(time.Millisecond)
+						_, err = resp.Body.Read(make([]byte, 1))
+					}
+					failed <- err
+				}()
+				id := p.next(t).call
+				for _, f := range frames {
+					f.call = id
+					_, _ = p.conn.Write(appendFrame(nil, f))
+				}
+				if err := <-failed; !errors.Is(err, ErrConnection) {
+					t.Fatalf("call: %v", err)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mesh/callmux/queue.go
@@ -0,0 +1,171 @@
+package callmux
+
+import (
+	"slices"
+	"sync"
+)
+
+// dataQueueLimit bounds the queued body bytes of a connection. Bodies wait
+// behind it, so a request head is never queued behind more than this.
+const dataQueueLimit = 64 << 10
+
+// maxBatch is the number of bytes that the writer takes at a time.
+const maxBatch = 64 << 10
+
+// outFrame is a frame in the queue and the call it belongs to.
+type outFrame struct {
+	frame
+	call *call
+}
+
+// outQueue holds the frames that wait for the writer. Frames of control go
+// first: heartbeats and window credit must not wait behind bodies.
+type outQueue struct {
+	limit int
+	// ready has an element if there may be frames to write.
+	ready chan struct{}
+
+	// mu guards the fields below and call.sent.
+	mu      sync.Mutex
+	control []outFrame
+	frames  []outFrame
+	size    int
+	data    int
+	closed  bool
+	// room is closed when body bytes fit again; nil if nobody waits.
+	room chan struct{}
+}
+
+func newOutQueue(limit int) *outQueue {
+	return &outQueue{limit: limit, ready: make(chan struct{}, 1)}
+}
+
+// pushControl appends a frame that goes ahead of heads and bodies. The number
+// of such frames is bounded by calls and by consumed body bytes; a pong or ping
+// that is still queued is not queued again.
+func (q *outQueue) pushControl(f frame) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return
+	}
+	if f.kind == framePing || f.kind == framePong {
+		same := func(o outFrame) bool { return o.kind == f.kind }
+		if slices.ContainsFunc(q.control, same) {
+			return
+		}
+	}
+	q.control = append(q.control, outFrame{frame: f})
+	q.wake()
+}
+
+// pushHead appends a head. With strict set it fails with ErrBusy above the limit.
+func (q *outQueue) pushHead(f frame, c *call, strict bool) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed || c != nil && c.withdrawn {
+		return ErrConnection
+	}
+	if strict && q.size+f.size() > q.limit {
+		return ErrBusy
+	}
+	q.append(outFrame{f, c})
+	return nil
+}
+
+// pushData appends a body frame, or returns a channel that is closed when
+// there may be room.
+func (q *outQueue) pushData(f frame, c *call) (wait <-chan struct{}, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed || c.withdrawn {
+		return nil, ErrConnection
+	}
+	if q.data > 0 && q.data+f.size() > dataQueueLimit {
+		if q.room == nil {
+			q.room = make(chan struct{})
+		}
+		return q.room, nil
+	}
+	q.data += f.size()
+	q.append(outFrame{f, c})
+	return nil, nil
+}
+
+func (q *outQueue) append(f outFrame) {
+	q.size += f.size()
+	q.frames = append(q.frames, f)
+	q.wake()
+}
+
+func (q *outQueue) wake() {
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take appends the encoding of queued frames to b, up to about maxBatch bytes.
+// From here on the calls of these frames count as sent.
+func (q *outQueue) take(b []byte) []byte {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return b
+	}
+	for _, f := range q.control {
+		b = appendFrame(b, f.frame)
+	}
+	q.control = q.control[:0]
+	n := 0
+	for n < len(q.frames) && len(b) < maxBatch {
+		f := q.frames[n]
+		b = appendFrame(b, f.frame)
+		q.drop(f)
+		if f.call != nil {
+			f.call.sent = true
+		}
+		n++
+	}
+	q.frames = slices.Delete(q.frames, 0, n)
+	if q.room != nil && q.data < dataQueueLimit {
+		close(q.room)
+		q.room = nil
+	}
+	return b
+}
+
+func (q *outQueue) drop(f outFrame) {
+	q.size -= f.size()
+	if f.kind == frameData {
+		q.data -= f.size()
+	}
+}
+
+// withdraw removes the queued frames of a call, accepts no more of them and
+// reports whether any frame of it was taken before.
+func (q *outQueue) withdraw(c *call) (sent bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c.withdrawn = true
+	q.frames = slices.DeleteFunc(q.frames, func(f outFrame) bool {
+		if f.call != c {
+			return false
+		}
+		q.drop(f)
+		return true
+	})
+	return c.sent
+}
+
+// close makes all later pushes fail. Nothing is taken after it.
+func (q *outQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	if q.room != nil {
+		close(q.room)
+		q.room = nil
+	}
+	q.wake()
+}
--- /dev/null
+++ b/mesh/callmux/server.go
@@ -0,0 +1,242 @@
+package callmux
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/peer"
+)
+
+// Handler serves one call of another node. Its context ends at the deadline of
+// the call, when the caller cancels and when the connection fails. An error
+// tells the caller that the outcome is unknown; a refusal is a Response.
+type Handler func(ctx context.Context, from peer.Identity, req *Request) (*Response, error)
+
+// Server answers the calls of other nodes.
+type Server struct {
+	cfg Config
+	wg  sync.WaitGroup
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	conns    map[*connection]struct{}
+	draining bool
+}
+
+// NewServer returns a server.
+func NewServer(cfg Config) *Server {
+	return &Server{cfg: cfg.withDefaults(), conns: map[*connection]struct{}{}}
+}
+
+// Serve accepts connections until ctx ends or the listener fails. At the end
+// of ctx it closes the listener, refuses new calls as not run, and waits up to
+// DrainLimit for running calls to finish.
+func (s *Server) Serve(ctx context.Context, ln net.Listener, h Handler) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer s.wg.Wait()
+	tlsConfig := s.cfg.Credentials.ServerTLS(Protocol)
+	for {
+		raw, err := ln.Accept()
+		if ctx.Err() != nil {
+			s.drain()
+			return nil
+		}
+		if err != nil {
+			s.closeAll()
+			return eris.Wrapf(ErrListen, "accept: %v", err)
+		}
+		s.wg.Go(func() { s.serveTLS(raw, tlsConfig, h) })
+	}
+}
+
+func (s *Server) serveTLS(raw net.Conn, cfg *tls.Config, h Handler) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DialTimeout)
+	defer cancel()
+	conn := tls.Server(raw, cfg)
+	id, err := verify(ctx, conn)
+	if err == nil && id.Role != peer.RoleNode {
+		err = eris.Wrapf(peer.ErrForbidden, "calls by %s", id)
+	}
+	if err != nil {
+		_ = raw.Close()
+		s.cfg.Log.Warn("call connection refused", "address", raw.RemoteAddr().String(), "reason", err.Error())
+		return
+	}
+	s.serve(ctx, raw, conn, id, h)
+}
+
+// serve reads one connection of a verified peer until it ends. ctx bounds the
+// exchange of hellos only.
+func (s *Server) serve(ctx context.Context, raw, rw net.Conn, id peer.Identity, h Handler) {
+	cn, err := handshake(ctx, s.cfg, raw, rw, id, false)
+	if err != nil {
+		s.cfg.Log.Warn("call connection refused", "peer", id.String(), "reason", err.Error())
+		return
+	}
+	s.add(cn)
+	defer s.forget(cn)
+	s.wg.Go(func() { cn.writeLoop() })
+	cn.fail(s.readRequests(cn, h))
+	s.cfg.Log.Info("call connection ended", "peer", id.String(), "reason", cn.failure().Error())
+}
+
+func (s *Server) add(cn *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[cn] = struct{}{}
+	if s.draining {
+		cn.out.pushControl(frame{kind: frameGoAway})
+	}
+}
+
+func (s *Server) forget(cn *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, cn)
+}
+
+// readRequests is the reader of a server's connection.
+func (s *Server) readRequests(cn *connection, h Handler) error {
+	for {
+		f, err := readFrame(cn.r)
+		if err != nil {
+			return err
+		}
+		if f.kind == frameRequest {
+			err = s.accept(cn, f, h)
+		} else {
+			err = cn.dispatch(f)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// accept starts the handler of a call, or refuses the call as not run.
+func (s *Server) accept(cn *connection, f frame, h Handler) error {
+	req := &Request{}
+	body, err := decodeHead(f, req)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := callContext(context.Background(), req.Timeout)
+	c := cn.newCall(ctx, cancel)
+	c.id = f.call
+	ok, err := cn.accept(c)
+	if err != nil {
+		cancel(errEnded)
+		return err
+	}
+	if reason := s.refuse(ok); reason != "" {
+		return refuse(cn, c, reason)
+	}
+	if f.end {
+		c.in.setWhole(body)
+		req.BodyLength = int64(len(body))
+	}
+	req.Body = requestBody{cn, c}
+	s.wg.Go(func() { answer(cn, c, req, h) })
+	return nil
+}
+
+func (s *Server) refuse(accepted bool) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.draining:
+		return ReasonClosing
+	case !accepted:
+		return ReasonTooManyCalls
+	}
+	return ""
+}
+
+// refuse answers a call that was not started. The answer counts as queued
+// control traffic: one that cannot be queued ends the connection.
+func refuse(cn *connection, c *call, reason string) error {
+	payload, err := encodeHead(&Response{Refusal: &Refusal{Reason: reason, NotRun: true}}, nil)
+	if err != nil {
+		return err
+	}
+	err = cn.out.pushHead(frame{kind: frameResponse, end: true, call: c.id, payload: payload}, nil, true)
+	cn.remove(c, errEnded)
+	return err
+}
+
+// answer runs the handler and sends its response.
+func answer(cn *connection, c *call, req *Request, h Handler) {
+	resp, err := h(c.ctx, cn.peer, req)
+	if err == nil {
+		err = respond(cn, c, resp)
+	}
+	if err != nil {
+		cn.abort(c, err.Error())
+		return
+	}
+	cn.remove(c, errEnded)
+}
+
+func respond(cn *connection, c *call, resp *Response) error {
+	if resp.Body != nil {
+		defer resp.Body.Close()
+	}
+	if cn.lookup(c.id) != c {
+		return errEnded // cancelled by the caller
+	}
+	var body []byte
+	whole := true
+	if resp.Body != nil {
+		var err error
+		if body, whole, err = readShort(resp.Body, resp.BodyLength); err != nil {
+			return err
+		}
+	}
+	payload, err := encodeHead(resp, body)
+	if err != nil {
+		return err
+	}
+	if err := cn.out.pushHead(frame{kind: frameResponse, end: whole, call: c.id, payload: payload}, c, false); err != nil {
+		return err
+	}
+	if whole {
+		return nil
+	}
+	return cn.pump(c, resp.Body)
+}
+
+// drain waits for the running calls of all connections. A client closes its
+// connection once it has received its answers; closing it here first could
+// discard bytes that the client has not read.
+func (s *Server) drain() {
+	s.mu.Lock()
+	s.draining = true
+	for cn := range s.conns {
+		cn.out.pushControl(frame{kind: frameGoAway})
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() { defer close(done); s.wg.Wait() }()
+	timer := time.NewTimer(s.cfg.DrainLimit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		s.closeAll()
+		<-done
+	}
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cn := range s.conns {
+		cn.fail(errClosed)
+	}
+}
