--- /dev/null
+++ b/mesh/note/apply.go
@@ -0,0 +1,248 @@
+package note
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+func (s *State) publish(c Command, pos model.Position) (Result, error) {
+	n := c.Publish.Note
+	if err := n.Check(); err != nil {
+		return Result{}, err
+	}
+	if n.Number != s.head+1 {
+		return Result{}, s.numberConflict(n.Number)
+	}
+	if err := s.checkNew(n, s.config, nil); err != nil {
+		return Result{}, err
+	}
+	b := newBuilder(s.config)
+	if err := b.fold(n, nil); err != nil {
+		return Result{}, err
+	}
+	if err := validateChange(b.cfg, b.changed); err != nil {
+		return Result{}, err
+	}
+	n.Revision = 1
+	r := &Record{
+		Note: n, Operator: c.Operator, Operation: c.Operation, Position: pos, Accepted: s.now,
+		Moves: newMoves(n, s.config, nil, s.now),
+	}
+	s.head = n.Number
+	s.retained = append(s.retained, r)
+	s.entries += n.entries()
+	s.config = b.cfg
+	s.fold()
+	s.auditNote(c, pos, ActionPublish, r)
+	return Result{Number: n.Number, Revision: n.Revision, Changed: true}, nil
+}
+
+// numberConflict explains a number that is not the next one.
+func (s *State) numberConflict(number uint64) error {
+	e := &conflictError{message: fmt.Sprintf("note %d: the next number is %d", number, s.head+1)}
+	if r := s.record(number); r != nil {
+		e.winner = r.winner()
+		e.message = fmt.Sprintf("note %d was published by %s at %s; the next number is %d",
+			number, r.Operator, r.Accepted.Format(time.RFC3339), s.head+1)
+	}
+	return e
+}
+
+// checkNew checks what depends on the time and on the traffic that the note
+// finds. Deadlines that the former revision stated already may have passed.
+func (s *State) checkNew(n Note, before Config, old *Record) error {
+	for i, m := range n.Moves {
+		kept := old != nil && slices.ContainsFunc(old.Note.Moves, m.equal)
+		if !kept && len(before.Shares[m.Service]) > 0 && !m.By.After(s.now) {
+			return invalid(index("moves", i)+".by", "the deadline %s has passed", m.By.Format(time.RFC3339))
+		}
+	}
+	return checkMoves(n, before)
+}
+
+// expect returns the record of a note that may be amended or withdrawn.
+func (s *State) expect(number, revision uint64) (*Record, error) {
+	r := s.record(number)
+	switch {
+	case r == nil && number > 0 && number <= s.head:
+		return nil, &conflictError{message: fmt.Sprintf("note %d is too old to be changed", number)}
+	case r == nil:
+		return nil, eris.Wrapf(ErrNotFound, "note %d", number)
+	case r.Withdrawn:
+		return nil, &conflictError{message: fmt.Sprintf("note %d was withdrawn by %s", number, r.Operator), winner: r.winner()}
+	case r.Note.Revision != revision:
+		return nil, &conflictError{
+			message: fmt.Sprintf("note %d has revision %d, expected %d", number, r.Note.Revision, revision),
+			winner:  r.winner(),
+		}
+	}
+	return r, nil
+}
+
+// before returns the configuration that the note of a number is folded over.
+func (s *State) before(number uint64) (Config, error) {
+	b := newBuilder(s.base)
+	for _, r := range s.retained {
+		if r.Note.Number >= number {
+			break
+		}
+		if r.Withdrawn {
+			continue
+		}
+		if err := b.fold(r.Note, r.Steps); err != nil {
+			return Config{}, err
+		}
+	}
+	return b.cfg, nil
+}
+
+func (s *State) amend(c Command, pos model.Position) (Result, error) {
+	n := c.Amend.Note
+	if err := n.Check(); err != nil {
+		return Result{}, err
+	}
+	old, err := s.expect(n.Number, c.Amend.Expected)
+	if err != nil {
+		return Result{}, err
+	}
+	before, err := s.before(n.Number)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := s.checkNew(n, before, old); err != nil {
+		return Result{}, err
+	}
+	n.Revision = old.Note.Revision + 1
+	r := &Record{
+		Note: n, Operator: c.Operator, Operation: c.Operation, Position: pos, Accepted: s.now,
+		Moves: newMoves(n, before, old.Moves, s.now), Steps: keptSteps(old, n),
+	}
+	if err := s.replace(r); err != nil {
+		return Result{}, err
+	}
+	s.retireDropped(old, n)
+	s.auditNote(c, pos, ActionAmend, r)
+	return Result{Number: n.Number, Revision: n.Revision, Changed: true}, nil
+}
+
+// retireDropped archives the moves that an amendment no longer states.
+func (s *State) retireDropped(old *Record, n Note) {
+	for _, m := range old.Moves {
+		if kept, ok := n.move(m.Move.Service); ok && kept.To == m.Move.To {
+			continue
+		}
+		m.Withdrawn = true
+		s.retire(m)
+	}
+}
+
+func (s *State) withdraw(c Command, pos model.Position) (Result, error) {
+	old, err := s.expect(c.Withdraw.Number, c.Withdraw.Expected)
+	if err != nil {
+		return Result{}, err
+	}
+	r := *old
+	r.Note.Revision++
+	r.Operator, r.Operation, r.Position, r.Accepted = c.Operator, c.Operation, pos, s.now
+	r.InForce, r.Done, r.Reversed, r.Withdrawn = time.Time{}, time.Time{}, time.Time{}, true
+	r.Moves = slices.Clone(old.Moves)
+	for i := range r.Moves {
+		r.Moves[i].Withdrawn = true
+	}
+	if err := s.replace(&r); err != nil {
+		return Result{}, err
+	}
+	s.auditNote(c, pos, ActionWithdraw, &r)
+	return Result{Number: r.Note.Number, Revision: r.Note.Revision, Changed: true}, nil
+}
+
+// replace puts a new revision in place of the old one if the resulting
+// configuration is valid.
+func (s *State) replace(r *Record) error {
+	cfg, err := s.rebuild(r)
+	if err != nil {
+		return err
+	}
+	i := len(s.retained) - int(s.head-r.Note.Number) - 1
+	s.entries += r.Note.entries() - s.retained[i].Note.entries()
+	s.retained[i] = r
+	s.config = cfg
+	s.fold()
+	return nil
+}
+
+// inNote names the note in an error about a note other than the replaced one.
+func inNote(r, replace *Record, err error) error {
+	var f *FieldError
+	if r.Note.Number == replace.Note.Number || !errors.As(err, &f) {
+		return err
+	}
+	return invalid(fmt.Sprintf("notes[%d].%s", r.Note.Number, f.Field), "a later note depends on this one: %s", f.Message)
+}
+
+func (s *State) auditNote(c Command, pos model.Position, action Action, r *Record) {
+	s.audit.add(AuditRecord{
+		Operator: c.Operator, Operation: c.Operation, Action: action, Position: pos, Number: r.Note.Number,
+		Revision: r.Note.Revision, Changes: r.Note.describe(), Accepted: s.now,
+	})
+}
+
+func (s *State) takeOut(c Command, pos model.Position) (Result, error) {
+	return s.setDataCentre(c, pos, c.TakeOut.DataCentre, DataCentreOut, ActionDataCentreOut)
+}
+
+// beginReturn leaves a data centre that is in service as it is.
+func (s *State) beginReturn(c Command, pos model.Position) (Result, error) {
+	dc := c.BeginReturn.DataCentre
+	if s.config.DataCentres[dc] != DataCentreOut {
+		return Result{}, checkDataCentre(dc)
+	}
+	return s.setDataCentre(c, pos, dc, DataCentreReturning, ActionDataCentreReturn)
+}
+
+// finishReturn ends a return; a data centre that was taken out again
+// meanwhile stays out.
+func (s *State) finishReturn(c Command, pos model.Position) (Result, error) {
+	dc := c.FinishReturn.DataCentre
+	if s.config.DataCentres[dc] != DataCentreReturning {
+		return Result{}, &conflictError{message: fmt.Sprintf("data centre %s is not returning", dc)}
+	}
+	return s.setDataCentre(c, pos, dc, DataCentreIn, ActionDataCentreInService)
+}
+
+// maxDataCentres bounds the names of data centres that were ever taken out.
+const maxDataCentres = 1_024
+
+func checkDataCentre(dc model.DataCentre) error {
+	if !validName(string(dc)) {
+		return invalid("data_centre", "%q is not a name", dc)
+	}
+	return nil
+}
+
+func (s *State) setDataCentre(c Command, pos model.Position, dc model.DataCentre, to DataCentreState, action Action) (Result, error) {
+	if err := checkDataCentre(dc); err != nil {
+		return Result{}, err
+	}
+	was, known := s.config.DataCentres[dc]
+	if was == to {
+		return Result{}, nil
+	}
+	if !known && len(s.config.DataCentres) >= maxDataCentres {
+		return Result{}, invalid("data_centre", "more than %d data centres", maxDataCentres)
+	}
+	next := s.config.share()
+	next.DataCentres[dc] = to
+	s.config = next
+	s.audit.add(AuditRecord{
+		Operator: c.Operator, Operation: c.Operation, Action: action, Position: pos, DataCentre: dc, Accepted: s.now,
+		Changes: []string{fmt.Sprintf("data centre %s from %s to %s", dc, was, to)},
+	})
+	return Result{Changed: true}, nil
+}
--- /dev/null
+++ b/mesh/note/audit.go
@@ -0,0 +1,150 @@
+package note
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// maxAudit bounds the audit records; it covers two days at 15,000 changes a
+// day. The control hosts' logs keep the older ones.
+const maxAudit = 32_768
+
+// maxAuditChanges bounds the lines of one audit record.
+const maxAuditChanges = 32
+
+// Action is what an audit record is about.
+type Action string
+
+// The audited actions.
+const (
+	ActionPublish             Action = "publish"
+	ActionAmend               Action = "amend"
+	ActionWithdraw            Action = "withdraw"
+	ActionDataCentreOut       Action = "data-centre-out"
+	ActionDataCentreReturn    Action = "data-centre-return"
+	ActionDataCentreInService Action = "data-centre-in-service"
+	ActionSetShares           Action = "set-shares"
+)
+
+// AuditRecord states who changed what and when, and how it went on.
+type AuditRecord struct {
+	// Sequence numbers the records from 1 without gaps.
+	Sequence   uint64             `cbor:"1,keyasint" json:"sequence"`
+	Operator   model.OperatorName `cbor:"2,keyasint" json:"operator"`
+	Operation  model.OperationID  `cbor:"3,keyasint,omitempty" json:"operation,omitempty"`
+	Action     Action             `cbor:"4,keyasint" json:"action"`
+	Position   model.Position     `cbor:"5,keyasint" json:"position"`
+	Number     uint64             `cbor:"6,keyasint,omitempty" json:"number,omitempty"`
+	Revision   uint64             `cbor:"7,keyasint,omitempty" json:"revision,omitempty"`
+	DataCentre model.DataCentre   `cbor:"8,keyasint,omitempty" json:"data_centre,omitempty"`
+	// Changes has one line for each change, such as "service ledger added".
+	Changes  []string  `cbor:"9,keyasint,omitempty" json:"changes,omitempty"`
+	Accepted time.Time `cbor:"10,keyasint" json:"accepted"`
+	InForce  time.Time `cbor:"11,keyasint" json:"in_force,omitempty"`
+	Done     time.Time `cbor:"12,keyasint" json:"done,omitempty"`
+	Reversed time.Time `cbor:"13,keyasint" json:"reversed,omitempty"`
+	Reason   string    `cbor:"14,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// auditLog holds the newest records in order of sequence.
+type auditLog struct {
+	records []AuditRecord
+	limit   int
+	next    uint64
+	// pending is the sequence of the first record that is not in force.
+	pending uint64
+}
+
+func newAuditLog(limit int) auditLog { return auditLog{limit: limit, next: 1, pending: 1} }
+
+func (a *auditLog) add(r AuditRecord) {
+	r.Sequence = a.next
+	a.next++
+	a.records = append(a.records, r)
+	// The slice is cut back only once it holds a quarter too many records, so
+	// that most additions copy nothing.
+	if extra := len(a.records) - a.limit; extra > a.limit/4 {
+		a.records = slices.Clone(a.records[extra:])
+	}
+}
+
+// kept returns the newest records up to the limit.
+func (a *auditLog) kept() []AuditRecord {
+	return a.records[max(0, len(a.records)-a.limit):]
+}
+
+func (a *auditLog) markInForce(through model.Position, at time.Time) {
+	for i := range a.records {
+		r := &a.records[i]
+		if r.Sequence < a.pending {
+			continue
+		}
+		if through.Less(r.Position) {
+			return
+		}
+		r.InForce = at
+		a.pending = r.Sequence + 1
+	}
+}
+
+// find returns the record that made a revision of a note, or nil.
+func (a *auditLog) find(number, revision uint64) *AuditRecord {
+	for i := len(a.records) - 1; i >= 0; i-- {
+		if r := &a.records[i]; r.Number == number && r.Revision == revision && r.Action != ActionSetShares {
+			return r
+		}
+	}
+	return nil
+}
+
+// settle copies the times of a note to the record of its revision.
+func (a *auditLog) settle(r *Record, reason string) {
+	if rec := a.find(r.Note.Number, r.Note.Revision); rec != nil {
+		rec.Done, rec.Reversed, rec.Reason = r.Done, r.Reversed, reason
+	}
+}
+
+// describe lists what a note changes, for the audit record.
+func (n Note) describe() []string {
+	var out []string
+	out = appendChanges(out, "service", n.Services, func(s Service) string { return string(s.Name) })
+	out = appendChanges(out, "route", n.Routes, func(r Route) string { return string(r.Name) })
+	for _, s := range n.Shares {
+		out = append(out, describeShares(s.Service, s.Shares))
+	}
+	for _, m := range n.Moves {
+		out = append(out, fmt.Sprintf("move %s to %s by %s", m.Service, m.To, m.By.UTC().Format(time.RFC3339)))
+	}
+	if len(out) > maxAuditChanges {
+		more := len(out) - maxAuditChanges + 1
+		out = append(out[:maxAuditChanges-1:maxAuditChanges-1], fmt.Sprintf("and %d more", more))
+	}
+	return out
+}
+
+func appendChanges[T any](out []string, kind string, c Changes[T], name func(T) string) []string {
+	for _, v := range c.Added {
+		out = append(out, kind+" "+name(v)+" added")
+	}
+	for _, v := range c.Changed {
+		out = append(out, kind+" "+name(v)+" changed")
+	}
+	for _, w := range c.Withdrawn {
+		out = append(out, kind+" "+w+" withdrawn")
+	}
+	return out
+}
+
+func describeShares(service model.ServiceName, shares Shares) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "shares %s", service)
+	for _, v := range slices.Sorted(maps.Keys(shares)) {
+		fmt.Fprintf(&b, " %s=%d", v, shares[v])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/mesh/note/codec.go
@@ -0,0 +1,76 @@
+package note
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// The encoding is canonical, so that equal values have equal bytes, and keeps
+// times to the nanosecond.
+var encodeMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+var decodeMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// commandFields and resultFields have no methods, so that the codec below
+// does not call itself.
+type (
+	commandFields Command
+	resultFields  Result
+)
+
+// MarshalCBOR keeps times to the nanosecond whatever mode the caller uses.
+func (c Command) MarshalCBOR() ([]byte, error) { return encodeMode.Marshal(commandFields(c)) }
+
+// UnmarshalCBOR reads the form of MarshalCBOR.
+func (c *Command) UnmarshalCBOR(b []byte) error {
+	return decodeMode.Unmarshal(b, (*commandFields)(c))
+}
+
+// MarshalCBOR keeps times to the nanosecond whatever mode the caller uses.
+func (r Result) MarshalCBOR() ([]byte, error) { return encodeMode.Marshal(resultFields(r)) }
+
+// UnmarshalCBOR reads the form of MarshalCBOR.
+func (r *Result) UnmarshalCBOR(b []byte) error {
+	return decodeMode.Unmarshal(b, (*resultFields)(r))
+}
+
+// EncodeCommand returns the bytes of a log entry.
+func EncodeCommand(c Command) ([]byte, error) { return encode(c) }
+
+// DecodeCommand reads the bytes of a log entry.
+func DecodeCommand(b []byte) (Command, error) { return decode[Command](b) }
+
+// EncodeResult returns the bytes of a result.
+func EncodeResult(r Result) ([]byte, error) { return encode(r) }
+
+// DecodeResult reads the bytes of a result.
+func DecodeResult(b []byte) (Result, error) { return decode[Result](b) }
+
+func encode(v any) ([]byte, error) {
+	b, err := encodeMode.Marshal(v)
+	if err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "encode %T: %v", v, err)
+	}
+	return b, nil
+}
+
+func decode[T any](b []byte) (T, error) {
+	var v T
+	if err := decodeMode.Unmarshal(b, &v); err != nil {
+		var zero T
+		return zero, eris.Wrapf(ErrMalformed, "decode %T: %v", v, err)
+	}
+	return v, nil
+}
--- a/mesh/note/config.go
+++ b/mesh/note/config.go
@@ -1,6 +1,6 @@
 // Package note holds release notes, the configuration that the accepted notes
 // fold into, the deltas between configurations, and the audit records. All of
-// it is plain state: it knows no encoding, no socket and no clock.
+// it is plain state without socket or clock; the codec is kept apart in codec.go.
 package note
 
 import (
--- a/mesh/note/delta.go
+++ b/mesh/note/delta.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"reflect"
+	"slices"
 
 	"balsamtrail.org/mesh/model"
 )
@@ -25,25 +25,40 @@
 		len(d.Shares)+len(d.RemovedShares)+len(d.DataCentres) == 0
 }
 
-// Diff returns the delta that turns from into to.
+// Diff returns the delta that turns from into to. Its lists are in order of name.
 func Diff(from, to Config) Delta {
 	var d Delta
-	d.Services, d.RemovedServices = diffMap(from.Services, to.Services)
-	d.Routes, d.RemovedRoutes = diffMap(from.Routes, to.Routes)
-	changed, removed := diffKeys(from.Shares, to.Shares)
+	d.Services, d.RemovedServices = diffMap(from.Services, to.Services, equalService)
+	d.Routes, d.RemovedRoutes = diffMap(from.Routes, to.Routes, Route.Equal)
+	changed, removed := diffKeys(from.Shares, to.Shares, equalShares)
 	for _, s := range changed {
-		if d.Shares == nil {
-			d.Shares = map[model.ServiceName]Shares{}
-		}
-		d.Shares[s] = to.Shares[s]
+		d.setShares(s, to.Shares[s])
 	}
 	d.RemovedShares = removed
 	d.DataCentres = diffDataCentres(from, to)
 	return d
 }
 
+func (d *Delta) setShares(s model.ServiceName, shares Shares) {
+	if d.Shares == nil {
+		d.Shares = map[model.ServiceName]Shares{}
+	}
+	d.Shares[s] = shares
+}
+
+// Equal reports whether two routes state the same.
+func (r Route) Equal(o Route) bool {
+	return slices.Equal(r.Methods, o.Methods) && r.Name == o.Name && r.PathPrefix == o.PathPrefix && r.Service == o.Service && r.Kind == o.Kind &&
+		r.Timeout == o.Timeout && r.MaxRetries == o.MaxRetries && r.Hedge == o.Hedge
+}
+
+func equalService(a, b Service) bool { return a == b }
+
+func equalShares(a, b Shares) bool { return maps.Equal(a, b) }
+
 func diffDataCentres(from, to Config) map[model.DataCentre]DataCentreState {
-	changed, removed := diffKeys(from.DataCentres, to.DataCentres)
+	same := func(a, b DataCentreState) bool { return a == b }
+	changed, removed := diffKeys(from.DataCentres, to.DataCentres, same)
 	if len(changed)+len(removed) == 0 {
 		return nil
 	}
@@ -57,17 +72,17 @@
 	return out
 }
 
-func diffMap[K comparable, V any](from, to map[K]V) (changed []V, removed []K) {
-	keys, removed := diffKeys(from, to)
+func diffMap[K ~string, V any](from, to map[K]V, same func(a, b V) bool) (changed []V, removed []K) {
+	keys, removed := diffKeys(from, to, same)
 	for _, k := range keys {
 		changed = append(changed, to[k])
 	}
 	return changed, removed
 }
 
-func diffKeys[K comparable, V any](from, to map[K]V) (changed, removed []K) {
+func diffKeys[K ~string, V any](from, to map[K]V, same func(a, b V) bool) (changed, removed []K) {
 	for k, v := range to {
-		if old, ok := from[k]; !ok || !reflect.DeepEqual(old, v) {
+		if old, ok := from[k]; !ok || !same(old, v) {
 			changed = append(changed, k)
 		}
 	}
@@ -76,6 +91,8 @@
 			removed = append(removed, k)
 		}
 	}
+	slices.Sort(changed)
+	slices.Sort(removed)
 	return changed, removed
 }
 
--- /dev/null
+++ b/mesh/note/fold.go
@@ -0,0 +1,173 @@
+package note
+
+import (
+	"maps"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// builder folds notes into one configuration. It owns the outer maps of cfg;
+// the inner maps of shares are replaced as a whole and never changed.
+type builder struct {
+	cfg Config
+	// changed lists what the folded notes touched, for validateChange.
+	changed Delta
+}
+
+func newBuilder(c Config) *builder { return &builder{cfg: c.share()} }
+
+// share returns a copy with its own outer maps.
+func (c Config) share() Config {
+	return Config{
+		Services:    maps.Clone(c.Services),
+		Routes:      maps.Clone(c.Routes),
+		Shares:      maps.Clone(c.Shares),
+		DataCentres: maps.Clone(c.DataCentres),
+	}
+}
+
+// fold applies a note: what it adds must be absent, what it changes or
+// withdraws must be present. steps are the shares that its moves have reached.
+func (b *builder) fold(n Note, steps map[model.ServiceName]Shares) error {
+	if err := b.foldServices(n); err != nil {
+		return err
+	}
+	if err := b.foldRoutes(n); err != nil {
+		return err
+	}
+	if err := b.foldTraffic(n); err != nil {
+		return err
+	}
+	for service, shares := range steps {
+		b.setShares(service, shares)
+	}
+	return b.checkAdded(n)
+}
+
+func (b *builder) foldServices(n Note) error {
+	for i, s := range n.Services.Added {
+		if _, ok := b.cfg.Services[s.Name]; ok {
+			return invalid(index("services.added", i), "service %q exists already", s.Name)
+		}
+		b.setService(s)
+	}
+	for i, s := range n.Services.Changed {
+		if _, ok := b.cfg.Services[s.Name]; !ok {
+			return invalid(index("services.changed", i), "unknown service %q", s.Name)
+		}
+		b.setService(s)
+	}
+	for i, w := range n.Services.Withdrawn {
+		name := model.ServiceName(w)
+		if _, ok := b.cfg.Services[name]; !ok {
+			return invalid(index("services.withdrawn", i), "unknown service %q", w)
+		}
+		delete(b.cfg.Services, name)
+		delete(b.cfg.Shares, name)
+		delete(b.changed.Shares, name)
+		b.changed.RemovedServices = append(b.changed.RemovedServices, name)
+	}
+	return nil
+}
+
+func (b *builder) setService(s Service) {
+	b.cfg.Services[s.Name] = s
+	b.changed.Services = append(b.changed.Services, s)
+}
+
+func (b *builder) foldRoutes(n Note) error {
+	for i, r := range n.Routes.Added {
+		if _, ok := b.cfg.Routes[r.Name]; ok {
+			return invalid(index("routes.added", i), "route %q exists already", r.Name)
+		}
+		b.setRoute(r)
+	}
+	for i, r := range n.Routes.Changed {
+		if _, ok := b.cfg.Routes[r.Name]; !ok {
+			return invalid(index("routes.changed", i), "unknown route %q", r.Name)
+		}
+		b.setRoute(r)
+	}
+	for i, w := range n.Routes.Withdrawn {
+		name := model.RouteName(w)
+		if _, ok := b.cfg.Routes[name]; !ok {
+			return invalid(index("routes.withdrawn", i), "unknown route %q", w)
+		}
+		delete(b.cfg.Routes, name)
+	}
+	return nil
+}
+
+func (b *builder) setRoute(r Route) {
+	b.cfg.Routes[r.Name] = r
+	b.changed.Routes = append(b.changed.Routes, r)
+}
+
+func (b *builder) foldTraffic(n Note) error {
+	for i, s := range n.Shares {
+		if _, ok := b.cfg.Services[s.Service]; !ok {
+			return invalid(index("shares", i)+".service", "unknown service %q", s.Service)
+		}
+		b.setShares(s.Service, s.Shares)
+	}
+	for i, m := range n.Moves {
+		if _, ok := b.cfg.Services[m.Service]; !ok {
+			return invalid(index("moves", i)+".service", "unknown service %q", m.Service)
+		}
+		if len(b.cfg.Shares[m.Service]) == 0 {
+			b.setShares(m.Service, Shares{m.To: model.ShareAll})
+		}
+	}
+	return nil
+}
+
+func (b *builder) setShares(service model.ServiceName, shares Shares) {
+	b.cfg.Shares[service] = shares
+	b.changed.setShares(service, shares)
+}
+
+// checkAdded refuses an added service that no version would answer.
+func (b *builder) checkAdded(n Note) error {
+	for i, s := range n.Services.Added {
+		if len(b.cfg.Shares[s.Name]) == 0 {
+			return invalid(index("services.added", i),
+				"service %q has no version: state its shares, or a move to its first version", s.Name)
+		}
+	}
+	return nil
+}
+
+// checkMoves refuses a move that would shift nothing; before is the
+// configuration that the note is folded over.
+func checkMoves(n Note, before Config) error {
+	for i, m := range n.Moves {
+		if before.Shares[m.Service][m.To] == model.ShareAll {
+			return invalid(index("moves", i)+".to", "version %q of service %q already takes all traffic", m.To, m.Service)
+		}
+	}
+	return nil
+}
+
+// statesTraffic reports whether the note states the traffic of the service.
+func (n Note) statesTraffic(service model.ServiceName) bool {
+	for _, s := range n.Shares {
+		if s.Service == service {
+			return true
+		}
+	}
+	_, ok := n.move(service)
+	return ok
+}
+
+func (n Note) move(service model.ServiceName) (Move, bool) {
+	for _, m := range n.Moves {
+		if m.Service == service {
+			return m, true
+		}
+	}
+	return Move{}, false
+}
+
+func (m Move) equal(o Move) bool {
+	return m.Service == o.Service && m.To == o.To && m.By.Equal(o.By) && m.WatchFor == o.WatchFor
+}
--- /dev/null
+++ b/mesh/note/message.go
@@ -0,0 +1,191 @@
+package note
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// RolloutOperator is the operator name of commands that the leader proposes by itself.
+const RolloutOperator model.OperatorName = "rollout"
+
+// Command is one entry of the replicated log that changes notes, data centres
+// or traffic shares. Exactly one of the pointers is set.
+type Command struct {
+	Operator model.OperatorName `cbor:"1,keyasint"`
+	// Operation is set for commands of operators; a resend carries the same one.
+	Operation model.OperationID `cbor:"2,keyasint,omitempty"`
+	// Time is the leader's clock when it proposed the command.
+	Time time.Time `cbor:"3,keyasint"`
+
+	Publish      *Publish      `cbor:"10,keyasint,omitempty"`
+	Amend        *Amend        `cbor:"11,keyasint,omitempty"`
+	Withdraw     *Withdraw     `cbor:"12,keyasint,omitempty"`
+	TakeOut      *TakeOut      `cbor:"13,keyasint,omitempty"`
+	BeginReturn  *BeginReturn  `cbor:"14,keyasint,omitempty"`
+	FinishReturn *FinishReturn `cbor:"15,keyasint,omitempty"`
+	SetShares    *SetShares    `cbor:"16,keyasint,omitempty"`
+	MarkInForce  *MarkInForce  `cbor:"17,keyasint,omitempty"`
+	MarkDone     *MarkDone     `cbor:"18,keyasint,omitempty"`
+	MarkReversed *MarkReversed `cbor:"19,keyasint,omitempty"`
+}
+
+// Publish accepts a new note; its number must be one more than the newest note's.
+type Publish struct {
+	Note Note `cbor:"1,keyasint"`
+}
+
+// Amend replaces the note of the same number if it still has the expected revision.
+type Amend struct {
+	Note     Note   `cbor:"1,keyasint"`
+	Expected uint64 `cbor:"2,keyasint"`
+}
+
+// Withdraw takes a note out of the configuration if it still has the expected revision.
+type Withdraw struct {
+	Number   uint64 `cbor:"1,keyasint"`
+	Expected uint64 `cbor:"2,keyasint"`
+}
+
+// TakeOut takes a data centre out of service.
+type TakeOut struct {
+	DataCentre model.DataCentre `cbor:"1,keyasint"`
+}
+
+// BeginReturn begins the return of a data centre.
+type BeginReturn struct {
+	DataCentre model.DataCentre `cbor:"1,keyasint"`
+}
+
+// FinishReturn ends the return of a data centre whose backend servers are warm.
+type FinishReturn struct {
+	DataCentre model.DataCentre `cbor:"1,keyasint"`
+}
+
+// SetShares is a step of a move. It belongs to a note, so that the withdrawal
+// of that note takes the step back too.
+type SetShares struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Shares  Shares            `cbor:"2,keyasint"`
+	// Note is the note whose move takes this step. It must be the newest note
+	// that states the service's traffic; 0 stands for that note.
+	Note uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// MarkInForce records that every node has reached a position: all changes up
+// to it are in force.
+type MarkInForce struct {
+	Through model.Position `cbor:"1,keyasint"`
+}
+
+// MarkDone records that a move is complete.
+type MarkDone struct {
+	Number  uint64            `cbor:"1,keyasint"`
+	Service model.ServiceName `cbor:"2,keyasint"`
+}
+
+// MarkReversed records that a move was rolled back.
+type MarkReversed struct {
+	Number  uint64            `cbor:"1,keyasint"`
+	Service model.ServiceName `cbor:"2,keyasint"`
+	Reason  string            `cbor:"3,keyasint"`
+}
+
+// Code is the outcome of a command.
+type Code string
+
+// The outcomes of a command.
+const (
+	CodeOK              Code = "ok"
+	CodeInvalid         Code = "invalid"
+	CodeConflict        Code = "conflict"
+	CodeNotFound        Code = "not-found"
+	CodeOperationReused Code = "operation-reused"
+)
+
+// Result is the outcome of a command; a resend gets the same one.
+type Result struct {
+	Code Code `cbor:"1,keyasint" json:"code"`
+	// Position is the entry of the log that decided the command.
+	Position model.Position `cbor:"2,keyasint" json:"position"`
+	// Number and Revision are those of the note that the command made or changed.
+	Number   uint64 `cbor:"3,keyasint,omitempty" json:"number,omitempty"`
+	Revision uint64 `cbor:"4,keyasint,omitempty" json:"revision,omitempty"`
+	// Changed reports whether the configuration changed.
+	Changed bool   `cbor:"5,keyasint,omitempty" json:"changed,omitempty"`
+	Message string `cbor:"6,keyasint,omitempty" json:"message,omitempty"`
+	// Field is the path of the field that was refused.
+	Field string `cbor:"7,keyasint,omitempty" json:"field,omitempty"`
+	// Winner is set for a conflict.
+	Winner *Winner `cbor:"8,keyasint,omitempty" json:"winner,omitempty"`
+}
+
+// Winner is the accepted change that a conflicting command lost to.
+type Winner struct {
+	Number    uint64             `cbor:"1,keyasint" json:"number"`
+	Revision  uint64             `cbor:"2,keyasint" json:"revision"`
+	Title     string             `cbor:"3,keyasint" json:"title"`
+	Operator  model.OperatorName `cbor:"4,keyasint" json:"operator"`
+	Operation model.OperationID  `cbor:"5,keyasint" json:"operation"`
+	Accepted  time.Time          `cbor:"6,keyasint" json:"accepted"`
+	Withdrawn bool               `cbor:"7,keyasint,omitempty" json:"withdrawn,omitempty"`
+}
+
+var codeErrors = map[Code]error{
+	CodeConflict:        ErrConflict,
+	CodeNotFound:        ErrNotFound,
+	CodeOperationReused: ErrOperationReused,
+}
+
+// Err returns nil for an accepted command and otherwise one of the errors of
+// this package.
+func (r Result) Err() error {
+	if r.Code == CodeOK {
+		return nil
+	}
+	if target, ok := codeErrors[r.Code]; ok {
+		return eris.Wrap(target, r.Message)
+	}
+	return &FieldError{Field: r.Field, Message: r.Message}
+}
+
+// maxMessageLength bounds the text of a refusal, since results are remembered.
+const maxMessageLength = 512
+
+// refusal translates an error of this package into a result.
+func refusal(err error) Result {
+	r := Result{Code: CodeInvalid, Message: err.Error()}
+	var f *FieldError
+	switch {
+	case errors.As(err, &f):
+		r.Field, r.Message = f.Field, f.Message
+	case errors.Is(err, ErrConflict):
+		r.Code = CodeConflict
+	case errors.Is(err, ErrNotFound):
+		r.Code = CodeNotFound
+	case errors.Is(err, ErrOperationReused):
+		r.Code = CodeOperationReused
+	}
+	var w *conflictError
+	if errors.As(err, &w) {
+		r.Winner = w.winner
+	}
+	r.Field = r.Field[:min(len(r.Field), maxMessageLength)]
+	r.Message = r.Message[:min(len(r.Message), maxMessageLength)]
+	return r
+}
+
+// conflictError is an ErrConflict with the change that came first.
+type conflictError struct {
+	message string
+	winner  *Winner
+}
+
+// Error implements error.
+func (e *conflictError) Error() string { return e.message }
+
+// Unwrap makes errors.Is(err, ErrConflict) hold.
+func (e *conflictError) Unwrap() error { return ErrConflict }
--- /dev/null
+++ b/mesh/note/note.go
@@ -0,0 +1,196 @@
+package note
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note/strictjson"
+)
+
+// Bounds of a note.
+const (
+	// MaxNoteBytes bounds the JSON form of a note.
+	MaxNoteBytes = 1 << 20
+	// maxNoteEntries bounds the entries of one note over all its lists, so that
+	// the retained notes have a bounded size.
+	maxNoteEntries = 1_024
+	maxTitleLength = 200
+	// maxWatch is the longest watch after a move; the old version is kept warm for so long.
+	maxWatch = 7 * 24 * time.Hour
+)
+
+// Changes lists what a note adds, changes and withdraws. Added and Changed hold
+// whole records, Withdrawn holds names.
+type Changes[T any] struct {
+	Added     []T      `cbor:"1,keyasint,omitempty" json:"added,omitempty"`
+	Changed   []T      `cbor:"2,keyasint,omitempty" json:"changed,omitempty"`
+	Withdrawn []string `cbor:"3,keyasint,omitempty" json:"withdrawn,omitempty"`
+}
+
+// ServiceShares states the traffic shares of one service. They replace all
+// earlier ones: a version that is not named is withdrawn.
+type ServiceShares struct {
+	Service model.ServiceName `cbor:"1,keyasint" json:"service"`
+	Shares  Shares            `cbor:"2,keyasint" json:"shares"`
+}
+
+// Move is the shift of all traffic of a service to a version by a stated time.
+// For a service without shares it names the first version, which takes all
+// traffic at once.
+type Move struct {
+	Service model.ServiceName    `cbor:"1,keyasint" json:"service"`
+	To      model.ServiceVersion `cbor:"2,keyasint" json:"to"`
+	By      time.Time            `cbor:"3,keyasint" json:"by"`
+	// WatchFor is how long after completion a bad version is still reversed.
+	WatchFor time.Duration `cbor:"4,keyasint" json:"watch_for"`
+}
+
+// Note is a release note: an operator's declaration of a change.
+type Note struct {
+	// Number is chosen by the operator and is one more than the newest note's.
+	Number uint64 `cbor:"1,keyasint" json:"number"`
+	// Revision is 1 for a published note and grows with each amendment and withdrawal.
+	Revision uint64           `cbor:"2,keyasint" json:"revision,omitempty"`
+	Title    string           `cbor:"3,keyasint" json:"title"`
+	Services Changes[Service] `cbor:"4,keyasint" json:"services,omitempty"`
+	Routes   Changes[Route]   `cbor:"5,keyasint" json:"routes,omitempty"`
+	Shares   []ServiceShares  `cbor:"6,keyasint,omitempty" json:"shares,omitempty"`
+	Moves    []Move           `cbor:"7,keyasint,omitempty" json:"moves,omitempty"`
+}
+
+// ParseNote reads the JSON form of a note and checks what can be checked
+// without the configuration. The error names the field.
+func ParseNote(data []byte) (Note, error) {
+	if len(data) > MaxNoteBytes {
+		return Note{}, invalid("", "%d bytes, at most %d", len(data), MaxNoteBytes)
+	}
+	var n Note
+	if err := strictjson.Unmarshal(data, &n); err != nil {
+		return Note{}, invalidJSON(err)
+	}
+	return n, n.Check()
+}
+
+// MarshalJSON writes the form that ParseNote reads.
+func (n Note) MarshalJSON() ([]byte, error) { return strictjson.Marshal(n) }
+
+func (n Note) entries() int {
+	return n.Services.entries() + n.Routes.entries() + len(n.Shares) + len(n.Moves)
+}
+
+func (c Changes[T]) entries() int { return len(c.Added) + len(c.Changed) + len(c.Withdrawn) }
+
+// Check checks the note by itself: ranges, names and repeated entries.
+func (n Note) Check() error {
+	switch {
+	case n.Number == 0:
+		return invalid("number", "0, want at least 1")
+	case len(n.Title) > maxTitleLength:
+		return invalid("title", "%d bytes, at most %d", len(n.Title), maxTitleLength)
+	case n.entries() > maxNoteEntries:
+		return invalid("", "%d entries, at most %d: split the note", n.entries(), maxNoteEntries)
+	case n.entries() == 0:
+		return invalid("", "the note changes nothing")
+	}
+	if err := n.checkServices(); err != nil {
+		return err
+	}
+	if err := n.checkRoutes(); err != nil {
+		return err
+	}
+	return n.checkTraffic()
+}
+
+func (n Note) checkServices() error {
+	name := func(s Service) string { return string(s.Name) }
+	if err := checkUnique("services", n.Services, name); err != nil {
+		return err
+	}
+	return eachRecord("services", n.Services, func(field string, s Service) error {
+		return validateService(field, s.Name, s)
+	})
+}
+
+func (n Note) checkRoutes() error {
+	name := func(r Route) string { return string(r.Name) }
+	if err := checkUnique("routes", n.Routes, name); err != nil {
+		return err
+	}
+	return eachRecord("routes", n.Routes, func(field string, r Route) error {
+		return validateRoute(field, r.Name, r)
+	})
+}
+
+func eachRecord[T any](list string, c Changes[T], check func(field string, v T) error) error {
+	for i, v := range c.Added {
+		if err := check(index(list+".added", i), v); err != nil {
+			return err
+		}
+	}
+	for i, v := range c.Changed {
+		if err := check(index(list+".changed", i), v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkUnique[T any](list string, c Changes[T], name func(T) string) error {
+	seen := map[string]bool{}
+	once := func(field, name string) error {
+		if seen[name] {
+			return invalid(field, "%q is named twice", name)
+		}
+		seen[name] = true
+		return nil
+	}
+	err := eachRecord(list, c, func(field string, v T) error { return once(field, name(v)) })
+	if err != nil {
+		return err
+	}
+	for i, w := range c.Withdrawn {
+		if err := once(index(list+".withdrawn", i), w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkTraffic checks shares and moves; a service has one entry at most in
+// both lists together, so that the note states one outcome.
+func (n Note) checkTraffic() error {
+	seen := map[model.ServiceName]bool{}
+	for i, s := range n.Shares {
+		field := index("shares", i)
+		if seen[s.Service] {
+			return invalid(field+".service", "%q is named twice", s.Service)
+		}
+		seen[s.Service] = true
+		if err := validateShares(field+".shares", s.Shares); err != nil {
+			return err
+		}
+	}
+	for i, m := range n.Moves {
+		field := index("moves", i)
+		if seen[m.Service] {
+			return invalid(field+".service", "%q has shares or another move in this note", m.Service)
+		}
+		seen[m.Service] = true
+		if err := m.check(field); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m Move) check(field string) error {
+	switch {
+	case !validName(string(m.To)):
+		return invalid(field+".to", "%q is not a version name", m.To)
+	case m.By.IsZero():
+		return invalid(field+".by", "the deadline is missing")
+	case m.WatchFor < 0 || m.WatchFor > maxWatch:
+		return invalid(field+".watch_for", "%s, want 0 to %s", m.WatchFor, maxWatch)
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/note/operations.go
@@ -0,0 +1,96 @@
+package note
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	// operationLifetime is how long the result of an operation is remembered.
+	operationLifetime = 24 * time.Hour
+	// maxOperations bounds the remembered results.
+	maxOperations = 100_000
+)
+
+// operation is the remembered result of one command of an operator.
+type operation struct {
+	Operator model.OperatorName `cbor:"1,keyasint"`
+	ID       model.OperationID  `cbor:"2,keyasint"`
+	Time     time.Time          `cbor:"3,keyasint"`
+	// Digest tells a resend from another command under the same id.
+	Digest uint64 `cbor:"4,keyasint"`
+	Result Result `cbor:"5,keyasint"`
+}
+
+type operationKey struct {
+	operator model.OperatorName
+	id       model.OperationID
+}
+
+// operations remembers results in the order of their commands.
+type operations struct {
+	byKey map[operationKey]*operation
+	// order holds the operations from the oldest; those before head are gone.
+	order []*operation
+	head  int
+	limit int
+}
+
+func newOperations(limit int) operations {
+	return operations{byKey: map[operationKey]*operation{}, limit: limit}
+}
+
+func (o *operation) key() operationKey { return operationKey{o.Operator, o.ID} }
+
+// find returns the remembered result; a command that differs from the first
+// one under the id is refused.
+func (o *operations) find(c Command, digest uint64) (Result, bool) {
+	op, ok := o.byKey[operationKey{c.Operator, c.Operation}]
+	if !ok {
+		return Result{}, false
+	}
+	if op.Digest != digest {
+		return refusal(ErrOperationReused), true
+	}
+	return op.Result, true
+}
+
+func (o *operations) add(op *operation) {
+	o.byKey[op.key()] = op
+	o.order = append(o.order, op)
+	if len(o.order)-o.head > o.limit {
+		o.drop()
+	}
+}
+
+// expire forgets the results older than the lifetime.
+func (o *operations) expire(now time.Time) {
+	for o.head < len(o.order) && now.Sub(o.order[o.head].Time) >= operationLifetime {
+		o.drop()
+	}
+}
+
+func (o *operations) drop() {
+	delete(o.byKey, o.order[o.head].key())
+	o.order[o.head] = nil
+	o.head++
+	if o.head > len(o.order)/2 {
+		o.order = append([]*operation(nil), o.order[o.head:]...)
+		o.head = 0
+	}
+}
+
+func (o *operations) all() []*operation { return o.order[o.head:] }
+
+// digest covers all of a command but its time, which a resend changes.
+func (c Command) digest() uint64 {
+	c.Time = time.Time{}
+	raw, err := EncodeCommand(c)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(raw)
+}
--- /dev/null
+++ b/mesh/note/random_test.go
@@ -0,0 +1,277 @@
+package note
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// history is the naive form of a State: every accepted note for ever, folded
+// from nothing each time.
+type history struct {
+	notes       []*naiveNote
+	dataCentres map[model.DataCentre]DataCentreState
+}
+
+type naiveNote struct {
+	note      Note
+	withdrawn bool
+	steps     map[model.ServiceName]Shares
+}
+
+func (h *history) config() Config {
+	c := NewConfig()
+	for _, n := range h.notes {
+		if n.withdrawn {
+			continue
+		}
+		for _, s := range append(n.note.Services.Added, n.note.Services.Changed...) {
+			c.Services[s.Name] = s
+		}
+		for _, w := range n.note.Services.Withdrawn {
+			delete(c.Services, model.ServiceName(w))
+			delete(c.Shares, model.ServiceName(w))
+		}
+		for _, r := range append(n.note.Routes.Added, n.note.Routes.Changed...) {
+			c.Routes[r.Name] = r
+		}
+		for _, w := range n.note.Routes.Withdrawn {
+			delete(c.Routes, model.RouteName(w))
+		}
+		for _, s := range n.note.Shares {
+			c.Shares[s.Service] = s.Shares
+		}
+		for _, m := range n.note.Moves {
+			if c.Shares[m.Service] == nil {
+				c.Shares[m.Service] = all(m.To)
+			}
+		}
+		maps.Copy(c.Shares, n.steps)
+	}
+	maps.Copy(c.DataCentres, h.dataCentres)
+	return c
+}
+
+// accept records a command that the state accepted.
+func (h *history) accept(c Command) {
+	switch {
+	case c.Publish != nil:
+		h.notes = append(h.notes, &naiveNote{note: c.Publish.Note, steps: map[model.ServiceName]Shares{}})
+	case c.Amend != nil:
+		n := h.notes[c.Amend.Note.Number-1]
+		for service := range n.steps {
+			was, _ := n.note.move(service)
+			if is, ok := c.Amend.Note.move(service); !ok || is.To != was.To {
+				delete(n.steps, service)
+			}
+		}
+		n.note = c.Amend.Note
+	case c.Withdraw != nil:
+		h.notes[c.Withdraw.Number-1].withdrawn = true
+	case c.SetShares != nil:
+		for i := len(h.notes) - 1; i >= 0; i-- {
+			if n := h.notes[i]; !n.withdrawn && n.note.statesTraffic(c.SetShares.Service) {
+				n.steps[c.SetShares.Service] = c.SetShares.Shares
+				return
+			}
+		}
+	case c.TakeOut != nil:
+		h.dataCentres[c.TakeOut.DataCentre] = DataCentreOut
+	case c.BeginReturn != nil && h.dataCentres[c.BeginReturn.DataCentre] == DataCentreOut:
+		h.dataCentres[c.BeginReturn.DataCentre] = DataCentreReturning
+	case c.FinishReturn != nil:
+		h.dataCentres[c.FinishReturn.DataCentre] = DataCentreIn
+	}
+}
+
+func drawShares(t *rapid.T) Shares {
+	a, b := drawVersion(t), drawVersion(t)
+	part := model.Share(rapid.Uint32Range(0, 10_000).Draw(t, "part"))
+	if a == b {
+		return all(a)
+	}
+	return Shares{a: part, b: model.ShareAll - part}
+}
+
+func drawVersion(t *rapid.T) model.ServiceVersion {
+	return model.ServiceVersion(rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"))
+}
+
+func drawService(t *rapid.T) model.ServiceName {
+	return model.ServiceName(rapid.SampledFrom([]string{"ledger", "roster", "alerts"}).Draw(t, "service"))
+}
+
+// drawNote draws a note that mostly fits c: what is absent is added, what is
+// present is changed or withdrawn.
+func drawNote(t *rapid.T, c Config, number uint64, now time.Time) Note {
+	n := Note{Number: number}
+	name := drawService(t)
+	s := service(name)
+	s.Slots = rapid.IntRange(0, 40).Draw(t, "slots")
+	withdraw := rapid.IntRange(0, 5).Draw(t, "withdraw") == 0
+	_, present := c.Services[name]
+	switch {
+	case withdraw:
+		n.Services.Withdrawn = []string{string(name)}
+	case present:
+		n.Services.Changed = []Service{s}
+	default:
+		n.Services.Added = []Service{s}
+	}
+	routeName := model.RouteName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "route"))
+	_, present = c.Routes[routeName]
+	switch {
+	case present && (withdraw || rapid.Bool().Draw(t, "withdraw route")):
+		n.Routes.Withdrawn = []string{string(routeName)}
+	case present:
+		n.Routes.Changed = []Route{route(routeName, drawService(t))}
+	case rapid.Bool().Draw(t, "add route"):
+		n.Routes.Added = []Route{route(routeName, name)}
+	}
+	if withdraw {
+		return n
+	}
+	if rapid.Bool().Draw(t, "move") {
+		n.Moves = []Move{{Service: name, To: drawVersion(t), By: now.Add(time.Hour)}}
+	} else if rapid.Bool().Draw(t, "shares") {
+		n.Shares = []ServiceShares{{Service: name, Shares: drawShares(t)}}
+	}
+	return n
+}
+
+// drawCommand draws a command of one of two operators, or of the leader.
+func drawCommand(t *rapid.T, d *driver) Command {
+	number := d.Head() - min(d.Head(), rapid.Uint64Range(0, 6).Draw(t, "back"))
+	expected := uint64(1)
+	if r, err := d.Note(number); err == nil && rapid.IntRange(0, 4).Draw(t, "stale") > 0 {
+		expected = r.Note.Revision
+	}
+	dc := model.DataCentre(rapid.SampledFrom([]string{"thun", "burgdorf"}).Draw(t, "dc"))
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 0, 1, 2, 3, 4:
+		next := d.Head() + uint64(min(1, rapid.IntRange(0, 5).Draw(t, "next")))
+		return Command{Publish: &Publish{Note: drawNote(t, d.Config(), next, d.now)}}
+	case 5:
+		return Command{Amend: &Amend{Note: drawNote(t, d.Config(), number, d.now), Expected: expected}}
+	case 6:
+		return Command{Withdraw: &Withdraw{Number: number, Expected: expected}}
+	case 7, 8:
+		return Command{Operator: RolloutOperator, SetShares: &SetShares{Service: drawService(t), Shares: drawShares(t)}}
+	case 9:
+		return Command{TakeOut: &TakeOut{DataCentre: dc}}
+	case 10:
+		return Command{BeginReturn: &BeginReturn{DataCentre: dc}}
+	default:
+		return Command{Operator: RolloutOperator, FinishReturn: &FinishReturn{DataCentre: dc}}
+	}
+}
+
+func drawOperation(t *rapid.T, c Command, sent []Command) Command {
+	if len(sent) > 0 && rapid.IntRange(0, 6).Draw(t, "resend") == 0 {
+		return sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+	}
+	if c.Operator == "" {
+		c.Operator = model.OperatorName(rapid.SampledFrom([]string{"berta", "jonas"}).Draw(t, "operator"))
+		c.Operation = model.OperationID(fmt.Sprint("op-", len(sent)))
+	}
+	return c
+}
+
+func snapshotOf(t *rapid.T, s *State) []byte {
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestRandomCommands guards against a fold that differs from a rebuild from
+// nothing, a delta that leads elsewhere, a refused command that changes
+// something, a resend with another result, and a snapshot that loses state.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDriver(limits{retained: 4, entries: 40, archived: 2, operations: 1000, audit: 8})
+		h := &history{dataCentres: map[model.DataCentre]DataCentreState{}}
+		results := map[operationKey]Result{}
+		var sent []Command
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			c := drawOperation(t, drawCommand(t, d), sent)
+			before := d.Config()
+			r := d.do(c)
+			key := operationKey{c.Operator, c.Operation}
+			first, resent := results[key]
+			switch {
+			case resent && c.Operation != "":
+				if diff := cmp.Diff(first, r); diff != "" {
+					t.Fatalf("resend got another result: %s", diff)
+				}
+			case r.Code == CodeOK:
+				h.accept(c)
+			}
+			if c.Operation != "" && !resent {
+				results[key] = r
+				sent = append(sent, c)
+			}
+			checkConfig(t, before, d.Config(), h.config())
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				checkRestore(t, d)
+			}
+		}
+	})
+}
+
+func checkConfig(t *rapid.T, before, after, rebuilt Config) {
+	if diff := cmp.Diff(rebuilt, after); diff != "" {
+		t.Fatalf("fold differs from rebuild: %s", diff)
+	}
+	applied, err := before.Apply(Diff(before, after))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(after, applied); diff != "" {
+		t.Fatalf("delta leads elsewhere: %s", diff)
+	}
+}
+
+// checkRestore goes on with a restored copy, so that later commands test it.
+func checkRestore(t *rapid.T, d *driver) {
+	b := snapshotOf(t, d.State)
+	n := newState(d.limits)
+	if err := n.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	if string(snapshotOf(t, n)) != string(b) {
+		t.Fatal("snapshot of the restored state differs")
+	}
+	if diff := cmp.Diff(d.Config(), n.Config()); diff != "" {
+		t.Fatalf("restored configuration differs: %s", diff)
+	}
+	d.State = n
+}
+
+// TestRandomChangeValidation guards against an invalid configuration that the
+// check of the change alone lets through.
+func TestRandomChangeValidation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewConfig()
+		for i := range uint64(20) {
+			b := newBuilder(c)
+			if b.fold(drawNote(t, c, i+1, start), nil) != nil {
+				continue
+			}
+			whole, change := Validate(b.cfg), validateChange(b.cfg, b.changed)
+			if (whole == nil) != (change == nil) {
+				t.Fatalf("whole: %v, change: %v", whole, change)
+			}
+			if whole == nil {
+				c = b.cfg
+			}
+		}
+	})
+}
--- /dev/null
+++ b/mesh/note/record.go
@@ -0,0 +1,115 @@
+package note
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Record is an accepted note with its times.
+type Record struct {
+	Note      Note               `cbor:"1,keyasint" json:"note"`
+	Operator  model.OperatorName `cbor:"2,keyasint" json:"operator"`
+	Operation model.OperationID  `cbor:"3,keyasint" json:"operation"`
+	// Position is the entry of the log that made this revision.
+	Position model.Position `cbor:"4,keyasint" json:"position"`
+	// Accepted, InForce, Done and Reversed are the times of this revision; zero means not yet.
+	Accepted  time.Time   `cbor:"5,keyasint" json:"accepted"`
+	InForce   time.Time   `cbor:"6,keyasint" json:"in_force,omitempty"`
+	Done      time.Time   `cbor:"7,keyasint" json:"done,omitempty"`
+	Reversed  time.Time   `cbor:"8,keyasint" json:"reversed,omitempty"`
+	Withdrawn bool        `cbor:"9,keyasint,omitempty" json:"withdrawn,omitempty"`
+	Moves     []MoveState `cbor:"10,keyasint,omitempty" json:"moves,omitempty"`
+	// Steps holds the shares that the moves of this note have reached.
+	Steps map[model.ServiceName]Shares `cbor:"11,keyasint,omitempty" json:"steps,omitempty"`
+}
+
+// MoveState is an accepted move with its times.
+type MoveState struct {
+	Move Move `cbor:"1,keyasint" json:"move"`
+	// Note and Revision are those of the note that states the move.
+	Note     uint64 `cbor:"2,keyasint" json:"note"`
+	Revision uint64 `cbor:"3,keyasint" json:"revision"`
+	// From holds the shares when the move was accepted; it is empty for a first version.
+	From     Shares    `cbor:"4,keyasint,omitempty" json:"from,omitempty"`
+	Accepted time.Time `cbor:"5,keyasint" json:"accepted"`
+	Done     time.Time `cbor:"6,keyasint" json:"done,omitempty"`
+	Reversed time.Time `cbor:"7,keyasint" json:"reversed,omitempty"`
+	Reason   string    `cbor:"8,keyasint,omitempty" json:"reason,omitempty"`
+	// Withdrawn is set when the note was withdrawn or amended to another target.
+	Withdrawn bool `cbor:"9,keyasint,omitempty" json:"withdrawn,omitempty"`
+}
+
+// First reports whether the move names the first version of a new service.
+func (m MoveState) First() bool { return len(m.From) == 0 }
+
+// Open reports whether the move is neither done, reversed nor withdrawn.
+func (m MoveState) Open() bool { return m.Done.IsZero() && m.Reversed.IsZero() && !m.Withdrawn }
+
+func (r *Record) winner() *Winner {
+	return &Winner{
+		Number: r.Note.Number, Revision: r.Note.Revision, Title: r.Note.Title, Operator: r.Operator,
+		Operation: r.Operation, Accepted: r.Accepted, Withdrawn: r.Withdrawn,
+	}
+}
+
+// newMoves returns the move states of a revision of a note. A move that keeps
+// its target keeps its state and the shares it started from.
+func newMoves(n Note, before Config, old []MoveState, at time.Time) []MoveState {
+	var out []MoveState
+	for _, m := range n.Moves {
+		st := MoveState{Move: m, From: before.Shares[m.Service], Accepted: at}
+		for _, o := range old {
+			if o.Move.Service == m.Service && o.Move.To == m.To {
+				st, st.Move = o, m
+			}
+		}
+		st.Note, st.Revision = n.Number, n.Revision
+		if st.First() && st.Done.IsZero() {
+			st.Done = at
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// keptSteps returns the shares reached by moves that the new revision keeps.
+func keptSteps(r *Record, n Note) map[model.ServiceName]Shares {
+	out := map[model.ServiceName]Shares{}
+	for service, shares := range r.Steps {
+		was, _ := r.Note.move(service)
+		if m, ok := n.move(service); ok && m.To == was.To {
+			out[service] = shares
+		}
+	}
+	return out
+}
+
+func (r *Record) moveState(service model.ServiceName) *MoveState {
+	for i := range r.Moves {
+		if r.Moves[i].Move.Service == service {
+			return &r.Moves[i]
+		}
+	}
+	return nil
+}
+
+// settle derives the record's times from those of its moves: done when every
+// move is done, or at once in force if it has none; reversed when any is.
+func (r *Record) settle() {
+	done := r.InForce
+	for _, m := range r.Moves {
+		if !m.Reversed.IsZero() {
+			r.Reversed, r.Done = m.Reversed, time.Time{}
+			return
+		}
+		if m.Done.IsZero() || done.IsZero() {
+			done = time.Time{}
+			continue
+		}
+		if m.Done.After(done) {
+			done = m.Done
+		}
+	}
+	r.Done = done
+}
--- /dev/null
+++ b/mesh/note/snapshot.go
@@ -0,0 +1,119 @@
+package note
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// snapshot is the encoded form of a State.
+type snapshot struct {
+	Now        time.Time                       `cbor:"1,keyasint"`
+	Position   model.Position                  `cbor:"2,keyasint"`
+	Head       uint64                          `cbor:"3,keyasint"`
+	Base       Config                          `cbor:"4,keyasint"`
+	Retained   []*Record                       `cbor:"5,keyasint"`
+	Archive    map[model.ServiceName]MoveState `cbor:"6,keyasint"`
+	Operations []*operation                    `cbor:"7,keyasint"`
+	Audit      []AuditRecord                   `cbor:"8,keyasint"`
+	AuditNext  uint64                          `cbor:"9,keyasint"`
+	// DataCentres is not part of the fold.
+	DataCentres  map[model.DataCentre]DataCentreState `cbor:"10,keyasint"`
+	AuditPending uint64                               `cbor:"11,keyasint"`
+}
+
+// Snapshot returns the encoded state; equal states have equal snapshots.
+func (s *State) Snapshot() ([]byte, error) {
+	return encode(snapshot{
+		Now: s.now, Position: s.position, Head: s.head, Base: s.base, Retained: s.retained, Archive: s.archive,
+		Operations: s.operations.all(), Audit: s.audit.kept(), AuditNext: s.audit.next, AuditPending: s.audit.pending,
+		DataCentres: s.config.DataCentres,
+	})
+}
+
+// Restore replaces the state by a snapshot; a malformed one changes nothing.
+func (s *State) Restore(b []byte) error {
+	snap, err := decode[snapshot](b)
+	if err != nil {
+		return err
+	}
+	n := newState(s.limits)
+	n.now, n.position, n.head = snap.Now, snap.Position, snap.Head
+	n.base = snap.Base.share().withMaps()
+	if n.retained, err = snap.records(); err != nil {
+		return err
+	}
+	for _, r := range n.retained {
+		n.entries += r.Note.entries()
+	}
+	for k, v := range snap.Archive {
+		n.archive[k] = v
+	}
+	for _, op := range snap.Operations {
+		if op == nil {
+			return eris.Wrap(ErrMalformed, "empty operation")
+		}
+		n.operations.add(op)
+	}
+	n.audit.records, n.audit.next, n.audit.pending = snap.Audit, snap.AuditNext, snap.AuditPending
+	if err := n.refold(snap.DataCentres); err != nil {
+		return err
+	}
+	*s = *n
+	return nil
+}
+
+// records checks that the notes are the newest ones without gaps.
+func (s snapshot) records() ([]*Record, error) {
+	if uint64(len(s.Retained)) > s.Head {
+		return nil, eris.Wrap(ErrMalformed, "more notes than numbers")
+	}
+	first := s.Head - uint64(len(s.Retained)) + 1
+	for i, r := range s.Retained {
+		if r == nil || r.Note.Number != first+uint64(i) {
+			return nil, eris.Wrapf(ErrMalformed, "note %d is missing", first+uint64(i))
+		}
+	}
+	return s.Retained, nil
+}
+
+// refold derives the configuration from base and notes.
+func (s *State) refold(dcs map[model.DataCentre]DataCentreState) error {
+	b := newBuilder(s.base)
+	for _, r := range s.retained {
+		if r.Withdrawn {
+			continue
+		}
+		if err := b.fold(r.Note, r.Steps); err != nil {
+			return eris.Wrapf(ErrMalformed, "note %d: %v", r.Note.Number, err)
+		}
+	}
+	for dc, state := range dcs {
+		b.cfg.DataCentres[dc] = state
+	}
+	if err := Validate(b.cfg); err != nil {
+		return eris.Wrapf(ErrMalformed, "%v", err)
+	}
+	s.config = b.cfg
+	return nil
+}
+
+// withMaps replaces nil maps by empty ones.
+func (c Config) withMaps() Config {
+	n := NewConfig()
+	if c.Services != nil {
+		n.Services = c.Services
+	}
+	if c.Routes != nil {
+		n.Routes = c.Routes
+	}
+	if c.Shares != nil {
+		n.Shares = c.Shares
+	}
+	if c.DataCentres != nil {
+		n.DataCentres = c.DataCentres
+	}
+	return n
+}
--- /dev/null
+++ b/mesh/note/state.go
@@ -0,0 +1,225 @@
+package note
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	// maxRetained is the number of newest notes that can be amended or withdrawn.
+	maxRetained = 4_096
+	// maxRetainedEntries bounds the entries of the retained notes; beyond it
+	// notes are folded into the base early. It keeps them below about 60 MB.
+	maxRetainedEntries = 262_144
+	// maxArchived bounds the outcomes of moves whose notes are folded.
+	maxArchived = maxServices
+)
+
+// State is the replicated state of notes and data centres. It has one owner,
+// the control role's state machine, and is not safe for concurrent use. Apply
+// depends on nothing but the state and its arguments.
+type State struct {
+	limits limits
+	// now is the greatest time of any command.
+	now      time.Time
+	position model.Position
+	// head is the number of the newest note.
+	head uint64
+	// base is the fold of the notes that are no longer retained.
+	base Config
+	// retained holds the newest notes, withdrawn ones included, in order of
+	// number without gaps; the last one is head.
+	retained []*Record
+	entries  int
+	// archive holds for each service the newest move whose record is gone.
+	archive map[model.ServiceName]MoveState
+	// config is the fold of the retained notes over base; it is never changed in place.
+	config     Config
+	operations operations
+	audit      auditLog
+}
+
+// limits are the bounds of a State; tests lower them.
+type limits struct {
+	retained, entries, archived, operations, audit int
+}
+
+var defaultLimits = limits{
+	retained: maxRetained, entries: maxRetainedEntries, archived: maxArchived,
+	operations: maxOperations, audit: maxAudit,
+}
+
+// NewState returns the state before the first command.
+func NewState() *State { return newState(defaultLimits) }
+
+func newState(l limits) *State {
+	return &State{
+		limits: l, base: NewConfig(), config: NewConfig(), archive: map[model.ServiceName]MoveState{},
+		operations: newOperations(l.operations), audit: newAuditLog(l.audit),
+	}
+}
+
+// Apply decides a command at its position in the log. A refused command
+// changes nothing but the memory of its result.
+func (s *State) Apply(c Command, pos model.Position) Result {
+	if c.Time.After(s.now) {
+		s.now = c.Time.UTC()
+	}
+	s.operations.expire(s.now)
+	var digest uint64
+	if c.Operation != "" {
+		digest = c.digest()
+		if r, ok := s.operations.find(c, digest); ok {
+			return r
+		}
+	}
+	r := s.decide(c, pos)
+	if c.Operation != "" {
+		s.operations.add(&operation{
+			Operator: c.Operator, ID: c.Operation, Time: s.now, Digest: digest, Result: r,
+		})
+	}
+	return r
+}
+
+func (s *State) decide(c Command, pos model.Position) Result {
+	r, err := s.dispatch(c, pos)
+	if err != nil {
+		r = refusal(err)
+	} else {
+		r.Code = CodeOK
+	}
+	r.Position = pos
+	if r.Changed {
+		invariant.Check(s.position.Less(pos), invariant.AcceptedNeverReverts, "position of a change does not grow",
+			"from", s.position.String(), "to", pos.String())
+		s.position = pos
+	}
+	return r
+}
+
+func (s *State) dispatch(c Command, pos model.Position) (Result, error) {
+	if err := c.check(); err != nil {
+		return Result{}, err
+	}
+	switch {
+	case c.Publish != nil:
+		return s.publish(c, pos)
+	case c.Amend != nil:
+		return s.amend(c, pos)
+	case c.Withdraw != nil:
+		return s.withdraw(c, pos)
+	case c.TakeOut != nil:
+		return s.takeOut(c, pos)
+	case c.BeginReturn != nil:
+		return s.beginReturn(c, pos)
+	case c.FinishReturn != nil:
+		return s.finishReturn(c, pos)
+	case c.SetShares != nil:
+		return s.setShares(c, pos)
+	case c.MarkInForce != nil:
+		return s.markInForce(c)
+	case c.MarkDone != nil:
+		return s.markDone(c)
+	default:
+		return s.markReversed(c)
+	}
+}
+
+// Bounds of the texts of a command, since they are remembered.
+const (
+	maxOperatorLength  = 128
+	maxOperationLength = 128
+	maxReasonLength    = 512
+)
+
+func (c Command) check() error {
+	set := 0
+	for _, present := range []bool{
+		c.Publish != nil, c.Amend != nil, c.Withdraw != nil, c.TakeOut != nil, c.BeginReturn != nil,
+		c.FinishReturn != nil, c.SetShares != nil, c.MarkInForce != nil, c.MarkDone != nil, c.MarkReversed != nil,
+	} {
+		if present {
+			set++
+		}
+	}
+	switch {
+	case set != 1:
+		return invalid("", "the command states %d changes, want 1", set)
+	case c.Operator == "" || len(c.Operator) > maxOperatorLength:
+		return invalid("operator", "want 1 to %d bytes", maxOperatorLength)
+	case len(c.Operation) > maxOperationLength:
+		return invalid("operation", "%d bytes, at most %d", len(c.Operation), maxOperationLength)
+	case c.Time.IsZero():
+		return invalid("time", "the time is missing")
+	}
+	return nil
+}
+
+// record returns the retained record of a note, or nil.
+func (s *State) record(number uint64) *Record {
+	first := s.head - uint64(len(s.retained)) + 1
+	if number < first || number > s.head {
+		return nil
+	}
+	return s.retained[number-first]
+}
+
+// fold retires the oldest notes into the base while the bounds are exceeded.
+func (s *State) fold() {
+	for len(s.retained) > s.limits.retained || s.entries > s.limits.entries && len(s.retained) > 1 {
+		r := s.retained[0]
+		if !r.Withdrawn {
+			b := newBuilder(s.base)
+			err := b.fold(r.Note, r.Steps)
+			invariant.Check(err == nil, invariant.NoPartialVersion, "accepted note does not fold", "note", r.Note.Number, "error", err)
+			s.base = b.cfg
+		}
+		for _, m := range r.Moves {
+			s.retire(m)
+		}
+		s.entries -= r.Note.entries()
+		s.retained[0] = nil
+		s.retained = s.retained[1:]
+	}
+}
+
+// retire keeps the outcome of a service's newest move after its record is gone.
+func (s *State) retire(m MoveState) {
+	name := m.Move.Service
+	if old, ok := s.archive[name]; ok && old.Note > m.Note {
+		return
+	}
+	s.archive[name] = m
+	if len(s.archive) <= s.limits.archived {
+		return
+	}
+	var oldest model.ServiceName
+	for k, v := range s.archive {
+		if o, ok := s.archive[oldest]; !ok || v.Note < o.Note || v.Note == o.Note && k < oldest {
+			oldest = k
+		}
+	}
+	delete(s.archive, oldest)
+}
+
+// rebuild folds the retained notes over the base, with replace in place of the
+// note of its number.
+func (s *State) rebuild(replace *Record) (Config, error) {
+	b := newBuilder(s.base)
+	b.cfg.DataCentres = s.config.DataCentres
+	for _, r := range s.retained {
+		if r.Note.Number == replace.Note.Number {
+			r = replace
+		}
+		if r.Withdrawn {
+			continue
+		}
+		if err := b.fold(r.Note, r.Steps); err != nil {
+			return Config{}, inNote(r, replace, err)
+		}
+	}
+	return b.cfg, Validate(b.cfg)
+}
--- /dev/null
+++ b/mesh/note/steps.go
@@ -0,0 +1,124 @@
+package note
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// setShares takes a step of a move. The step is kept with the newest note that
+// states the service's traffic, and folded after it.
+func (s *State) setShares(c Command, pos model.Position) (Result, error) {
+	cmd := c.SetShares
+	if _, ok := s.config.Services[cmd.Service]; !ok {
+		return Result{}, eris.Wrapf(ErrNotFound, "service %q", cmd.Service)
+	}
+	if err := validateShares("shares", cmd.Shares); err != nil {
+		return Result{}, err
+	}
+	owner := s.trafficOwner(cmd.Service)
+	if cmd.Note != 0 && (owner == nil || owner.Note.Number != cmd.Note) {
+		return Result{}, s.stepConflict(cmd, owner)
+	}
+	if maps.Equal(cmd.Shares, s.config.Shares[cmd.Service]) {
+		return Result{}, nil
+	}
+	s.storeStep(owner, cmd.Service, cmd.Shares)
+	s.config = s.config.share()
+	s.config.Shares[cmd.Service] = cmd.Shares
+	s.audit.add(AuditRecord{
+		Operator: c.Operator, Operation: c.Operation, Action: ActionSetShares, Position: pos, Number: cmd.Note,
+		Changes: []string{describeShares(cmd.Service, cmd.Shares)}, Accepted: s.now,
+	})
+	return Result{Number: cmd.Note, Changed: true}, nil
+}
+
+func (s *State) stepConflict(cmd *SetShares, owner *Record) error {
+	e := &conflictError{message: fmt.Sprintf("note %d no longer states the traffic of service %s", cmd.Note, cmd.Service)}
+	if owner != nil {
+		e.winner = owner.winner()
+	}
+	return e
+}
+
+// trafficOwner returns the newest retained note that states the service's
+// traffic, or nil if only the base does.
+func (s *State) trafficOwner(service model.ServiceName) *Record {
+	for i := len(s.retained) - 1; i >= 0; i-- {
+		if r := s.retained[i]; !r.Withdrawn && r.Note.statesTraffic(service) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *State) storeStep(owner *Record, service model.ServiceName, shares Shares) {
+	if owner == nil {
+		s.base = s.base.share()
+		s.base.Shares[service] = shares
+		return
+	}
+	steps := maps.Clone(owner.Steps)
+	if steps == nil {
+		steps = map[model.ServiceName]Shares{}
+	}
+	steps[service] = shares
+	owner.Steps = steps
+}
+
+func (s *State) markInForce(c Command) (Result, error) {
+	through := c.MarkInForce.Through
+	s.audit.markInForce(through, s.now)
+	for _, r := range s.retained {
+		if r.InForce.IsZero() && r.Position.Compare(through) <= 0 {
+			r.InForce = s.now
+			if !r.Withdrawn {
+				r.settle()
+			}
+			s.audit.settle(r, "")
+		}
+	}
+	return Result{}, nil
+}
+
+func (s *State) markDone(c Command) (Result, error) {
+	return s.markMove(c.MarkDone.Number, c.MarkDone.Service, func(m *MoveState) {
+		if m.Done.IsZero() {
+			m.Done = s.now
+		}
+	})
+}
+
+func (s *State) markReversed(c Command) (Result, error) {
+	reason := c.MarkReversed.Reason
+	reason = reason[:min(len(reason), maxReasonLength)]
+	return s.markMove(c.MarkReversed.Number, c.MarkReversed.Service, func(m *MoveState) {
+		if m.Reversed.IsZero() {
+			m.Reversed, m.Reason = s.now, reason
+		}
+	})
+}
+
+// markMove updates a move in its record, or in the archive if the note is folded.
+func (s *State) markMove(number uint64, service model.ServiceName, mark func(*MoveState)) (Result, error) {
+	if r := s.record(number); r != nil {
+		m := r.moveState(service)
+		if m == nil {
+			return Result{}, eris.Wrapf(ErrNotFound, "move of service %q in note %d", service, number)
+		}
+		mark(m)
+		r.settle()
+		s.audit.settle(r, m.Reason)
+		return Result{Number: number, Revision: r.Note.Revision}, nil
+	}
+	m, ok := s.archive[service]
+	if !ok || m.Note != number {
+		return Result{}, eris.Wrapf(ErrNotFound, "move of service %q in note %d", service, number)
+	}
+	mark(&m)
+	s.archive[service] = m
+	return Result{Number: number, Revision: m.Revision}, nil
+}
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -4,8 +4,6 @@
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"balsamtrail.org/mesh/model"
 )
 
@@ -19,36 +17,96 @@
 	maxRetries     = 5
 	maxRoutes      = 50_000
 	maxServices    = 10_000
+	// maxVersions bounds the versions of one service that take traffic together.
+	maxVersions   = 16
+	maxPathLength = 1_024
 )
 
+var methods = map[string]bool{
+	"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "OPTIONS": true,
+}
+
 // Validate checks the whole configuration; the error names the field.
 func Validate(c Config) error {
-	if len(c.Services) > maxServices {
-		return invalid("services", "%d services, at most %d", len(c.Services), maxServices)
-	}
-	if len(c.Routes) > maxRoutes {
-		return invalid("routes", "%d routes, at most %d", len(c.Routes), maxRoutes)
+	if err := validateSize(c); err != nil {
+		return err
 	}
 	for name, s := range c.Services {
-		if err := validateService(name, s); err != nil {
+		if err := validateService(element("services", string(name)), name, s); err != nil {
+			return err
+		}
+	}
+	for name := range c.Routes {
+		if err := validateRouteIn(c, name); err != nil {
+			return err
+		}
+	}
+	for name := range c.Shares {
+		if err := validateSharesIn(c, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateChange is Validate for a configuration that differs from a valid one
+// by d only: it checks what d touches and what can refer to it.
+func validateChange(c Config, d Delta) error {
+	if err := validateSize(c); err != nil {
+		return err
+	}
+	for _, s := range d.Services {
+		if err := validateService(element("services", string(s.Name)), s.Name, s); err != nil {
+			return err
+		}
+	}
+	for _, r := range d.Routes {
+		if err := validateRouteIn(c, r.Name); err != nil {
+			return err
+		}
+	}
+	for name := range d.Shares {
+		if err := validateSharesIn(c, name); err != nil {
 			return err
 		}
 	}
-	for name, r := range c.Routes {
-		if err := validateRoute(c, name, r); err != nil {
+	return validateRemoved(c, d.RemovedServices)
+}
+
+// validateRemoved checks that nothing refers to the removed services.
+func validateRemoved(c Config, removed []model.ServiceName) error {
+	if len(removed) == 0 {
+		return nil
+	}
+	for name := range c.Routes {
+		if err := validateRouteIn(c, name); err != nil {
 			return err
 		}
 	}
-	for name, shares := range c.Shares {
-		if err := validateShares(c, name, shares); err != nil {
+	for _, name := range removed {
+		if _, ok := c.Shares[name]; !ok {
+			continue
+		}
+		if err := validateSharesIn(c, name); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func validateService(name model.ServiceName, s Service) error {
-	field := "services[" + string(name) + "]"
+func validateSize(c Config) error {
+	if len(c.Services) > maxServices {
+		return invalid("services", "%d services, at most %d", len(c.Services), maxServices)
+	}
+	if len(c.Routes) > maxRoutes {
+		return invalid("routes", "%d routes, at most %d", len(c.Routes), maxRoutes)
+	}
+	return nil
+}
+
+func element(list, name string) string { return list + "[" + name + "]" }
+
+func validateService(field string, name model.ServiceName, s Service) error {
 	switch {
 	case !validName(string(name)) || name != s.Name:
 		return invalid(field+".name", "%q is not a name", s.Name)
@@ -64,16 +122,20 @@
 	return nil
 }
 
-func validateRoute(c Config, name model.RouteName, r Route) error {
-	field := "routes[" + string(name) + "]"
+func validateRouteIn(c Config, name model.RouteName) error {
+	field, r := element("routes", string(name)), c.Routes[name]
 	if _, ok := c.Services[r.Service]; !ok {
 		return invalid(field+".service", "unknown service %q", r.Service)
 	}
+	return validateRoute(field, name, r)
+}
+
+func validateRoute(field string, name model.RouteName, r Route) error {
 	switch {
 	case !validName(string(name)) || name != r.Name:
 		return invalid(field+".name", "%q is not a name", r.Name)
-	case !strings.HasPrefix(r.PathPrefix, "/"):
-		return invalid(field+".path_prefix", "%q does not start with /", r.PathPrefix)
+	case !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPathLength:
+		return invalid(field+".path_prefix", "%q, want a path of at most %d bytes that starts with /", r.PathPrefix, maxPathLength)
 	case r.Kind < model.KindLookup || r.Kind > model.KindUrgent:
 		return invalid(field+".kind", "%d is not a kind", r.Kind)
 	case r.Timeout <= 0 || r.Timeout > maxTimeout:
@@ -82,22 +144,36 @@
 		return invalid(field+".max_retries", "%d, want 0 to %d", r.MaxRetries, maxRetries)
 	case r.Hedge && r.Kind != model.KindLookup:
 		return invalid(field+".hedge", "only lookups may be hedged")
+	case len(r.Methods) > len(methods):
+		return invalid(field+".methods", "%d methods, at most %d", len(r.Methods), len(methods))
+	}
+	for i, m := range r.Methods {
+		if !methods[m] {
+			return invalid(index(field+".methods", i), "%q is not an HTTP method", m)
+		}
 	}
 	return nil
 }
 
-func validateShares(c Config, name model.ServiceName, shares Shares) error {
-	field := "shares[" + string(name) + "]"
+func validateSharesIn(c Config, name model.ServiceName) error {
+	field := element("shares", string(name))
 	if _, ok := c.Services[name]; !ok {
 		return invalid(field, "unknown service %q", name)
 	}
+	return validateShares(field, c.Shares[name])
+}
+
+func validateShares(field string, shares Shares) error {
+	if len(shares) > maxVersions {
+		return invalid(field, "%d versions, at most %d", len(shares), maxVersions)
+	}
 	var sum model.Share
 	for v, s := range shares {
 		if !validName(string(v)) {
 			return invalid(field, "%q is not a version name", v)
 		}
 		if s > model.ShareAll {
-			return invalid(field+"["+string(v)+"]", "%d, at most %d", s, model.ShareAll)
+			return invalid(element(field, string(v)), "%d, at most %d", s, model.ShareAll)
 		}
 		sum += s
 	}
@@ -119,7 +195,3 @@
 	}
 	return true
 }
-
-func invalid(field, format string, args ...any) error {
-	return eris.Wrapf(ErrInvalid, field+": "+format, args...)
-}
