--- /dev/null
+++ b/mesh/replog/disk.go
@@ -0,0 +1,291 @@
+package replog
+
+import (
+	"path/filepath"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/replog/wal"
+)
+
+// walRecord is one record of the write-ahead log: what one Ready stores.
+type walRecord struct {
+	Hard *HardState `cbor:"1,keyasint,omitempty"`
+	// Base says that a snapshot replaced all entries before this record.
+	Base    *logBase `cbor:"2,keyasint,omitempty"`
+	Entries []Entry  `cbor:"3,keyasint,omitempty"`
+}
+
+// logBase is the entry before the first one of the log.
+type logBase struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+}
+
+// decodeMode bounds what a record may make the decoder allocate.
+var decodeMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// disk holds the files of one host of one group. Its owner is the goroutine
+// that owns the Core.
+type disk struct {
+	fs  wal.FS
+	dir string
+	wal *wal.WAL
+	// hard is repeated at the start of each segment.
+	hard HardState
+	// fresh: the current segment holds no record yet.
+	fresh bool
+	// lastIn holds the greatest entry index in each segment.
+	lastIn map[uint64]uint64
+}
+
+// recovered is what openDisk read.
+type recovered struct {
+	state CoreState
+	data  []byte // the state in the snapshot; nil if there is none
+}
+
+// openDisk recovers the files in dir. initial are the members of a new group.
+func openDisk(fsys wal.FS, dir string, segmentBytes int64, initial Members) (*disk, recovered, error) {
+	d := &disk{fs: fsys, dir: dir, lastIn: map[uint64]uint64{}}
+	rec := recovered{state: CoreState{Snapshot: SnapshotMeta{Members: initial}}}
+	if err := d.loadSnapshot(&rec); err != nil {
+		return nil, rec, err
+	}
+	r := replay{disk: d}
+	w, err := wal.Open(fsys, dir, segmentBytes, r.record)
+	if err != nil {
+		return nil, rec, diskError(err)
+	}
+	d.wal = w
+	d.hard = r.hard
+	d.fresh = true // costs at most one repeated hard state
+	rec.state.Hard = r.hard
+	if err := r.finish(&rec.state); err != nil {
+		return nil, rec, err
+	}
+	return d, rec, nil
+}
+
+// loadSnapshot reads the newest snapshot and removes unfinished files.
+func (d *disk) loadSnapshot(rec *recovered) error {
+	names, err := d.fs.List(d.dir)
+	if err != nil {
+		return diskError(wal.Classify(err))
+	}
+	newest := uint64(0)
+	for _, n := range names {
+		if strings.HasSuffix(n, wal.TempSuffix) {
+			_ = d.fs.Remove(filepath.Join(d.dir, n))
+		}
+		if index, ok := snapshotIndex(n); ok {
+			newest = max(newest, index)
+		}
+	}
+	if newest == 0 {
+		return nil
+	}
+	name := snapshotName(d.dir, newest)
+	b, err := d.fs.ReadFile(name)
+	if err != nil {
+		return diskError(wal.Classify(err))
+	}
+	rec.state.Snapshot, rec.data, err = decodeSnapshot(name, b)
+	return err
+}
+
+// replay rebuilds the entries from the records of the write-ahead log.
+type replay struct {
+	disk    *disk
+	hard    HardState
+	base    *logBase
+	entries []Entry
+}
+
+func (r *replay) record(segment uint64, payload []byte) error {
+	var rec walRecord
+	if err := decodeMode.Unmarshal(payload, &rec); err != nil {
+		return eris.Wrapf(wal.ErrDamaged, "record: %v", err)
+	}
+	if rec.Hard != nil {
+		r.hard = *rec.Hard
+	}
+	if rec.Base != nil {
+		r.base, r.entries = rec.Base, nil
+	}
+	for _, e := range rec.Entries {
+		if err := r.entry(e); err != nil {
+			return err
+		}
+		r.disk.lastIn[segment] = max(r.disk.lastIn[segment], e.Index)
+	}
+	return nil
+}
+
+// entry appends an entry; it replaces those from its index on.
+func (r *replay) entry(e Entry) error {
+	first, next := e.Index, e.Index
+	switch {
+	case len(r.entries) > 0:
+		first = r.entries[0].Index
+		next = first + uint64(len(r.entries))
+	case r.base != nil:
+		first, next = r.base.Index+1, r.base.Index+1
+	}
+	if e.Index < first && r.base == nil {
+		// Replaces entries whose older part was in segments since removed.
+		r.entries = []Entry{e}
+		return nil
+	}
+	if e.Index < first || e.Index > next {
+		return eris.Wrapf(wal.ErrDamaged, "entry %d does not follow entry %d", e.Index, next-1)
+	}
+	r.entries = append(r.entries[:e.Index-first], e)
+	return nil
+}
+
+// finish fits the entries to the snapshot. If the entries end before the
+// snapshot or differ from it, the host stopped while it installed the
+// snapshot, and the entries are void.
+func (r *replay) finish(st *CoreState) error {
+	snap := st.Snapshot
+	st.Offset, st.OffsetTerm = snap.Index, snap.Term
+	if r.base != nil && r.base.Index > snap.Index {
+		return eris.Wrapf(ErrDamaged, "%s: the snapshot at index %d is missing", r.disk.dir, r.base.Index)
+	}
+	if len(r.entries) == 0 {
+		if r.base != nil && r.base.Index == snap.Index || snap.Index == 0 {
+			return nil
+		}
+		return r.disk.writeBase(logBase{Index: snap.Index, Term: snap.Term})
+	}
+	first, last := r.entries[0].Index, r.entries[len(r.entries)-1].Index
+	if first > snap.Index+1 {
+		return eris.Wrapf(ErrDamaged, "%s: entries %d to %d are missing", r.disk.dir, snap.Index+1, first-1)
+	}
+	switch {
+	case first == snap.Index+1:
+		st.Entries = r.entries
+		return nil
+	case last >= snap.Index && r.entries[snap.Index-first].Term == snap.Term:
+		st.Entries = r.entries[snap.Index-first+1:]
+		return nil
+	}
+	return r.disk.writeBase(logBase{Index: snap.Index, Term: snap.Term})
+}
+
+func (d *disk) writeBase(b logBase) error {
+	if err := d.put(walRecord{Base: &b}); err != nil {
+		return err
+	}
+	return d.sync()
+}
+
+// put writes one record, with the hard state if it is the first of a segment.
+func (d *disk) put(rec walRecord) error {
+	if d.fresh && rec.Hard == nil {
+		rec.Hard = &d.hard
+	}
+	b, err := cbor.Marshal(rec)
+	if err != nil {
+		return eris.Wrapf(ErrDisk, "encode record: %v", err)
+	}
+	if err := d.wal.Write(b); err != nil {
+		return diskError(err)
+	}
+	d.fresh = false
+	if rec.Hard != nil {
+		d.hard = *rec.Hard
+	}
+	if n := len(rec.Entries); n > 0 {
+		seg := d.wal.Segment()
+		d.lastIn[seg] = max(d.lastIn[seg], rec.Entries[n-1].Index)
+	}
+	return nil
+}
+
+// write stores what r holds; it is durable after sync. With ErrDiskFull
+// nothing was stored except perhaps the snapshot, which may be stored again.
+func (d *disk) write(r Ready) error {
+	rec := walRecord{Hard: r.Hard, Entries: r.Entries}
+	if r.Snapshot != nil {
+		if err := saveSnapshot(d.fs, d.dir, r.Snapshot.Meta, r.Snapshot.Data); err != nil {
+			return err
+		}
+		rec.Base = &logBase{Index: r.Snapshot.Meta.Index, Term: r.Snapshot.Meta.Term}
+	}
+	return d.put(rec)
+}
+
+// sync makes the written records durable and starts a new segment if due.
+func (d *disk) sync() error {
+	if err := d.wal.Sync(); err != nil {
+		return diskError(err)
+	}
+	if !d.wal.RotationDue() {
+		return nil
+	}
+	if err := d.wal.Rotate(); err != nil {
+		if eris.Is(err, wal.ErrFull) {
+			return nil // the current segment grows until there is space
+		}
+		return diskError(err)
+	}
+	d.fresh = true
+	return nil
+}
+
+// probe writes the hard state again to find out whether there is space.
+func (d *disk) probe() error {
+	if err := d.put(walRecord{Hard: &d.hard}); err != nil {
+		return err
+	}
+	return d.sync()
+}
+
+// compact removes the files that the snapshot at index replaces.
+func (d *disk) compact(index uint64) error {
+	if d.fresh { // the hard state of the current segment is not stored yet
+		if err := d.probe(); err != nil {
+			return err
+		}
+	}
+	keep := d.wal.Segment()
+	for seg := range d.lastIn {
+		if d.lastIn[seg] > index {
+			keep = min(keep, seg)
+		}
+	}
+	if err := d.wal.RemoveBefore(keep); err != nil {
+		return diskError(err)
+	}
+	for seg := range d.lastIn {
+		if seg < keep {
+			delete(d.lastIn, seg)
+		}
+	}
+	return d.removeSnapshotsBefore(index)
+}
+
+func (d *disk) removeSnapshotsBefore(index uint64) error {
+	names, err := d.fs.List(d.dir)
+	if err != nil {
+		return diskError(wal.Classify(err))
+	}
+	for _, n := range names {
+		if i, ok := snapshotIndex(n); ok && i < index {
+			if err := d.fs.Remove(filepath.Join(d.dir, n)); err != nil {
+				return diskError(wal.Classify(err))
+			}
+		}
+	}
+	return diskError(wal.Classify(d.fs.SyncDir(d.dir)))
+}
--- /dev/null
+++ b/mesh/replog/election.go
@@ -0,0 +1,89 @@
+package replog
+
+// campaign asks the other voters. A pre-candidate asks whether it could win
+// without raising its term, so that a host behind a partition does not disturb
+// the group on its return.
+func (c *Core) campaign(role Role) {
+	c.role, c.leader = role, ""
+	kind, term := MsgPreVote, c.term+1
+	if role == Candidate {
+		kind = MsgVote
+		c.term++
+		c.vote = c.cfg.Self
+	}
+	c.votes = map[hostID]ballot{c.cfg.Self: {granted: true, disk: c.cfg.Disk}}
+	for _, m := range c.Members() {
+		if m.Voter && m.Host != c.cfg.Self {
+			c.send(Message{Kind: kind, To: m.Host, ToDisk: m.Disk, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		}
+	}
+	c.countVotes()
+}
+
+func (c *Core) stepVote(m Message) {
+	pre := m.Kind == MsgPreVote
+	r := Message{Kind: MsgVoteReply}
+	grant := c.log.upToDate(m.Index, m.LogTerm) && m.Term >= c.term
+	if pre {
+		r.Kind = MsgPreVoteReply
+		grant = grant && m.Term > c.term && !c.leaderAlive()
+	} else {
+		grant = grant && (c.vote == "" || c.vote == m.From)
+	}
+	r.Reject = !grant
+	if grant && pre {
+		r.Term = m.Term
+	}
+	if grant && !pre {
+		c.vote, c.role, c.votes = m.From, Follower, nil
+		c.resetElectionDeadline()
+	}
+	c.reply(m, r)
+}
+
+func (c *Core) stepVoteReply(m Message) {
+	switch {
+	case m.Kind == MsgPreVoteReply && c.role != PreCandidate,
+		m.Kind == MsgVoteReply && c.role != Candidate:
+		return
+	case m.Kind == MsgPreVoteReply && !m.Reject && m.Term != c.term+1,
+		m.Kind == MsgVoteReply && m.Term != c.term:
+		return // of an earlier campaign
+	}
+	c.votes[m.From] = ballot{granted: !m.Reject, disk: m.FromDisk}
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted := 0
+	for _, m := range c.Members() {
+		if m.Voter && c.votes[m.Host].granted {
+			granted++
+		}
+	}
+	if granted < c.Members().quorum() {
+		return
+	}
+	if c.role == PreCandidate {
+		c.campaign(Candidate)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader = Leader, c.cfg.Self
+	c.progress = map[hostID]*progress{}
+	for _, m := range c.Members() {
+		if m.Host != c.cfg.Self {
+			c.progress[m.Host] = c.newProgress(m.Disk)
+		}
+	}
+	if c.Members().pinned() {
+		// Entries of earlier terms are committed only below one of this term.
+		c.appendOwn(Entry{Kind: EntryNoop})
+	} else {
+		c.pinDisks()
+	}
+	c.broadcast()
+}
--- /dev/null
+++ b/mesh/replog/identity.go
@@ -0,0 +1,79 @@
+package replog
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"hash/crc32"
+	"path/filepath"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/replog/wal"
+)
+
+const (
+	identityFile  = "identity"
+	identityMagic = "BTIDENT1"
+	lockFile      = "lock"
+)
+
+// identity binds a data directory to a host of a group. A directory without
+// one gets a new disk id, which no member of a formed group has: a host whose
+// disk was lost therefore cannot vote in its old place.
+type identity struct {
+	Cluster string       `cbor:"1,keyasint"`
+	Group   uint32       `cbor:"2,keyasint"`
+	Host    model.HostID `cbor:"3,keyasint"`
+	Disk    DiskID       `cbor:"4,keyasint"`
+}
+
+// openIdentity reads the identity of dir, or draws one for an empty directory.
+func openIdentity(fsys wal.FS, dir string, want identity) (DiskID, error) {
+	if err := fsys.MkdirAll(dir); err != nil {
+		return "", diskError(wal.Classify(err))
+	}
+	names, err := fsys.List(dir)
+	if err != nil {
+		return "", diskError(wal.Classify(err))
+	}
+	name := filepath.Join(dir, identityFile)
+	if slices.Contains(names, identityFile) {
+		return loadIdentity(fsys, name, want)
+	}
+	for _, n := range names {
+		if n != lockFile && n != identityFile+wal.TempSuffix {
+			return "", eris.Wrapf(ErrDamaged, "%s is missing beside %s", name, n)
+		}
+	}
+	want.Disk = DiskID(rand.Text())
+	body, err := cbor.Marshal(want)
+	if err != nil {
+		return "", eris.Wrapf(ErrDisk, "encode identity: %v", err)
+	}
+	head := binary.LittleEndian.AppendUint32([]byte(identityMagic), crc32.Checksum(body, castagnoli))
+	return want.Disk, diskError(wal.WriteAtomic(fsys, name, head, body))
+}
+
+func loadIdentity(fsys wal.FS, name string, want identity) (DiskID, error) {
+	b, err := fsys.ReadFile(name)
+	if err != nil {
+		return "", diskError(wal.Classify(err))
+	}
+	head := len(identityMagic) + 4
+	if len(b) < head || string(b[:len(identityMagic)]) != identityMagic {
+		return "", eris.Wrapf(ErrDamaged, "%s at offset 0: wrong file header", name)
+	}
+	var id identity
+	if crc32.Checksum(b[head:], castagnoli) != binary.LittleEndian.Uint32(b[len(identityMagic):]) || cbor.Unmarshal(b[head:], &id) != nil {
+		return "", eris.Wrapf(ErrDamaged, "%s at offset %d: checksum", name, head)
+	}
+	want.Disk = id.Disk
+	if id != want {
+		return "", eris.Wrapf(ErrConfig, "%s belongs to cluster %q, group %d, host %s; this is cluster %q, group %d, host %s",
+			name, id.Cluster, id.Group, id.Host, want.Cluster, want.Group, want.Host)
+	}
+	return id.Disk, nil
+}
--- /dev/null
+++ b/mesh/replog/run.go
@@ -0,0 +1,269 @@
+package replog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// drainLimit bounds the inputs that share one synced write.
+	drainLimit = 4096
+	// drainBytes bounds the proposals that share one synced write.
+	drainBytes = 8 << 20
+	// fullRetry is the interval at which a full disk is tried again.
+	fullRetry = 250 * time.Millisecond
+	// maxApplyBacklog stops taking proposals until the state machine keeps up.
+	maxApplyBacklog = 64
+)
+
+// run owns the core and the disk: it waits for input, takes all that is there,
+// and stores it with one synced write.
+func (l *Log) run() {
+	defer l.shutDown()
+	l.timer = time.NewTimer(time.Until(l.engine.core.Deadline()))
+	defer l.timer.Stop()
+	for l.receive() {
+		if err := l.turn(); err != nil {
+			l.fatal(err)
+			return
+		}
+		l.publish()
+	}
+}
+
+// receive takes one input, blocking, and then those that are waiting.
+func (l *Log) receive() bool {
+	l.drained = 0
+	_, l.backlog, _ = l.applier.status()
+	if !l.take(true) {
+		return false
+	}
+	for range drainLimit {
+		if len(l.inbox) == 0 && len(l.reads) == 0 && (len(l.proposals) == 0 || l.openProposals() == nil) {
+			break
+		}
+		if !l.take(false) {
+			return false
+		}
+	}
+	return true
+}
+
+// openProposals returns the queue of proposals, or nil while the group or the
+// state machine is behind.
+func (l *Log) openProposals() chan proposal {
+	core := l.engine.core
+	if core.log.last()-core.commit > maxUncommitted || l.backlog > maxApplyBacklog || l.drained > drainBytes {
+		return nil
+	}
+	return l.proposals
+}
+
+// take takes one input. It returns false when the log is being closed.
+func (l *Log) take(block bool) bool {
+	core := l.engine.core
+	var timer <-chan time.Time
+	if block {
+		timer = l.timer.C
+	}
+	select {
+	case <-l.stop:
+		return false
+	case m := <-l.inbox:
+		if !l.full {
+			core.Step(time.Now(), m)
+		}
+	case p := <-l.openProposals():
+		l.propose(p)
+	case done := <-l.reads:
+		l.lastRead++
+		l.pendingReads[l.lastRead] = done
+		core.ConfirmLeader(time.Now(), l.lastRead)
+	case c := <-l.changes:
+		l.changeMembers(c)
+	case s := <-l.applier.saved:
+		l.snapshotSaved(s)
+	case <-timer:
+	}
+	return true
+}
+
+func (l *Log) propose(p proposal) {
+	if l.full {
+		p.done <- outcome{err: ErrDiskFull}
+		return
+	}
+	index, term, err := l.engine.core.Propose(time.Now(), p.data)
+	if err != nil {
+		p.done <- outcome{err: err}
+		return
+	}
+	l.drained += len(p.data)
+	l.applier.await(index, waiter{term: term, done: p.done})
+}
+
+func (l *Log) changeMembers(c change) {
+	var err error
+	switch {
+	case l.full:
+		err = ErrDiskFull
+	case c.remove:
+		err = l.engine.core.RemoveHost(c.host)
+	default:
+		err = l.engine.core.AddHost(c.host, c.disk)
+	}
+	if err == nil {
+		l.publish()
+	}
+	c.done <- outcome{err: err}
+}
+
+// turn lets time pass, stores and sends what the core decided, and sets the timer.
+func (l *Log) turn() error {
+	core := l.engine.core
+	if l.full {
+		return l.retryFull()
+	}
+	wasLeader := core.role == Leader
+	now := time.Now()
+	core.Tick(now)
+	err := l.engine.run()
+	if eris.Is(err, ErrDiskFull) {
+		l.diskFull(err)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if wasLeader && core.role != Leader {
+		// The entries may still be accepted by a later leader.
+		l.applier.fail(core.commit, ErrOutcomeUnknown)
+	}
+	if _, _, err := l.applier.status(); err != nil {
+		return eris.Wrapf(ErrDamaged, "state machine: %v", err)
+	}
+	l.snapshotIfDue()
+	l.timer.Reset(time.Until(core.Deadline()))
+	return nil
+}
+
+// apply passes on what is ready to the state machine and to the callers.
+func (l *Log) apply(r Ready) {
+	if r.Snapshot != nil || len(r.Committed) > 0 {
+		l.applier.push(task{restore: r.Snapshot, entries: r.Committed})
+	}
+	for _, res := range r.Reads {
+		done, ok := l.pendingReads[res.ID]
+		if !ok {
+			continue
+		}
+		delete(l.pendingReads, res.ID)
+		if res.Err != nil {
+			done <- outcome{err: res.Err}
+			continue
+		}
+		l.applier.read(pendingRead{index: res.Index, done: done})
+	}
+}
+
+// diskFull stops taking part until there is space. The entries that were not
+// written went to nobody, so their outcome is known.
+func (l *Log) diskFull(err error) {
+	core := l.engine.core
+	l.cfg.Log.Error("replicated log stopped accepting: disk full", "group", l.cfg.Group, "error", err.Error())
+	l.full = true
+	l.applier.fail(core.log.stable, ErrDiskFull)
+	l.applier.fail(core.commit, ErrOutcomeUnknown)
+	for id, done := range l.pendingReads {
+		done <- outcome{err: ErrDiskFull}
+		delete(l.pendingReads, id)
+	}
+	l.timer.Reset(fullRetry)
+}
+
+func (l *Log) retryFull() error {
+	err := l.engine.disk.probe()
+	if eris.Is(err, ErrDiskFull) {
+		l.timer.Reset(fullRetry)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	l.cfg.Log.Info("replicated log accepts again: disk has space", "group", l.cfg.Group)
+	l.full = false
+	l.timer.Reset(0)
+	return nil
+}
+
+// snapshotIfDue asks the state machine for a snapshot after enough entries.
+func (l *Log) snapshotIfDue() {
+	core := l.engine.core
+	due := max(core.snapshot.Index+l.cfg.SnapshotEntries, l.snapshotRetry)
+	if l.snapshotting || core.applied < due || core.Transferring() {
+		return
+	}
+	l.snapshotting = true
+	l.applier.push(task{snapshot: &SnapshotMeta{
+		Index: core.applied, Term: core.log.term(core.applied), Members: core.membersAtIndex(core.applied),
+	}})
+}
+
+// snapshotSaved truncates the log behind a durable snapshot.
+func (l *Log) snapshotSaved(s snapshotDone) {
+	l.snapshotting = false
+	if s.err != nil {
+		l.cfg.Log.Error("snapshot failed", "group", l.cfg.Group, "error", s.err.Error())
+		l.snapshotRetry = l.engine.core.applied + l.cfg.SnapshotEntries/10 + 1
+		return
+	}
+	core := l.engine.core
+	core.Compact(s.meta, s.meta.Index-min(s.meta.Index, l.cfg.KeepEntries))
+	if err := l.engine.disk.compact(core.snapshot.Index); err != nil {
+		l.cfg.Log.Error("log truncation failed", "group", l.cfg.Group, "error", err.Error())
+	}
+}
+
+// publish makes the state visible to Status and Watch.
+func (l *Log) publish() {
+	core := l.engine.core
+	st := Status{
+		Group: l.cfg.Group, Self: l.cfg.Self, Disk: l.id, Role: core.role, Term: core.term, Leader: core.leader,
+		Commit: core.commit, LastIndex: core.log.last(), SnapshotIndex: core.snapshot.Index,
+		Members: core.Members(), MembersCommitted: core.membersCommitted(), DiskFull: l.full,
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.status
+	st.Err = old.Err
+	l.status = st
+	if old.Role == st.Role && old.Term == st.Term && old.Leader == st.Leader && old.DiskFull == st.DiskFull &&
+		old.MembersCommitted == st.MembersCommitted && slices.Equal(old.Members, st.Members) {
+		return
+	}
+	l.cfg.Log.Info("replicated log state", "group", st.Group, "role", st.Role.String(), "term", st.Term,
+		"leader", st.Leader, "members", len(st.Members), "diskFull", st.DiskFull)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// fatal records why the log stopped.
+func (l *Log) fatal(err error) {
+	l.cfg.Log.Error("replicated log stopped", "group", l.cfg.Group, "error", err.Error())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.status.Err = err
+	l.status.Role = Follower
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// shutDown ends the callers that still wait.
+func (l *Log) shutDown() {
+	l.stopOnce.Do(func() { close(l.stop) })
+	l.applier.close()
+	l.applier.fail(0, ErrOutcomeUnknown)
+	close(l.stopped)
+}
--- /dev/null
+++ b/mesh/replog/sender.go
@@ -0,0 +1,84 @@
+package replog
+
+import (
+	"sync"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/replog/wal"
+)
+
+// Transport carries messages to other hosts. Send never blocks and may drop,
+// delay, repeat and reorder messages; it is called from one goroutine for each
+// host.
+type Transport interface {
+	Send(to model.HostID, m Message)
+}
+
+// senderQueue bounds the messages that wait for one host. A message beyond it
+// is dropped; the next heartbeat repairs the loss.
+const senderQueue = 1024
+
+// senders runs one goroutine for each host that messages go to. The map
+// belongs to the goroutine that owns the core.
+type senders struct {
+	tr    Transport
+	fs    wal.FS
+	dir   string
+	queue map[model.HostID]chan Message
+	wg    sync.WaitGroup
+}
+
+func newSenders(tr Transport, fsys wal.FS, dir string) *senders {
+	return &senders{tr: tr, fs: fsys, dir: dir, queue: map[model.HostID]chan Message{}}
+}
+
+// send queues messages for their hosts.
+func (s *senders) send(messages []Message) {
+	for _, m := range messages {
+		q, ok := s.queue[m.To]
+		if !ok {
+			q = make(chan Message, senderQueue)
+			s.queue[m.To] = q
+			s.wg.Go(func() { s.serve(m.To, q) })
+		}
+		select {
+		case q <- m:
+		default:
+		}
+	}
+}
+
+// serve sends the messages for one host in order. It reads snapshot chunks
+// from the file, so that the owner of the core does not wait for the disk.
+func (s *senders) serve(to model.HostID, q <-chan Message) {
+	for m := range q {
+		if m.Kind == MsgSnapshot && m.Snapshot.Offset != noChunk && !s.fill(&m) {
+			continue
+		}
+		s.tr.Send(to, m)
+	}
+}
+
+// fill adds the data of a chunk; false if the file was replaced meanwhile.
+func (s *senders) fill(m *Message) bool {
+	chunk := *m.Snapshot
+	size := min(chunk.Meta.Size-chunk.Offset, chunkBytes)
+	if size < 0 {
+		return false
+	}
+	data, err := readChunk(s.fs, s.dir, chunk.Meta.Index, chunk.Offset, size)
+	if err != nil {
+		return false
+	}
+	chunk.Data = data
+	m.Snapshot = &chunk
+	return true
+}
+
+// close ends the goroutines.
+func (s *senders) close() {
+	for _, q := range s.queue {
+		close(q)
+	}
+	s.wg.Wait()
+}
--- /dev/null
+++ b/mesh/replog/wal/wal.go
@@ -0,0 +1,274 @@
+// Package wal is a write-ahead log in segment files. Each record has a CRC. At
+// start a torn tail of the last segment is cut; any other damage is an error
+// that names file and offset. The package knows nothing of what the records
+// mean.
+//
+// Crash contract: what was written before a successful Sync is read back after
+// any crash, in order. What was written after the last Sync is read back as
+// some prefix of whole records.
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	segmentSuffix = ".wal"
+	segmentMagic  = "BTWAL1\r\n"
+	// DefaultSegmentBytes is the size after which a new segment is due. Larger
+	// segments free space later, smaller ones cost two directory syncs more often.
+	DefaultSegmentBytes = 16 << 20
+)
+
+// WAL is an open log. It has one owner goroutine and no lock.
+type WAL struct {
+	fs           FS
+	dir          string
+	segmentBytes int64
+	segments     []uint64
+	file         File
+	size         int64
+	buf          []byte
+	failed       error
+}
+
+// Open recovers the log in dir and passes every record to replay, with the
+// number of its segment.
+func Open(fsys FS, dir string, segmentBytes int64, replay func(segment uint64, payload []byte) error) (*WAL, error) {
+	if segmentBytes <= 0 {
+		segmentBytes = DefaultSegmentBytes
+	}
+	w := &WAL{fs: fsys, dir: dir, segmentBytes: segmentBytes}
+	if err := w.list(); err != nil {
+		return nil, err
+	}
+	for i, seg := range w.segments {
+		if err := w.recoverSegment(seg, i == len(w.segments)-1, replay); err != nil {
+			return nil, err
+		}
+	}
+	if len(w.segments) == 0 {
+		return w, w.create(1)
+	}
+	return w, nil
+}
+
+func segmentName(seg uint64) string { return fmt.Sprintf("%016x%s", seg, segmentSuffix) }
+
+func (w *WAL) path(seg uint64) string { return filepath.Join(w.dir, segmentName(seg)) }
+
+func (w *WAL) list() error {
+	names, err := w.fs.List(w.dir)
+	if err != nil {
+		return Classify(err)
+	}
+	for _, n := range names {
+		base, ok := strings.CutSuffix(n, segmentSuffix)
+		if !ok {
+			continue
+		}
+		seg, err := strconv.ParseUint(base, 16, 64)
+		if err != nil {
+			return damaged(filepath.Join(w.dir, n), 0, "not a segment name")
+		}
+		w.segments = append(w.segments, seg)
+	}
+	slices.Sort(w.segments)
+	for i := 1; i < len(w.segments); i++ {
+		if w.segments[i] != w.segments[i-1]+1 {
+			return damaged(w.path(w.segments[i-1]+1), 0, "segment is missing")
+		}
+	}
+	return nil
+}
+
+func (w *WAL) recoverSegment(seg uint64, last bool, replay func(uint64, []byte) error) error {
+	name := w.path(seg)
+	b, err := w.fs.ReadFile(name)
+	if err != nil {
+		return Classify(err)
+	}
+	off, torn, err := scan(name, b, func(p []byte) error { return replay(seg, p) })
+	if err != nil {
+		return err
+	}
+	if !last {
+		if torn {
+			return damaged(name, off, "record cut in a segment that is not the last")
+		}
+		return nil
+	}
+	if off == 0 { // the crash came before the header of a new segment was synced
+		return w.recreate(seg)
+	}
+	return w.reopen(name, off, torn)
+}
+
+// scan passes the whole records of a segment to f. It returns the end of the
+// last whole record and whether a torn tail follows it.
+func scan(name string, b []byte, f func([]byte) error) (int64, bool, error) {
+	if len(b) < len(segmentMagic) || allZero(b) {
+		return 0, true, nil
+	}
+	if string(b[:len(segmentMagic)]) != segmentMagic {
+		return 0, false, damaged(name, 0, "wrong file header")
+	}
+	off := len(segmentMagic)
+	for off < len(b) {
+		payload, size, v := readRecord(b[off:])
+		switch v {
+		case recordTorn:
+			return int64(off), true, nil
+		case recordBad:
+			return 0, false, damaged(name, int64(off), "checksum of a record does not match")
+		}
+		if err := f(payload); err != nil {
+			return 0, false, eris.Wrapf(err, "%s at offset %d", name, off)
+		}
+		off += size
+	}
+	return int64(off), false, nil
+}
+
+func (w *WAL) reopen(name string, off int64, torn bool) error {
+	f, err := w.fs.Open(name)
+	if err != nil {
+		return Classify(err)
+	}
+	if torn {
+		if err := f.Truncate(off); err != nil {
+			return Classify(err)
+		}
+	}
+	// Whole records that were read may still be unsynced; they are reported as
+	// stored from now on.
+	if err := f.Sync(); err != nil {
+		return Classify(err)
+	}
+	w.file, w.size = f, off
+	return nil
+}
+
+func (w *WAL) recreate(seg uint64) error {
+	w.segments = w.segments[:len(w.segments)-1]
+	return w.create(seg)
+}
+
+// create starts segment seg. Its header and name are durable on return.
+func (w *WAL) create(seg uint64) error {
+	f, err := w.fs.Create(w.path(seg))
+	if err != nil {
+		return Classify(err)
+	}
+	if _, err := f.Write([]byte(segmentMagic)); err != nil {
+		_ = f.Close()
+		_ = w.fs.Remove(w.path(seg))
+		return Classify(err)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return w.fail(err)
+	}
+	if err := w.fs.SyncDir(w.dir); err != nil {
+		_ = f.Close()
+		return w.fail(err)
+	}
+	if w.file != nil {
+		_ = w.file.Close()
+	}
+	w.file, w.size = f, int64(len(segmentMagic))
+	w.segments = append(w.segments, seg)
+	return nil
+}
+
+// fail makes every later call return the same error.
+func (w *WAL) fail(err error) error {
+	w.failed = eris.Wrap(ErrDisk, err.Error())
+	return w.failed
+}
+
+// Write appends records with one write call; they are durable after Sync. With
+// ErrFull nothing was kept and the log remains usable.
+func (w *WAL) Write(payloads ...[]byte) error {
+	if w.failed != nil {
+		return w.failed
+	}
+	w.buf = w.buf[:0]
+	for _, p := range payloads {
+		if len(p) > MaxRecord {
+			return eris.Wrapf(ErrTooLarge, "%d bytes", len(p))
+		}
+		w.buf = appendRecord(w.buf, p)
+	}
+	if _, err := w.file.Write(w.buf); err != nil {
+		if terr := w.file.Truncate(w.size); terr != nil {
+			return w.fail(terr)
+		}
+		if err = Classify(err); eris.Is(err, ErrFull) {
+			return err
+		}
+		return w.fail(err)
+	}
+	w.size += int64(len(w.buf))
+	return nil
+}
+
+// Sync makes all written records durable. After an error the log refuses use:
+// the kernel may have dropped the pages that it could not write.
+func (w *WAL) Sync() error {
+	if w.failed != nil {
+		return w.failed
+	}
+	if err := w.file.Sync(); err != nil {
+		return w.fail(err)
+	}
+	return nil
+}
+
+// RotationDue reports whether the current segment has its full size.
+func (w *WAL) RotationDue() bool { return w.size >= w.segmentBytes }
+
+// Rotate syncs the current segment and starts a new one.
+func (w *WAL) Rotate() error {
+	if err := w.Sync(); err != nil {
+		return err
+	}
+	return w.create(w.Segment() + 1)
+}
+
+// Segment returns the number of the segment that is written.
+func (w *WAL) Segment() uint64 { return w.segments[len(w.segments)-1] }
+
+// RemoveBefore deletes the segments before seg.
+func (w *WAL) RemoveBefore(seg uint64) error {
+	if w.failed != nil {
+		return w.failed
+	}
+	removed := false
+	// Ascending order keeps the remaining segments contiguous after a crash.
+	for len(w.segments) > 1 && w.segments[0] < seg {
+		if err := w.fs.Remove(w.path(w.segments[0])); err != nil {
+			return Classify(err)
+		}
+		w.segments = w.segments[1:]
+		removed = true
+	}
+	if !removed {
+		return nil
+	}
+	return Classify(w.fs.SyncDir(w.dir))
+}
+
+// Close closes the file without syncing it.
+func (w *WAL) Close() error {
+	if w.file == nil {
+		return nil
+	}
+	return w.file.Close()
+}
