--- /dev/null
+++ b/mesh/distribute/acceptor.go
@@ -0,0 +1,288 @@
+package distribute
+
+import (
+	"log/slog"
+	"reflect"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// InForce is what a node routes by. It is immutable.
+type InForce struct {
+	// Accepted is the version as published.
+	Accepted *Version
+	// Config is Accepted.Config in which each held route is as it was before.
+	Config note.Config
+	// Held lists the routes of Accepted that are not in force yet.
+	Held []HeldRoute
+}
+
+// HeldRoute is a route that waits for an endpoint of its service.
+type HeldRoute struct {
+	Route   model.RouteName
+	Service model.ServiceName
+}
+
+// Acceptor decides on a node which versions come into force. One mutex guards
+// its writers; readers take the pointer in force.
+type Acceptor struct {
+	self  model.HostID
+	store *Store
+	eps   *membership.Table
+	log   *slog.Logger
+
+	inForce atomic.Pointer[InForce]
+
+	// mu guards the fields below and every change of inForce and store.
+	mu       sync.Mutex
+	floor    model.Position
+	refusals []Refusal
+	changed  chan struct{}
+}
+
+// NewAcceptor returns an acceptor that publishes accepted versions to store.
+func NewAcceptor(self model.HostID, store *Store, eps *membership.Table, log *slog.Logger) *Acceptor {
+	return &Acceptor{self: self, store: store, eps: eps, log: log, changed: make(chan struct{})}
+}
+
+// Store returns the store of accepted versions.
+func (a *Acceptor) Store() *Store { return a.store }
+
+// InForce returns what is in force, nil before the first version.
+func (a *Acceptor) InForce() *InForce { return a.inForce.Load() }
+
+// Position returns the position in force, zero before the first version.
+func (a *Acceptor) Position() model.Position {
+	if f := a.InForce(); f != nil {
+		return f.Accepted.Position
+	}
+	return model.Position{}
+}
+
+// Changed returns a channel that is closed at the next change of InForce after seen.
+func (a *Acceptor) Changed(seen *InForce) <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inForce.Load() != seen {
+		return closedChan
+	}
+	return a.changed
+}
+
+// SetFloor raises the least position that may come into force.
+func (a *Acceptor) SetFloor(pos model.Position) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.floor.Less(pos) {
+		a.floor = pos
+	}
+}
+
+// acceptDelta applies a delta to the accepted version.
+func (a *Acceptor) acceptDelta(u deltaFrame) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	cur := a.store.Current()
+	from := note.NewConfig()
+	var at model.Position
+	var sum uint64
+	if cur != nil {
+		from, at, sum = cur.Config, cur.Position, cur.Sum
+	}
+	if err := a.checkPosition(at, u.Position); err != nil {
+		return err
+	}
+	if at.Less(u.Base) {
+		return eris.Wrapf(ErrBase, "delta %s to %s, accepted is %s", u.Base, u.Position, at)
+	}
+	cfg, invalid := from.Apply(u.Delta)
+	next := &Version{Position: u.Position, Config: cfg, Sum: sumAfter(sum, from, cfg, u.Delta)}
+	if next.Sum != u.Sum {
+		return eris.Wrapf(ErrDiverged, "delta %s to %s from %s: sum %x, want %x", u.Base, u.Position, at, next.Sum, u.Sum)
+	}
+	if invalid != nil {
+		return a.refuse(u.Position, invalid)
+	}
+	return a.put(cur, next, u.Delta, u.Sum)
+}
+
+// acceptVersion takes over a whole version, as from a snapshot.
+func (a *Acceptor) acceptVersion(v *Version) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	cur := a.store.Current()
+	from := note.NewConfig()
+	var at model.Position
+	if cur != nil {
+		from, at = cur.Config, cur.Position
+	}
+	if err := a.checkPosition(at, v.Position); err != nil {
+		return err
+	}
+	if err := note.Validate(v.Config); err != nil {
+		return a.refuse(v.Position, err)
+	}
+	return a.put(cur, v, note.Diff(from, v.Config), v.Sum)
+}
+
+func (a *Acceptor) checkPosition(at, next model.Position) error {
+	if !at.Less(next) {
+		return eris.Wrapf(ErrOld, "%s after %s", next, at)
+	}
+	if next.Less(a.floor) {
+		return eris.Wrapf(ErrBelowFloor, "%s, floor is %s", next, a.floor)
+	}
+	return nil
+}
+
+// refuse notes a version that does not validate; the former stays in force.
+func (a *Acceptor) refuse(pos model.Position, reason error) error {
+	text := reason.Error()
+	r := Refusal{Host: a.self, Position: pos, Reason: text[:min(len(text), maxReason)]}
+	if !slices.Contains(a.refusals, r) {
+		a.refusals = append(a.refusals, r)
+		a.refusals = a.refusals[max(0, len(a.refusals)-maxRefusals):]
+		a.log.Warn("version refused", "position", pos.String(), "in_force", a.Position().String(), "reason", r.Reason)
+	}
+	return eris.Wrapf(ErrRefused, "%s: %v", pos, reason)
+}
+
+// put brings an accepted version into force. announced is the sum that the
+// sender stated.
+func (a *Acceptor) put(from, next *Version, d note.Delta, announced uint64) error {
+	former := note.Config{}
+	if f := a.inForce.Load(); f != nil {
+		former = f.Config
+	}
+	cfg, held := effective(former, next.Config, a.eps.HasAlive)
+	if err := a.store.replace(from, next, d); err != nil {
+		return err
+	}
+	a.swap(&InForce{Accepted: next, Config: cfg, Held: held}, announced)
+	a.refusals = slices.DeleteFunc(a.refusals, func(r Refusal) bool { return !next.Position.Less(r.Position) })
+	a.log.Info("version in force", "position", next.Position.String(), "records", recordsIn(d), "held_routes", len(held))
+	return nil
+}
+
+// Refresh brings held routes into force whose service has an endpoint now.
+func (a *Acceptor) Refresh() {
+	if f := a.inForce.Load(); f == nil || len(f.Held) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := a.inForce.Load()
+	if !slices.ContainsFunc(f.Held, func(h HeldRoute) bool { return a.eps.HasAlive(h.Service) }) {
+		return
+	}
+	cfg, held := effective(f.Config, f.Accepted.Config, a.eps.HasAlive)
+	a.swap(&InForce{Accepted: f.Accepted, Config: cfg, Held: held}, f.Accepted.Sum)
+	a.log.Info("held routes in force", "position", f.Accepted.Position.String(),
+		"released", len(f.Held)-len(held), "held_routes", len(held))
+}
+
+// swap asserts the invariants and sets the one pointer that readers use.
+func (a *Acceptor) swap(next *InForce, announced uint64) {
+	pos := next.Accepted.Position
+	if former := a.inForce.Load(); former != nil {
+		was := former.Accepted
+		invariant.Check(!pos.Less(was.Position), invariant.NoOlderNote, "older version put in force",
+			"from", was.Position.String(), "to", pos.String())
+		invariant.Check(pos != was.Position || next.Accepted.Sum == was.Sum, invariant.AcceptedNeverReverts,
+			"content of an accepted position changed", "position", pos.String())
+	}
+	invariant.Check(!pos.Less(a.floor), invariant.AcceptedNeverReverts, "version below the floor put in force",
+		"floor", a.floor.String(), "to", pos.String())
+	invariant.Check(next.Accepted.Sum == announced && next.complete(), invariant.NoPartialVersion,
+		"version differs from what was sent", "position", pos.String())
+	for _, r := range next.Config.Routes {
+		_, ok := next.Config.Services[r.Service]
+		invariant.Check(ok, invariant.NoUnknownService, "route to an unknown service",
+			"position", pos.String(), "route", string(r.Name), "service", string(r.Service))
+	}
+	a.inForce.Store(next)
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// complete reports whether every accepted service and each route that is not
+// held stands in the configuration.
+func (f *InForce) complete() bool {
+	held := map[model.RouteName]bool{}
+	for _, h := range f.Held {
+		held[h.Route] = true
+	}
+	for name := range f.Accepted.Config.Services {
+		if _, ok := f.Config.Services[name]; !ok {
+			return false
+		}
+	}
+	for name := range f.Accepted.Config.Routes {
+		if _, ok := f.Config.Routes[name]; !ok && !held[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// effective returns the accepted configuration with each route held back whose
+// service has no endpoint here: it stays as it was, together with the service
+// that it points at. A route that was in force before keeps its place even if
+// its service lost all endpoints.
+func effective(former, accepted note.Config, hasEndpoint func(model.ServiceName) bool) (note.Config, []HeldRoute) {
+	cfg := accepted.Clone()
+	var held []HeldRoute
+	for name, r := range accepted.Routes {
+		was, had := former.Routes[name]
+		if had && reflect.DeepEqual(was, r) || hasEndpoint(r.Service) {
+			continue
+		}
+		held = append(held, HeldRoute{Route: name, Service: r.Service})
+		if !had {
+			delete(cfg.Routes, name)
+			continue
+		}
+		cfg.Routes[name] = was
+		if _, ok := cfg.Services[was.Service]; !ok {
+			cfg.Services[was.Service] = former.Services[was.Service]
+			if s, ok := former.Shares[was.Service]; ok {
+				cfg.Shares[was.Service] = s
+			}
+		}
+	}
+	slices.SortFunc(held, func(a, b HeldRoute) int {
+		if a.Route < b.Route {
+			return -1
+		}
+		return 1
+	})
+	return cfg, held
+}
+
+// Report returns the node's own part of its subtree's report.
+func (a *Acceptor) Report() SubtreeReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := SubtreeReport{Nodes: 1, Refusals: slices.Clone(a.refusals)}
+	f := a.inForce.Load()
+	if f == nil {
+		return r
+	}
+	r.Least, r.Held = f.Accepted.Position, len(f.Held)
+	for _, h := range f.Held {
+		if len(r.Refusals) == maxRefusals {
+			break
+		}
+		r.Refusals = append(r.Refusals, Refusal{Host: a.self, Position: r.Least, Route: h.Route,
+			Reason: "no endpoint of service " + string(h.Service)})
+	}
+	return r
+}
--- /dev/null
+++ b/mesh/distribute/admission.go
@@ -0,0 +1,156 @@
+package distribute
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// AdmissionConfig bounds what one process does for its children.
+type AdmissionConfig struct {
+	// Children bounds the streams. More children make the tree flatter and cost
+	// the parent more bytes.
+	Children int
+	// PerDataCentre bounds the streams to one data centre; 0 means no bound.
+	// The source uses it to keep its cost independent of the fleet.
+	PerDataCentre int
+	// Reserve is the part of PerDataCentre that only planned children may use.
+	Reserve int
+	// Snapshots bounds the concurrent transfers. More finish a herd sooner and
+	// delay the deltas of the other children.
+	Snapshots int
+	// RetryAfter is the mean delay that a refused child is told. A longer one
+	// spreads a herd and delays its recovery.
+	RetryAfter time.Duration
+}
+
+// Defaults of AdmissionConfig.
+const (
+	MaxChildren         = 8
+	SourceChildren      = 96
+	SourcePerDataCentre = 6
+	sourceReserve       = 2
+	maxSnapshots        = 4
+	defaultRetryAfter   = 500 * time.Millisecond
+)
+
+// NodeAdmission is the configuration of a node.
+func NodeAdmission() AdmissionConfig {
+	return AdmissionConfig{Children: MaxChildren, Snapshots: maxSnapshots, RetryAfter: defaultRetryAfter}
+}
+
+// SourceAdmission is the configuration of a control host.
+func SourceAdmission() AdmissionConfig {
+	return AdmissionConfig{Children: SourceChildren, PerDataCentre: SourcePerDataCentre, Reserve: sourceReserve,
+		Snapshots: maxSnapshots, RetryAfter: defaultRetryAfter}
+}
+
+// Admission counts the children and snapshot transfers of one process. One
+// mutex guards it.
+type Admission struct {
+	cfg AdmissionConfig
+
+	mu        sync.Mutex
+	children  int
+	perCentre map[model.DataCentre]int
+	snapshots int
+	refused   uint64
+	within    time.Duration
+	draining  chan struct{}
+	drained   bool
+}
+
+// NewAdmission returns an admission without children.
+func NewAdmission(cfg AdmissionConfig) *Admission {
+	return &Admission{cfg: cfg, perCentre: map[model.DataCentre]int{}, draining: make(chan struct{})}
+}
+
+// Admit takes a child or says why not. planned marks a child that the tree
+// gives to this parent. The caller calls Release when the stream ends.
+func (a *Admission) Admit(dc model.DataCentre, planned bool) (reason string, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := a.cfg.PerDataCentre
+	if !planned {
+		limit -= a.cfg.Reserve
+	}
+	switch {
+	case a.drained:
+		reason = "stopping"
+	case a.children >= a.cfg.Children:
+		reason = "all children slots taken"
+	case a.cfg.PerDataCentre > 0 && a.perCentre[dc] >= limit:
+		reason = "all children slots of the data centre taken"
+	default:
+		a.children++
+		a.perCentre[dc]++
+		return "", true
+	}
+	a.refused++
+	return reason, false
+}
+
+// Release ends the admission of a child.
+func (a *Admission) Release(dc model.DataCentre) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.children--
+	if a.perCentre[dc]--; a.perCentre[dc] == 0 {
+		delete(a.perCentre, dc)
+	}
+}
+
+// BeginSnapshot takes one of the transfer slots.
+func (a *Admission) BeginSnapshot() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.snapshots >= a.cfg.Snapshots {
+		return false
+	}
+	a.snapshots++
+	return true
+}
+
+// EndSnapshot returns a transfer slot.
+func (a *Admission) EndSnapshot() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.snapshots--
+}
+
+// RetryAfter returns the delay to tell a refused child, between half and one
+// and a half of the configured one, so that refused children do not return together.
+func (a *Admission) RetryAfter() time.Duration {
+	return a.cfg.RetryAfter/2 + rand.N(a.cfg.RetryAfter+1)
+}
+
+// Drain starts a planned stop: no child is admitted, and the present ones are
+// asked to reconnect elsewhere at times spread over within.
+func (a *Admission) Drain(within time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.drained {
+		return
+	}
+	a.drained, a.within = true, within
+	close(a.draining)
+}
+
+// Draining returns a channel that is closed when Drain is called.
+func (a *Admission) Draining() <-chan struct{} { return a.draining }
+
+// handoffDelay returns the time after which one child should reconnect.
+func (a *Admission) handoffDelay() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return rand.N(a.within + 1)
+}
+
+// Children returns the number of admitted children.
+func (a *Admission) Children() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.children
+}
--- /dev/null
+++ b/mesh/distribute/attach.go
@@ -0,0 +1,236 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// The times of Attach.
+const (
+	// openTimeout bounds the connection to a candidate, so that a silent parent
+	// is replaced within a second of the loss.
+	openTimeout = time.Second
+	// firstBackoff and maxBackoff bound the jittered delay between candidates.
+	firstBackoff = 30 * time.Millisecond
+	maxBackoff   = 3 * time.Second
+	// failurePenalty is how long a candidate that failed is passed over.
+	failurePenalty = 2 * time.Second
+	// settled is how long a stream lives before the back-off starts anew.
+	settled = 2 * time.Second
+	// firstPatience and maxPatience bound how long a stale parent is kept. The
+	// patience doubles with each stale parent: during an outage of the source
+	// every parent is stale, and moving around gains nothing.
+	firstPatience = time.Second
+	maxPatience   = time.Minute
+	// alternativesLife is how long the alternatives of a busy parent are used.
+	alternativesLife = 10 * time.Second
+)
+
+// AttachOptions are the settings of Attach.
+type AttachOptions struct {
+	Self   model.HostID
+	Follow FollowOptions
+	// Candidates returns the parents to try, the best first.
+	Candidates func() []Parent
+	// Open opens the watch stream to a parent.
+	Open func(ctx context.Context, p Parent) (peer.Stream, error)
+	Log  *slog.Logger
+}
+
+// chooser decides which candidate comes next. It is used by one goroutine.
+type chooser struct {
+	self model.HostID
+	// until holds the candidates to pass over and the end of that time.
+	until        map[model.HostID]time.Time
+	alternatives []Parent
+	altUntil     time.Time
+	delays       *backoff.ExponentialBackOff
+	patience     time.Duration
+}
+
+func newChooser(self model.HostID) *chooser {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstBackoff, maxBackoff
+	return &chooser{self: self, until: map[model.HostID]time.Time{}, delays: b, patience: firstPatience}
+}
+
+// next returns the best candidate that is not passed over and how long to wait
+// for it. If all are passed over, it is the one whose time ends first.
+func (c *chooser) next(now time.Time, candidates []Parent) (p Parent, wait time.Duration, ok bool) {
+	if now.Before(c.altUntil) {
+		candidates = append(slices.Clone(candidates), c.alternatives...)
+	}
+	for h, t := range c.until {
+		if !now.Before(t) {
+			delete(c.until, h)
+		}
+	}
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(p Parent) bool {
+		return p.Role == peer.RoleNode && !below(p.Host, c.self)
+	})
+	if len(candidates) == 0 {
+		return p, 0, false
+	}
+	best := slices.MinFunc(candidates, func(a, b Parent) int {
+		return c.until[a.Host].Compare(c.until[b.Host])
+	})
+	return best, max(0, c.until[best.Host].Sub(now)), true
+}
+
+// failed notes why a parent was lost and returns the delay before the next try.
+func (c *chooser) failed(now time.Time, p Parent, lived time.Duration, err error) time.Duration {
+	penalty := failurePenalty
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		penalty = min(busy.RetryAfter, maxBackoff)
+		if len(busy.Alternatives) > 0 {
+			c.alternatives, c.altUntil = busy.Alternatives, now.Add(alternativesLife)
+		}
+	}
+	c.until[p.Host] = now.Add(penalty)
+	if lived >= settled {
+		c.delays.Reset()
+	}
+	if errors.Is(err, ErrStale) {
+		c.patience = min(2*c.patience, maxPatience)
+	} else if lived > 2*c.patience {
+		c.patience = firstPatience
+	}
+	return c.delays.NextBackOff()
+}
+
+// link is one running Follow.
+type link struct {
+	parent  Parent
+	since   time.Time
+	cancel  context.CancelFunc
+	handoff chan time.Duration
+	ready   chan struct{}
+	done    chan error
+}
+
+// attacher keeps one parent stream.
+type attacher struct {
+	a   *Acceptor
+	eps *membership.Table
+	o   AttachOptions
+	c   *chooser
+}
+
+// Attach keeps one parent stream until ctx ends. When the parent falls silent
+// or stale, refuses or stops, it goes to the next candidate.
+func Attach(ctx context.Context, a *Acceptor, eps *membership.Table, o AttachOptions) error {
+	at := &attacher{a: a, eps: eps, o: o, c: newChooser(o.Self)}
+	var wait time.Duration
+	for sleep(ctx, wait) {
+		l, err := at.connect(ctx, "")
+		if err == nil {
+			l, err = at.hold(ctx, l)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		var lived time.Duration
+		if !l.since.IsZero() {
+			lived = time.Since(l.since)
+		}
+		wait = at.c.failed(time.Now(), l.parent, lived, err)
+		o.Log.Info("parent lost", "parent", l.parent.Host, "reason", err.Error(), "lived", lived.String(), "retry_after", wait.String())
+	}
+	return ctx.Err()
+}
+
+// connect opens a stream to the next candidate other than except and waits
+// until that admitted this node.
+func (at *attacher) connect(ctx context.Context, except model.HostID) (*link, error) {
+	candidates := at.o.Candidates()
+	if except != "" {
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(p Parent) bool { return p.Host == except })
+	}
+	p, wait, ok := at.c.next(time.Now(), candidates)
+	if !ok {
+		return &link{}, eris.Wrap(ErrClosed, "no candidate for a parent is known")
+	}
+	l := &link{parent: p}
+	if !sleep(ctx, wait) {
+		return l, ctx.Err()
+	}
+	openCtx, cancelOpen := context.WithTimeout(ctx, openTimeout)
+	st, err := at.o.Open(openCtx, p)
+	cancelOpen()
+	if err != nil {
+		return l, eris.Wrapf(ErrClosed, "open: %v", err)
+	}
+	at.start(ctx, l, st)
+	select {
+	case <-l.ready:
+		at.o.Log.Info("parent attached", "parent", p.Host, "role", string(p.Role), "address", p.Address)
+		return l, nil
+	case err := <-l.done:
+		l.since = time.Time{}
+		return l, err
+	}
+}
+
+// start runs Follow in its own goroutine.
+func (at *attacher) start(ctx context.Context, l *link, st peer.Stream) {
+	ctx, l.cancel = context.WithCancel(ctx)
+	l.since = time.Now()
+	l.handoff, l.ready, l.done = make(chan time.Duration, 1), make(chan struct{}), make(chan error, 1)
+	o := at.o.Follow
+	o.Handoff, o.Ready, o.Patience = l.handoff, l.ready, at.c.patience
+	go func() {
+		defer l.cancel()
+		l.done <- Follow(ctx, at.a, at.eps, st, o)
+	}()
+}
+
+// hold waits until the stream ends. A parent that stops is left only once the
+// next one has admitted this node.
+func (at *attacher) hold(ctx context.Context, l *link) (*link, error) {
+	var leave <-chan time.Time
+	for {
+		select {
+		case err := <-l.done:
+			return l, err
+		case after := <-l.handoff:
+			at.o.Log.Info("parent stops", "parent", l.parent.Host, "leave_after", after.String())
+			leave = time.After(after)
+		case <-leave:
+			next, err := at.connect(ctx, l.parent.Host)
+			if err != nil {
+				leave = time.After(at.c.failed(time.Now(), next.parent, 0, err))
+				continue
+			}
+			l.cancel()
+			left := <-l.done
+			at.o.Log.Info("parent left", "parent", l.parent.Host, "reason", left.Error())
+			l, leave = next, nil
+		}
+	}
+}
+
+// sleep waits for d; it returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/mesh/distribute/exchange.go
@@ -0,0 +1,173 @@
+package distribute
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// The times and bounds of the exchange between peers.
+const (
+	// ExchangeInterval is how often a node compares with a peer.
+	ExchangeInterval = 2 * time.Second
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+	// exchangePartners bounds the peers in use at a time: each one costs a kept
+	// connection, and a new connection costs a handshake of several kilobytes.
+	exchangePartners = 3
+	// partnerPeriod is how long the partners stay the same.
+	partnerPeriod = 10 * time.Minute
+)
+
+// ServeExchange answers one comparison and sends what the peer lacks.
+func ServeExchange(ctx context.Context, s *Store, eps *membership.Table, st peer.Stream, o ServeOptions) error {
+	defer context.AfterFunc(ctx, st.Abort)()
+	var ask compareFrame
+	if err := recvWithin(st, &ask, exchangeTimeout); err != nil {
+		return err
+	}
+	d := eps.Digest()
+	reply := compareFrame{Position: s.Position(), Endpoints: d.Sum()}
+	if ask.Confirm && o.Confirm != nil {
+		if pos, err := o.Confirm(ctx); err == nil {
+			reply.Position, reply.Confirmed = pos, true
+		}
+	}
+	if err := send(st, reply); err != nil {
+		return err
+	}
+	if ask.Confirm {
+		return st.Close()
+	}
+	var f upFrame
+	if err := recvWithin(st, &f, exchangeTimeout); err != nil {
+		return nil // the peer lacks nothing and ended the stream
+	}
+	if err := f.check(); err != nil {
+		return err
+	}
+	if f.Hello == nil {
+		return eris.Wrap(ErrBadFrame, "no hello after the comparison")
+	}
+	w := &childWriter{st: st, store: s, eps: eps, o: o}
+	w.ask(*f.Hello)
+	if err := w.push(); err != nil {
+		return err
+	}
+	if err := send(st, downFrame{Done: true}); err != nil {
+		return err
+	}
+	return st.Close()
+}
+
+// Comparison is the result of one exchange.
+type Comparison struct {
+	Peer     peer.Identity
+	Position model.Position
+	// EndpointsDiffer says that the tables differed, be it by changes in flight.
+	EndpointsDiffer bool
+	// Pulled says that the peer had something to send.
+	Pulled bool
+}
+
+// Exchange compares with a peer and takes from it the newer versions, and the
+// differing endpoints if withEndpoints is set.
+func Exchange(ctx context.Context, a *Acceptor, eps *membership.Table, st peer.Stream, withEndpoints bool, log *slog.Logger) (Comparison, error) {
+	defer context.AfterFunc(ctx, st.Abort)()
+	defer st.Abort()
+	d := eps.Digest()
+	own := compareFrame{Position: a.Store().Position(), Endpoints: d.Sum()}
+	reply, err := compare(st, own)
+	if err != nil {
+		return Comparison{}, err
+	}
+	c := Comparison{Peer: st.Peer(), Position: reply.Position, EndpointsDiffer: reply.Endpoints != own.Endpoints}
+	pullConfig := own.Position.Less(reply.Position)
+	pullEndpoints := withEndpoints && c.EndpointsDiffer
+	if !pullConfig && !pullEndpoints {
+		_ = st.Close()
+		return c, nil
+	}
+	c.Pulled = true
+	r := &childReader{a: a, eps: eps, st: st, asks: make(chan helloFrame, 1),
+		o: FollowOptions{Freshness: &Freshness{}, Progress: &Progress{}, Log: log}}
+	hello := r.hello(false)
+	hello.SkipEndpoints = !pullEndpoints
+	if err := send(st, upFrame{Hello: hello}); err != nil {
+		return c, err
+	}
+	for {
+		var f downFrame
+		if err := recvWithin(st, &f, exchangeTimeout); err != nil {
+			return c, err
+		}
+		if err := f.check(); err != nil {
+			return c, err
+		}
+		if f.Done {
+			return c, nil
+		}
+		if err := r.handle(time.Now(), f); err != nil {
+			return c, err
+		}
+	}
+}
+
+func compare(st peer.Stream, own compareFrame) (compareFrame, error) {
+	var reply compareFrame
+	if err := send(st, own); err != nil {
+		return reply, err
+	}
+	return reply, recvWithin(st, &reply, exchangeTimeout)
+}
+
+// Repair exchanges with a random partner every ExchangeInterval until ctx ends.
+// nodes returns the live nodes to choose from.
+func Repair(ctx context.Context, self model.HostID, a *Acceptor, eps *membership.Table,
+	nodes func() []Parent, open func(context.Context, Parent) (peer.Stream, error), log *slog.Logger) error {
+	differed := false
+	for sleep(ctx, ExchangeInterval/2+rand.N(ExchangeInterval)) {
+		partners := Partners(self, nodes(), time.Now())
+		if len(partners) == 0 {
+			continue
+		}
+		p := partners[rand.IntN(len(partners))]
+		one, cancel := context.WithTimeout(ctx, 2*exchangeTimeout)
+		st, err := open(one, p)
+		if err == nil {
+			var c Comparison
+			// Tables differ while changes are in flight; only a difference that
+			// stays is worth the transfer of a bucket.
+			c, err = Exchange(one, a, eps, st, differed, log)
+			differed = c.EndpointsDiffer && (!differed || !c.Pulled)
+			if c.Pulled {
+				log.Info("repaired from peer", "peer", p.Host, "position", c.Position.String())
+			}
+		}
+		cancel()
+		if err != nil {
+			log.Debug("exchange failed", "peer", p.Host, "reason", err.Error())
+		}
+	}
+	return ctx.Err()
+}
+
+// Partners returns the peers that a node compares with; they change every
+// partnerPeriod.
+func Partners(self model.HostID, nodes []Parent, now time.Time) []Parent {
+	others := make([]Parent, 0, len(nodes))
+	for _, n := range nodes {
+		if n.Host != self {
+			others = append(others, n)
+		}
+	}
+	period := now.Truncate(partnerPeriod).String()
+	return take(self+model.HostID(period), others, exchangePartners)
+}
--- /dev/null
+++ b/mesh/distribute/floor.go
@@ -0,0 +1,64 @@
+package distribute
+
+import (
+	"context"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// minFloorPeers is the least number of peers that can make up a floor.
+const minFloorPeers = 3
+
+// FloorAnswer is what one process said about its position.
+type FloorAnswer struct {
+	From     peer.Identity
+	Position model.Position
+	// Confirmed says that Position includes everything accepted before the question.
+	Confirmed bool
+}
+
+// Floor decides on the least position that a restarted node may route by. A
+// confirmed answer of a control host settles it, as do the answers of a quorum
+// of the control hosts. Without the source it is the greatest position among
+// at least half of the reachable peers and at least minFloorPeers of them. ok is
+// false while there are too few answers. Each host counts once.
+func Floor(answers []FloorAnswer, controlHosts, reachablePeers int) (floor model.Position, ok bool) {
+	controls, peers := map[model.HostID]struct{}{}, map[model.HostID]struct{}{}
+	var fromControls, fromPeers model.Position
+	for _, a := range answers {
+		if a.From.Role == peer.RoleControl {
+			controls[a.From.Host] = struct{}{}
+			fromControls = later(fromControls, a.Position)
+			ok = ok || a.Confirmed
+			continue
+		}
+		peers[a.From.Host] = struct{}{}
+		fromPeers = later(fromPeers, a.Position)
+	}
+	if ok || len(controls) > controlHosts/2 {
+		return fromControls, true
+	}
+	if len(peers) < max((reachablePeers+1)/2, minFloorPeers) {
+		return model.Position{}, false
+	}
+	return later(fromControls, fromPeers), true
+}
+
+func later(a, b model.Position) model.Position {
+	if a.Less(b) {
+		return b
+	}
+	return a
+}
+
+// AskPosition asks a process for its position over an exchange stream.
+func AskPosition(ctx context.Context, st peer.Stream) (FloorAnswer, error) {
+	defer context.AfterFunc(ctx, st.Abort)()
+	defer st.Abort()
+	reply, err := compare(st, compareFrame{Confirm: true})
+	if err != nil {
+		return FloorAnswer{}, err
+	}
+	return FloorAnswer{From: st.Peer(), Position: reply.Position, Confirmed: reply.Confirmed}, nil
+}
--- /dev/null
+++ b/mesh/distribute/follow.go
@@ -0,0 +1,255 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// staleLimit is the age of the source's last word from which a parent counts
+// as stale. Heartbeats add up to HeartbeatInterval for each level.
+const staleLimit = 2500 * time.Millisecond
+
+// Progress is what a child keeps between two parent streams: the cursor in the
+// last parent's table and the part of a snapshot. One mutex guards it.
+type Progress struct {
+	mu       sync.Mutex
+	table    uint64
+	cursor   uint64
+	assembly assembly
+}
+
+// FollowOptions are the parts of a child that its streams share.
+type FollowOptions struct {
+	Subtree   *Subtree
+	Freshness *Freshness
+	Progress  *Progress
+	// Services limits the endpoints to those of the named services; empty means
+	// all. A process with children of its own must leave it empty.
+	Services []model.ServiceName
+	// Patience is how long a parent may be stale before Follow gives it up; 0
+	// means for ever.
+	Patience time.Duration
+	// Handoff receives the delay after which a stopping parent wants to be left.
+	Handoff chan<- time.Duration
+	// Ready is closed at the first frame of a parent that admitted this child.
+	Ready chan<- struct{}
+	Log   *slog.Logger
+}
+
+// BusyError says that the parent refused this child.
+type BusyError struct {
+	RetryAfter   time.Duration
+	Reason       string
+	Alternatives []Parent
+}
+
+// Error returns the parent's reason.
+func (e *BusyError) Error() string {
+	return "parent busy: " + e.Reason + "; retry after " + e.RetryAfter.String()
+}
+
+// Is makes errors.Is(err, ErrBusy) true.
+func (e *BusyError) Is(target error) bool { return target == ErrBusy }
+
+// childReader is the reading side of a parent stream. It is used by one goroutine.
+type childReader struct {
+	a        *Acceptor
+	eps      *membership.Table
+	st       peer.Stream
+	o        FollowOptions
+	asks     chan helloFrame
+	assembly assembly
+	// stale is when the parent's word first was too old.
+	stale time.Time
+	ready bool
+}
+
+// Follow is the child side of one parent stream. It returns an error when the
+// stream ended, the parent refused or fell silent or stale, or ctx ended. With
+// a nil acceptor it takes endpoints only.
+func Follow(ctx context.Context, a *Acceptor, eps *membership.Table, st peer.Stream, o FollowOptions) error {
+	defer context.AfterFunc(ctx, st.Abort)()
+	defer st.Abort()
+	r := &childReader{a: a, eps: eps, st: st, o: o, asks: make(chan helloFrame, 1)}
+	o.Progress.mu.Lock()
+	r.assembly, o.Progress.assembly = o.Progress.assembly, assembly{}
+	o.Progress.mu.Unlock()
+	if err := send(st, upFrame{Hello: r.hello(false)}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	writer := make(chan struct{})
+	go func() {
+		defer close(writer)
+		writeParent(ctx, st, o.Subtree, r.asks)
+	}()
+	err := r.run()
+	cancel()
+	st.Abort()
+	<-writer
+	r.keep()
+	return err
+}
+
+// keep saves an unfinished snapshot for the next stream.
+func (r *childReader) keep() {
+	r.o.Progress.mu.Lock()
+	defer r.o.Progress.mu.Unlock()
+	if len(r.assembly.data) > len(r.o.Progress.assembly.data) {
+		r.o.Progress.assembly = r.assembly
+	}
+}
+
+// writeParent sends reports and requests until the stream or ctx ends.
+func writeParent(ctx context.Context, st peer.Stream, sub *Subtree, asks <-chan helloFrame) {
+	tick := time.NewTicker(ReportInterval)
+	defer tick.Stop()
+	for {
+		var f upFrame
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-asks:
+			f.Hello = &h
+		case <-tick.C:
+			rep := sub.Report()
+			f.Report = &rep
+		}
+		if err := send(st, f); err != nil {
+			st.Abort()
+			return
+		}
+	}
+}
+
+// hello states what is here.
+func (r *childReader) hello(needSnapshot bool) *helloFrame {
+	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil}
+	if r.a != nil {
+		h.Position = r.a.Store().Position()
+		h.Snapshot = r.assembly.resume()
+	}
+	r.o.Progress.mu.Lock()
+	h.Table, h.Cursor = r.o.Progress.table, r.o.Progress.cursor
+	r.o.Progress.mu.Unlock()
+	if len(h.Services) == 0 {
+		d := r.eps.Digest()
+		h.Digest = d[:]
+		return h
+	}
+	for _, a := range r.eps.All() {
+		if len(h.Known) < maxKnown {
+			h.Known = append(h.Known, a.Host)
+		}
+	}
+	return h
+}
+
+// run reads the parent's frames until the stream ends.
+func (r *childReader) run() error {
+	for {
+		var f downFrame
+		if err := recvWithin(r.st, &f, silenceLimit); err != nil {
+			return err
+		}
+		if err := f.check(); err != nil {
+			return err
+		}
+		if err := r.handle(time.Now(), f); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *childReader) handle(now time.Time, f downFrame) error {
+	if b := f.Busy; b != nil {
+		return &BusyError{RetryAfter: b.RetryAfter, Reason: b.Reason, Alternatives: b.Alternatives}
+	}
+	if !r.ready && r.o.Ready != nil {
+		close(r.o.Ready)
+	}
+	r.ready = true
+	switch {
+	case f.Heartbeat != nil:
+		return r.heartbeat(now, *f.Heartbeat)
+	case f.Endpoints != nil:
+		r.endpoints(*f.Endpoints)
+	case f.Delta != nil && r.a != nil:
+		return r.outcome(r.a.acceptDelta(*f.Delta))
+	case f.Chunk != nil && r.a != nil:
+		return r.chunk(*f.Chunk)
+	case f.Handoff != nil && r.o.Handoff != nil:
+		select {
+		case r.o.Handoff <- f.Handoff.After:
+		default:
+		}
+	}
+	return nil
+}
+
+func (r *childReader) heartbeat(now time.Time, h heartbeatFrame) error {
+	r.o.Freshness.Heard(now, h.SourceAge)
+	if h.SourceAge <= staleLimit || r.o.Patience == 0 {
+		r.stale = time.Time{}
+		return nil
+	}
+	if r.stale.IsZero() {
+		r.stale = now
+	}
+	if now.Sub(r.stale) >= r.o.Patience {
+		return eris.Wrapf(ErrStale, "%s heard the source %s ago", r.st.Peer(), h.SourceAge)
+	}
+	return nil
+}
+
+func (r *childReader) endpoints(f endpointsFrame) {
+	r.eps.MergeAll(f.Announcements)
+	if r.a != nil {
+		r.a.Refresh()
+	}
+	if f.Cursor == 0 {
+		return
+	}
+	r.o.Progress.mu.Lock()
+	r.o.Progress.table, r.o.Progress.cursor = f.Table, f.Cursor
+	r.o.Progress.mu.Unlock()
+}
+
+func (r *childReader) chunk(c chunkFrame) error {
+	s, err := r.assembly.add(c)
+	if err != nil || s == nil {
+		return err
+	}
+	v, err := DecodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	return r.outcome(r.a.acceptVersion(v))
+}
+
+// outcome turns the result of an offered version into what the stream does next.
+func (r *childReader) outcome(err error) error {
+	switch {
+	case err == nil || errors.Is(err, ErrOld) || errors.Is(err, ErrRefused):
+		return nil
+	case errors.Is(err, ErrBase), errors.Is(err, ErrDiverged):
+		r.o.Log.Warn("version requested again", "parent", r.st.Peer().Host, "reason", err.Error())
+		h := *r.hello(errors.Is(err, ErrDiverged))
+		select {
+		case r.asks <- h:
+		default: // a request is already waiting
+		}
+		return nil
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/mesh/distribute/history.go
@@ -0,0 +1,135 @@
+package distribute
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// Bounds of a History and of a delta.
+const (
+	// historyEntries bounds the kept deltas; a child further behind gets a snapshot.
+	historyEntries = 1024
+	// historyRecords bounds the records in the kept deltas, about 2 MB of routes.
+	historyRecords = 8192
+	// maxDeltaRecords bounds one delta; above it a compressed snapshot is smaller.
+	maxDeltaRecords = 1024
+)
+
+// step is the delta between two consecutive versions of a store.
+type step struct {
+	from, to model.Position
+	delta    note.Delta
+	records  int
+}
+
+// History is a bounded run of consecutive deltas. Its owner guards it.
+type History struct {
+	steps   []step
+	records int
+}
+
+// add appends the delta that led from one version to the next.
+func (h *History) add(from, to model.Position, d note.Delta) {
+	n := recordsIn(d)
+	h.steps = append(h.steps, step{from: from, to: to, delta: d, records: n})
+	h.records += n
+	drop := 0
+	for drop < len(h.steps) && (len(h.steps)-drop > historyEntries || h.records > historyRecords) {
+		h.records -= h.steps[drop].records
+		drop++
+	}
+	if drop > 0 {
+		h.steps = slices.Delete(h.steps, 0, drop)
+	}
+}
+
+// Since returns the delta from a position to the newest version and the
+// position that it starts at. That may be before pos when pos lies inside a
+// step: records are whole, so applying the step from its middle gives the same
+// result unless a change was made and undone within it, which the sum tells.
+func (h *History) Since(pos model.Position) (d note.Delta, base model.Position, ok bool) {
+	i := sort.Search(len(h.steps), func(i int) bool { return pos.Less(h.steps[i].to) })
+	if i == len(h.steps) || pos.Less(h.steps[i].from) {
+		return d, base, false
+	}
+	n := 0
+	for _, s := range h.steps[i:] {
+		if n += s.records; n > maxDeltaRecords {
+			return d, base, false
+		}
+	}
+	d = h.steps[i].delta
+	for _, s := range h.steps[i+1:] {
+		d = Compose(d, s.delta)
+	}
+	return d, h.steps[i].from, true
+}
+
+// covers reports whether Since has a delta from pos.
+func (h *History) covers(pos model.Position) bool {
+	_, _, ok := h.Since(pos)
+	return ok
+}
+
+func recordsIn(d note.Delta) int {
+	return len(d.Services) + len(d.RemovedServices) + len(d.Routes) + len(d.RemovedRoutes) +
+		len(d.Shares) + len(d.RemovedShares) + len(d.DataCentres)
+}
+
+// Compose returns one delta with the effect of a followed by b. It names every
+// record that either names.
+func Compose(a, b note.Delta) note.Delta {
+	var d note.Delta
+	d.Services, d.RemovedServices = composeList(a.Services, b.Services, a.RemovedServices, b.RemovedServices,
+		func(s note.Service) model.ServiceName { return s.Name })
+	d.Routes, d.RemovedRoutes = composeList(a.Routes, b.Routes, a.RemovedRoutes, b.RemovedRoutes,
+		func(r note.Route) model.RouteName { return r.Name })
+	d.Shares, d.RemovedShares = composeShares(a, b)
+	if len(a.DataCentres)+len(b.DataCentres) > 0 {
+		d.DataCentres = map[model.DataCentre]note.DataCentreState{}
+		maps.Copy(d.DataCentres, a.DataCentres)
+		maps.Copy(d.DataCentres, b.DataCentres)
+	}
+	return d
+}
+
+func composeList[K ~string, V any](a, b []V, removedA, removedB []K, key func(V) K) ([]V, []K) {
+	set, removed := map[K]V{}, map[K]struct{}{}
+	for _, part := range []struct {
+		set     []V
+		removed []K
+	}{{a, removedA}, {b, removedB}} {
+		for _, v := range part.set {
+			set[key(v)] = v
+			delete(removed, key(v))
+		}
+		for _, k := range part.removed {
+			delete(set, k)
+			removed[k] = struct{}{}
+		}
+	}
+	var values []V
+	for _, k := range slices.Sorted(maps.Keys(set)) {
+		values = append(values, set[k])
+	}
+	return values, slices.Sorted(maps.Keys(removed))
+}
+
+func composeShares(a, b note.Delta) (map[model.ServiceName]note.Shares, []model.ServiceName) {
+	set, removed := map[model.ServiceName]note.Shares{}, map[model.ServiceName]struct{}{}
+	for _, d := range []note.Delta{a, b} {
+		for s, v := range d.Shares {
+			set[s] = v
+			delete(removed, s)
+		}
+		for _, s := range d.RemovedShares {
+			delete(set, s)
+			removed[s] = struct{}{}
+		}
+	}
+	return set, slices.Sorted(maps.Keys(removed))
+}
--- /dev/null
+++ b/mesh/distribute/serve.go
@@ -0,0 +1,382 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// The times of a watch stream.
+const (
+	// HeartbeatInterval is how often a parent speaks.
+	HeartbeatInterval = 300 * time.Millisecond
+	// ReportInterval is how often a child speaks.
+	ReportInterval = time.Second
+	// silenceLimit is the silence after which a child gives its parent up. It
+	// covers two lost heartbeats and leaves time to reconnect within a second.
+	silenceLimit = 900 * time.Millisecond
+	// childSilence is the silence after which a parent gives its child up; it
+	// only frees the slot, so it may be longer.
+	childSilence = 3 * ReportInterval
+	// pushDelay gathers the changes that come together.
+	pushDelay = 5 * time.Millisecond
+	// pushGap is the least time between two pushes: a burst of 500 changes a
+	// second costs ten frames a second, and a lone change is not delayed.
+	pushGap = 100 * time.Millisecond
+	// snapshotWait is how long a child waits for a transfer slot before it is
+	// told to retry elsewhere.
+	snapshotWait = time.Second
+)
+
+// ServeOptions are the parts of a parent that all its child streams share.
+type ServeOptions struct {
+	Subtree   *Subtree
+	Freshness *Freshness
+	Admission *Admission
+	// Planned reports whether the tree gives the child to this parent and names
+	// alternatives for one that is refused; nil on nodes.
+	Planned func(child peer.Identity) (planned bool, alternatives []Parent)
+	// Confirm returns a position that includes everything accepted before the
+	// call; nil on nodes.
+	Confirm func(ctx context.Context) (model.Position, error)
+	Log     *slog.Logger
+}
+
+// childWriter is the writing side of one child stream. It is used by one goroutine.
+type childWriter struct {
+	st     peer.Stream
+	store  *Store
+	eps    *membership.Table
+	o      ServeOptions
+	hello  helloFrame
+	filter map[model.ServiceName]struct{}
+	known  map[model.HostID]struct{}
+	// sent and cursor are what the child has once it has read everything.
+	sent     model.Position
+	cursor   uint64
+	lastPush time.Time
+	waiting  time.Time
+}
+
+// Serve is the parent side of one child stream. It returns when the stream or
+// ctx ends, or at once if the child is not admitted.
+func Serve(ctx context.Context, s *Store, eps *membership.Table, st peer.Stream, o ServeOptions) error {
+	defer context.AfterFunc(ctx, st.Abort)()
+	hello, err := recvHello(st)
+	if err != nil {
+		return err
+	}
+	child := st.Peer()
+	if child.Role == peer.RoleNode {
+		if reason, alternatives, ok := admit(child, o); !ok {
+			o.Log.Info("child refused", "child", child.Host, "reason", reason)
+			return sendBusy(st, o, reason, alternatives)
+		}
+		defer o.Admission.Release(child.DataCentre)
+	}
+	defer o.Subtree.forget(st)
+	o.Log.Info("child admitted", "child", child.Host, "position", hello.Position.String())
+
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	asks := make(chan helloFrame, 1)
+	reader := make(chan struct{})
+	go func() {
+		defer close(reader)
+		cancel(readChild(st, o.Subtree, asks))
+	}()
+	w := &childWriter{st: st, store: s, eps: eps, o: o}
+	w.ask(hello)
+	err = w.run(ctx, asks)
+	if err == nil {
+		_ = st.Close()
+	}
+	cancel(nil)
+	if err != nil {
+		st.Abort()
+	}
+	<-reader
+	return err
+}
+
+// admit asks the admission for a slot. Control hosts need none: they are few,
+// and their role is certified.
+func admit(child peer.Identity, o ServeOptions) (reason string, alternatives []Parent, ok bool) {
+	planned := true
+	if o.Planned != nil {
+		planned, alternatives = o.Planned(child)
+	}
+	reason, ok = o.Admission.Admit(child.DataCentre, planned)
+	return reason, alternatives, ok
+}
+
+func recvHello(st peer.Stream) (helloFrame, error) {
+	var f upFrame
+	if err := recvWithin(st, &f, silenceLimit); err != nil {
+		return helloFrame{}, err
+	}
+	if f.Hello == nil {
+		return helloFrame{}, eris.Wrap(ErrBadFrame, "first frame is no hello")
+	}
+	return *f.Hello, f.check()
+}
+
+// sendBusy ends the stream; the peer reads the frame before the end.
+func sendBusy(st peer.Stream, o ServeOptions, reason string, alternatives []Parent) error {
+	b := busyFrame{RetryAfter: o.Admission.RetryAfter(), Reason: reason,
+		Alternatives: alternatives[:min(len(alternatives), maxAlternatives)]}
+	if err := send(st, downFrame{Busy: &b}); err != nil {
+		return err
+	}
+	return st.Close()
+}
+
+// readChild reads the child's frames until the stream ends.
+func readChild(st peer.Stream, sub *Subtree, asks chan helloFrame) error {
+	for {
+		var f upFrame
+		if err := recvWithin(st, &f, childSilence); err != nil {
+			return err
+		}
+		if err := f.check(); err != nil {
+			return err
+		}
+		if f.Report != nil {
+			sub.set(st, *f.Report)
+		}
+		if f.Hello != nil {
+			select {
+			case <-asks: // only the newest request counts
+			default:
+			}
+			asks <- *f.Hello
+		}
+	}
+}
+
+// run writes until the stream ends. It returns nil if it told the child to go.
+func (w *childWriter) run(ctx context.Context, asks <-chan helloFrame) error {
+	beat := time.NewTicker(HeartbeatInterval)
+	defer beat.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
+	draining := w.o.Admission.Draining()
+	if err := w.heartbeat(); err != nil {
+		return err
+	}
+	for pending := true; ; {
+		var config, endpoints <-chan struct{}
+		if !pending {
+			config, endpoints = w.changes()
+		}
+		var err error
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case h := <-asks:
+			w.ask(h)
+			pending = true
+			due.Reset(w.delay())
+		case <-config:
+			pending = true
+			due.Reset(w.delay())
+		case <-endpoints:
+			pending = true
+			due.Reset(w.delay())
+		case <-due.C:
+			pending = false
+			err = w.push()
+		case <-beat.C:
+			err = w.heartbeat()
+		case <-draining:
+			draining = nil
+			err = send(w.st, downFrame{Handoff: &handoffFrame{After: w.o.Admission.handoffDelay()}})
+		}
+		if errors.Is(err, ErrBusy) {
+			return sendBusy(w.st, w.o, "all snapshot slots taken", nil)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (w *childWriter) changes() (config, endpoints <-chan struct{}) {
+	if !w.hello.EndpointsOnly {
+		config = w.store.Changed(w.sent)
+	}
+	return config, w.eps.Changed(w.cursor)
+}
+
+// delay returns how long to gather changes before the next push.
+func (w *childWriter) delay() time.Duration {
+	return max(pushDelay, pushGap-time.Since(w.lastPush))
+}
+
+// ask takes over what the child says it has.
+func (w *childWriter) ask(h helloFrame) {
+	w.hello, w.sent, w.cursor = h, h.Position, 0
+	if h.Table == w.eps.Instance() {
+		w.cursor = h.Cursor
+	}
+	w.filter, w.known = nil, nil
+	if len(h.Services) == 0 {
+		return
+	}
+	w.filter, w.known = map[model.ServiceName]struct{}{}, map[model.HostID]struct{}{}
+	for _, s := range h.Services {
+		w.filter[s] = struct{}{}
+	}
+	for _, host := range h.Known {
+		w.known[host] = struct{}{}
+	}
+}
+
+func (w *childWriter) heartbeat() error {
+	return send(w.st, downFrame{Heartbeat: &heartbeatFrame{
+		SourceAge: w.o.Freshness.Age(time.Now()), Position: w.store.Position()}})
+}
+
+// push sends what the child lacks: endpoints first, so that a new route finds
+// the endpoints of its service.
+func (w *childWriter) push() error {
+	w.lastPush = time.Now()
+	if !w.hello.SkipEndpoints {
+		if err := w.pushEndpoints(); err != nil {
+			return err
+		}
+	}
+	if w.hello.EndpointsOnly {
+		return nil
+	}
+	return w.pushConfig()
+}
+
+func (w *childWriter) pushEndpoints() error {
+	batch, next := w.newEndpoints()
+	batch = w.wanted(batch)
+	for len(batch) > 0 {
+		n := min(len(batch), maxEndpoints)
+		f := endpointsFrame{Table: w.eps.Instance(), Announcements: batch[:n]}
+		batch = batch[n:]
+		if len(batch) == 0 {
+			// An earlier cursor would skip the rest of the batch on a resume,
+			// because a digest's answer is not in the order of changes.
+			f.Cursor = next
+		}
+		if err := send(w.st, downFrame{Endpoints: &f}); err != nil {
+			return err
+		}
+	}
+	w.cursor = next
+	return nil
+}
+
+func (w *childWriter) newEndpoints() ([]membership.Announcement, uint64) {
+	if d := w.hello.Digest; w.cursor == 0 && len(d) > 0 && w.filter == nil {
+		w.hello.Digest = nil
+		return w.eps.Differing(membership.Digest(d))
+	}
+	return w.eps.Since(w.cursor)
+}
+
+// wanted keeps the records of subscribed services and of hosts that the child
+// already has a record of.
+func (w *childWriter) wanted(batch []membership.Announcement) []membership.Announcement {
+	if w.filter == nil {
+		return batch
+	}
+	var out []membership.Announcement
+	for _, a := range batch {
+		_, subscribed := w.filter[a.Service]
+		_, known := w.known[a.Host]
+		if subscribed || known {
+			w.known[a.Host] = struct{}{}
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (w *childWriter) pushConfig() error {
+	if !w.sent.Less(w.store.Position()) {
+		return nil
+	}
+	if u, ok := w.store.update(w.sent); ok && !w.hello.NeedSnapshot {
+		w.sent = u.Position
+		return send(w.st, downFrame{Delta: &u})
+	}
+	return w.pushSnapshot()
+}
+
+// pushSnapshot sends a snapshot if a transfer slot is free; otherwise the next
+// push tries again until snapshotWait has passed.
+func (w *childWriter) pushSnapshot() error {
+	now := time.Now()
+	if !w.o.Admission.BeginSnapshot() {
+		if w.waiting.IsZero() {
+			w.waiting = now
+		}
+		if now.Sub(w.waiting) > snapshotWait {
+			return ErrBusy
+		}
+		return nil
+	}
+	defer w.o.Admission.EndSnapshot()
+	w.waiting = time.Time{}
+	s, err := w.store.Snapshot(w.sent)
+	if err != nil {
+		return err
+	}
+	offset := 0
+	if r := w.hello.Snapshot; r != nil && r.ID == s.ID && r.Offset < len(s.Data) {
+		offset = r.Offset
+	}
+	w.o.Log.Info("snapshot sent", "child", w.st.Peer().Host, "position", s.Position.String(),
+		"bytes", len(s.Data)-offset, "resumed_at", offset)
+	for ; offset < len(s.Data); offset += chunkSize {
+		c := s.chunk(offset)
+		if err := send(w.st, downFrame{Chunk: &c}); err != nil {
+			return err
+		}
+	}
+	w.hello.Snapshot, w.hello.NeedSnapshot = nil, false
+	w.sent = s.Position
+	return nil
+}
+
+var framesSent = telemetry.Counter("distribute.frames_sent")
+
+func send(st peer.Stream, f any) error {
+	framesSent.Inc(1)
+	if err := st.Send(f); err != nil {
+		return eris.Wrapf(ErrClosed, "%s: %v", st.Peer(), err)
+	}
+	return nil
+}
+
+// recvWithin reads one frame and aborts the stream if none comes in time.
+func recvWithin(st peer.Stream, v any, limit time.Duration) error {
+	timer := time.AfterFunc(limit, st.Abort)
+	err := st.Recv(v)
+	inTime := timer.Stop()
+	switch {
+	case err == nil:
+		return nil
+	case !inTime:
+		return eris.Wrapf(ErrSilent, "%s sent nothing for %s", st.Peer(), limit)
+	case errors.Is(err, io.EOF):
+		return eris.Wrapf(ErrClosed, "%s ended the stream", st.Peer())
+	default:
+		return eris.Wrapf(ErrClosed, "%s: %v", st.Peer(), err)
+	}
+}
--- /dev/null
+++ b/mesh/distribute/subtree.go
@@ -0,0 +1,103 @@
+package distribute
+
+import (
+	"sync"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// Subtree merges the reports of the children of one process. One mutex guards it.
+type Subtree struct {
+	mu       sync.Mutex
+	children map[model.HostID]childReport
+	own      func() SubtreeReport
+}
+
+// childReport is the last report of a child and the stream that it came by.
+type childReport struct {
+	report SubtreeReport
+	stream peer.Stream
+}
+
+// NewSubtree returns a subtree with the own report of a node; a control host,
+// which is no node, passes nil.
+func NewSubtree(own func() SubtreeReport) *Subtree {
+	return &Subtree{children: map[model.HostID]childReport{}, own: own}
+}
+
+// set stores the report that came by a child's stream.
+func (s *Subtree) set(st peer.Stream, r SubtreeReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.children[st.Peer().Host] = childReport{report: r, stream: st}
+}
+
+// forget drops the report of an ended stream, unless the child has reported by
+// another one since.
+func (s *Subtree) forget(st peer.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.children[st.Peer().Host].stream == st {
+		delete(s.children, st.Peer().Host)
+	}
+}
+
+// Report returns the report of the whole subtree.
+func (s *Subtree) Report() SubtreeReport {
+	var parts []SubtreeReport
+	if s.own != nil {
+		parts = append(parts, s.own())
+	}
+	s.mu.Lock()
+	for _, c := range s.children {
+		parts = append(parts, c.report)
+	}
+	s.mu.Unlock()
+	return mergeReports(parts)
+}
+
+// mergeReports adds up reports; one without nodes has no position.
+func mergeReports(parts []SubtreeReport) SubtreeReport {
+	var out SubtreeReport
+	for _, p := range parts {
+		if p.Nodes > 0 && (out.Nodes == 0 || p.Least.Less(out.Least)) {
+			out.Least = p.Least
+		}
+		out.Nodes += p.Nodes
+		out.Held += p.Held
+		room := maxRefusals - len(out.Refusals)
+		out.Refusals = append(out.Refusals, p.Refusals[:min(room, len(p.Refusals))]...)
+	}
+	return out
+}
+
+// Freshness knows when the source last spoke, as far as this process can tell.
+// One mutex guards it.
+type Freshness struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+// Heard notes that the source's last word was of the given age.
+func (f *Freshness) Heard(now time.Time, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := now.Add(-age); at.After(f.at) {
+		f.at = at
+	}
+}
+
+// Age returns the age of the source's last word; maxAge if it never spoke.
+func (f *Freshness) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at.IsZero() {
+		return maxAge
+	}
+	return min(max(0, now.Sub(f.at)), maxAge)
+}
+
+// maxAge bounds a source age.
+const maxAge = 365 * 24 * time.Hour
--- /dev/null
+++ b/mesh/distribute/tree.go
@@ -0,0 +1,146 @@
+package distribute
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// The shape of the fan-out tree.
+const (
+	// firstLevel is the number of nodes of a data centre that the source serves.
+	firstLevel = 4
+	// plannedFanOut is below MaxChildren, so that a parent has room for the
+	// uneven choice by hash and for the children of a failed neighbour.
+	plannedFanOut = 5
+	// levelCandidates is the number of candidates one level above.
+	levelCandidates = 3
+	// spareCandidates is the number of candidates of any lower rank.
+	spareCandidates = 2
+)
+
+// Parent is a process that can serve a child.
+type Parent struct {
+	Host       model.HostID     `cbor:"1,keyasint"`
+	Role       peer.Role        `cbor:"2,keyasint"`
+	DataCentre model.DataCentre `cbor:"3,keyasint"`
+	Address    string           `cbor:"4,keyasint"`
+}
+
+// Identity returns the identity that the parent's certificate must carry.
+func (p Parent) Identity() peer.Identity {
+	return peer.Identity{Role: p.Role, DataCentre: p.DataCentre, Host: p.Host}
+}
+
+// rankHash orders the nodes of a data centre. A node takes only parents of a
+// lower rank, and the order is the same on every host whatever nodes it knows,
+// so no cycle can form.
+func rankHash(h model.HostID) uint64 { return xxhash.Sum64String("rank/" + string(h)) }
+
+func pairHash(child, parent model.HostID) uint64 {
+	return xxhash.Sum64String(string(child) + "\x00" + string(parent))
+}
+
+// below reports whether a comes before b in the order of ranks.
+func below(a, b model.HostID) bool {
+	if c := cmp.Compare(rankHash(a), rankHash(b)); c != 0 {
+		return c < 0
+	}
+	return a < b
+}
+
+// Level returns the level of a node whose rank is the given one: the first
+// level hangs on the source, and each level is plannedFanOut times as wide as
+// the one above.
+func Level(rank int) int {
+	level, end := 1, firstLevel
+	for width := firstLevel; rank >= end; level++ {
+		width *= plannedFanOut
+		end += width
+	}
+	return level
+}
+
+// levelStart returns the rank of the first node of a level.
+func levelStart(level int) int {
+	start, width := 0, firstLevel
+	for range level - 1 {
+		start += width
+		width *= plannedFanOut
+	}
+	return start
+}
+
+// NodesOf returns the live nodes of a data centre as parents.
+func NodesOf(dc model.DataCentre, known []membership.Announcement) []Parent {
+	var out []Parent
+	for _, a := range known {
+		if a.DataCentre == dc && a.Alive() {
+			out = append(out, Parent{Host: a.Host, Role: peer.RoleNode, DataCentre: dc, Address: a.PeerAddress})
+		}
+	}
+	return out
+}
+
+// Parents returns the candidates of a node in the order of preference: nodes
+// of the next level up, or the roots for the first level, then some other
+// nodes of lower rank, then the roots. nodes are those of the data centre; they
+// need not contain self.
+func Parents(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
+	lower := make([]Parent, 0, len(nodes))
+	for _, n := range nodes {
+		if n.Host != self && n.DataCentre == dc && below(n.Host, self) {
+			lower = append(lower, n)
+		}
+	}
+	slices.SortFunc(lower, func(a, b Parent) int {
+		if below(a.Host, b.Host) {
+			return -1
+		}
+		return 1
+	})
+	own := orderRoots(self, dc, roots)
+	level := Level(len(lower))
+	var out []Parent
+	if level == 1 {
+		out = append(out, own...)
+	} else {
+		out = take(self, lower[levelStart(level-1):min(levelStart(level), len(lower))], levelCandidates)
+	}
+	spare := slices.DeleteFunc(slices.Clone(lower), func(p Parent) bool { return slices.Contains(out, p) })
+	out = append(out, take(self, spare, spareCandidates)...)
+	if level > 1 {
+		out = append(out, own...)
+	}
+	return out
+}
+
+// take returns the n parents with the greatest rendezvous weight for the child.
+func take(child model.HostID, from []Parent, n int) []Parent {
+	s := slices.Clone(from)
+	slices.SortFunc(s, func(a, b Parent) int {
+		return cmp.Compare(pairHash(child, b.Host), pairHash(child, a.Host))
+	})
+	return s[:min(n, len(s))]
+}
+
+// orderRoots orders the roots by rendezvous weight, those of the own data centre first.
+func orderRoots(self model.HostID, dc model.DataCentre, roots []Parent) []Parent {
+	s := take(self, roots, len(roots))
+	slices.SortStableFunc(s, func(a, b Parent) int {
+		return cmp.Compare(b2i(a.DataCentre != dc), b2i(b.DataCentre != dc))
+	})
+	return s
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/mesh/distribute/version.go
@@ -0,0 +1,155 @@
+// Package distribute brings each version of the configuration and each change
+// of the endpoint table from the control hosts to every node: versions with
+// their history, acceptance on a node, snapshots, the watch stream between a
+// parent and its child, the fan-out tree and repair between peers.
+package distribute
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// Version is the configuration at one position. It is immutable.
+type Version struct {
+	Position model.Position
+	Config   note.Config
+	// Sum identifies the content of Config; see sumOf.
+	Sum uint64
+}
+
+// detMode encodes equal values to equal bytes, on which sums and snapshot
+// identifiers depend.
+var detMode = func() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// The kinds of records in a sum.
+const (
+	sumService byte = iota + 1
+	sumRoute
+	sumShares
+	sumDataCentre
+)
+
+// hashRecord hashes one record; key is part of it so that equal values under
+// two keys do not cancel each other out.
+func hashRecord(kind byte, key string, v any) uint64 {
+	b, err := detMode.Marshal(v)
+	if err != nil {
+		panic(err) // configuration records hold only encodable types
+	}
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.Write([]byte{kind})
+	_, _ = h.WriteString(key)
+	_, _ = h.Write(b)
+	return h.Sum64()
+}
+
+// sumOf is the XOR of the hashes of all records, so that sumAfter can follow a
+// delta in time proportional to the delta. A data centre that is in service
+// counts as absent, as in note.Diff.
+func sumOf(c note.Config) uint64 {
+	var sum uint64
+	for k := range c.Services {
+		sum ^= serviceHash(c, k)
+	}
+	for k := range c.Routes {
+		sum ^= routeHash(c, k)
+	}
+	for k := range c.Shares {
+		sum ^= sharesHash(c, k)
+	}
+	for k := range c.DataCentres {
+		sum ^= dataCentreHash(c, k)
+	}
+	return sum
+}
+
+// sumAfter returns the sum of to, which the delta made from a configuration of
+// the given sum.
+func sumAfter(sum uint64, from, to note.Config, d note.Delta) uint64 {
+	t := touchedBy(d)
+	for k := range t.services {
+		sum ^= serviceHash(from, k) ^ serviceHash(to, k)
+	}
+	for k := range t.routes {
+		sum ^= routeHash(from, k) ^ routeHash(to, k)
+	}
+	for k := range t.shares {
+		sum ^= sharesHash(from, k) ^ sharesHash(to, k)
+	}
+	for k := range d.DataCentres {
+		sum ^= dataCentreHash(from, k) ^ dataCentreHash(to, k)
+	}
+	return sum
+}
+
+// touched is the set of keys that a delta names; each counts once in a sum.
+type touched struct {
+	services map[model.ServiceName]struct{}
+	routes   map[model.RouteName]struct{}
+	shares   map[model.ServiceName]struct{}
+}
+
+func touchedBy(d note.Delta) touched {
+	t := touched{
+		services: map[model.ServiceName]struct{}{},
+		routes:   map[model.RouteName]struct{}{},
+		shares:   map[model.ServiceName]struct{}{},
+	}
+	for _, s := range d.Services {
+		t.services[s.Name] = struct{}{}
+	}
+	for _, s := range d.RemovedServices {
+		t.services[s] = struct{}{}
+	}
+	for _, r := range d.Routes {
+		t.routes[r.Name] = struct{}{}
+	}
+	for _, r := range d.RemovedRoutes {
+		t.routes[r] = struct{}{}
+	}
+	for s := range d.Shares {
+		t.shares[s] = struct{}{}
+	}
+	for _, s := range d.RemovedShares {
+		t.shares[s] = struct{}{}
+	}
+	return t
+}
+
+func serviceHash(c note.Config, k model.ServiceName) uint64 {
+	if v, ok := c.Services[k]; ok {
+		return hashRecord(sumService, string(k), v)
+	}
+	return 0
+}
+
+func routeHash(c note.Config, k model.RouteName) uint64 {
+	if v, ok := c.Routes[k]; ok {
+		return hashRecord(sumRoute, string(k), v)
+	}
+	return 0
+}
+
+func sharesHash(c note.Config, k model.ServiceName) uint64 {
+	if v, ok := c.Shares[k]; ok {
+		return hashRecord(sumShares, string(k), v)
+	}
+	return 0
+}
+
+func dataCentreHash(c note.Config, k model.DataCentre) uint64 {
+	if v, ok := c.DataCentres[k]; ok && v != note.DataCentreIn {
+		return hashRecord(sumDataCentre, string(k), v)
+	}
+	return 0
+}
--- a/mesh/membership/digest.go
+++ b/mesh/membership/digest.go
@@ -10,7 +10,7 @@
 
 // digestBuckets is the number of parts of a Digest. More parts send fewer
 // equal records when two tables differ in a few, and make the digest longer.
-const digestBuckets = 64
+const digestBuckets = 256
 
 // Digest summarises a table in buckets by host: each is the XOR of the hashes
 // of its records, so that it follows each change without a scan.
