Add admission: concurrency limit, queue and gate of the serving node

Cause: only the serving node sees all the load of its backend server, and fresh backend servers fail under full load. Change: Limiter starts at 1, grows with successes at the limit in use and shrinks on refusals, errors, broken connections or latency above the service's own baseline; Queue orders by kind and deadline; Gate adds drain and data-centre-out.

--- /dev/null
+++ b/mesh/admission/limiter_test.go
@@ -0,0 +1,167 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+var ledger = note.Service{Name: "ledger", Slots: 20, QueueLimit: 40, QueueTimeout: time.Second}
+
+// backend is a stand-in backend server in virtual time. It refuses requests
+// above its capacity.
+type backend struct {
+	capacity func(at time.Duration) int
+	latency  func(at time.Duration, running int) time.Duration
+	errors   float64
+	result   Result // in place of a refusal
+}
+
+type running struct {
+	decision
+	started, ends time.Duration
+	result        Result
+}
+
+// report is what one run of a scheduler against a backend shows.
+type report struct {
+	limits  []int // for each millisecond
+	refused int
+	served  int
+}
+
+// drive keeps the queue of a scheduler full for a time, in steps of 1 ms.
+func drive(b backend, length time.Duration) report {
+	r := rand.New(rand.NewPCG(1, 2))
+	s := newScheduler(ledger, DefaultOverloadAfter)
+	epoch := time.Unix(1000, 0)
+	var rep report
+	var active []running
+	for at := time.Duration(0); at < length; at += time.Millisecond {
+		now := epoch.Add(at)
+		var decided []decision
+		var still []running
+		for _, a := range active {
+			if a.ends > at {
+				still = append(still, a)
+				continue
+			}
+			sample := Sample{Route: "r", Started: epoch.Add(a.started), InFlight: a.inFlight, Result: a.result, Latency: a.ends - a.started}
+			decided = append(decided, s.finish(now, sample)...)
+		}
+		active = still
+		for s.queue.Len() < 30 {
+			decided = append(decided, s.arrive(now, &Waiter{Ticket: Ticket{Kind: model.KindLookup}})...)
+		}
+		for _, d := range decided {
+			if d.refused != "" {
+				continue
+			}
+			a := running{decision: d, started: at, result: ResultOK}
+			if len(active) >= b.capacity(at) {
+				rep.refused++
+				a.result, a.ends = b.result, at+time.Millisecond
+				if a.result == 0 {
+					a.result = ResultRefused
+				}
+			} else {
+				rep.served++
+				a.ends = at + max(time.Millisecond, b.latency(at, len(active)))
+				if r.Float64() < b.errors {
+					a.result = ResultError
+				}
+			}
+			active = append(active, a)
+		}
+		rep.limits = append(rep.limits, s.limiter.Limit())
+	}
+	return rep
+}
+
+func constant(d time.Duration) func(time.Duration, int) time.Duration {
+	return func(time.Duration, int) time.Duration { return d }
+}
+
+func mean(limits []int) float64 {
+	sum := 0
+	for _, l := range limits {
+		sum += l
+	}
+	return float64(sum) / float64(len(limits))
+}
+
+func full(time.Duration) int { return 20 }
+
+var _ = Describe("Limiter", func() {
+	It("starts at 1 and reaches the slots of a warm backend server within half a second", func() {
+		rep := drive(backend{capacity: full, latency: constant(5 * time.Millisecond)}, 500*time.Millisecond)
+		Expect(rep.limits[0]).To(Equal(1))
+		Expect(rep.limits[20]).To(BeNumerically("<=", 5))
+		Expect(rep.limits[499]).To(Equal(20))
+		Expect(rep.refused).To(BeZero())
+	})
+
+	It("follows a backend server that warms up over 5 s without loading it much above its capacity", func() {
+		warming := func(at time.Duration) int { return min(20, 2+int(18*at/(5*time.Second))) }
+		rep := drive(backend{capacity: warming, latency: constant(5 * time.Millisecond)}, 8*time.Second)
+		Expect(float64(rep.refused) / float64(rep.served)).To(BeNumerically("<", 0.05))
+		Expect(mean(rep.limits[7000:])).To(BeNumerically(">", 18))
+	})
+
+	DescribeTable("lowers the limit at once when a backend server turns cold without notice",
+		func(result Result, slow time.Duration) {
+			b := backend{result: result}
+			b.capacity = func(at time.Duration) int {
+				if at < 3*time.Second || slow > 0 {
+					return 20
+				}
+				return 2
+			}
+			b.latency = func(at time.Duration, _ int) time.Duration {
+				if at >= 3*time.Second && slow > 0 {
+					return slow
+				}
+				return 5 * time.Millisecond
+			}
+			rep := drive(b, 4*time.Second)
+			Expect(rep.limits[2999]).To(Equal(20))
+			Expect(mean(rep.limits[3100:3500])).To(BeNumerically("<", 4))
+		},
+		Entry("it refuses", ResultRefused, time.Duration(0)),
+		Entry("it breaks connections", ResultLost, time.Duration(0)),
+		Entry("it runs into deadlines", ResultTimeout, time.Duration(0)),
+		Entry("it answers with errors", ResultError, time.Duration(0)),
+		Entry("it answers slowly", ResultOK, 60*time.Millisecond),
+	)
+
+	It("keeps the limit under noisy latency", func() {
+		r := rand.New(rand.NewPCG(3, 4))
+		noisy := func(time.Duration, int) time.Duration {
+			return time.Duration(r.ExpFloat64() * float64(8*time.Millisecond))
+		}
+		rep := drive(backend{capacity: full, latency: noisy}, 30*time.Second)
+		Expect(mean(rep.limits[2000:])).To(BeNumerically(">", 17))
+	})
+
+	It("keeps the limit of a service that always answers a part of the requests with an error", func() {
+		rep := drive(backend{capacity: full, latency: constant(5 * time.Millisecond), errors: 0.3}, 10*time.Second)
+		Expect(mean(rep.limits[2000:])).To(BeNumerically(">", 17))
+	})
+
+	It("recovers the limit of a service that has become slower for good", func() {
+		slower := func(at time.Duration, _ int) time.Duration {
+			if at > 5*time.Second {
+				return 18 * time.Millisecond
+			}
+			return 5 * time.Millisecond
+		}
+		rep := drive(backend{capacity: full, latency: slower}, 60*time.Second)
+		Expect(mean(rep.limits[5500:6500])).To(BeNumerically("<", 10))
+		Expect(mean(rep.limits[50_000:])).To(BeNumerically(">", 18))
+	})
+})
--- /dev/null
+++ b/mesh/admission/message.go
@@ -0,0 +1,65 @@
+// Package admission decides on the serving node which requests its backend
+// server runs, and when. The serving node is the only place that sees all the
+// load of its backend server. Decisions take the time as an argument; only
+// Gate.Acquire reads the clock and blocks.
+package admission
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Ticket describes a request that asks for a slot.
+type Ticket struct {
+	Kind  model.Kind
+	Route model.RouteName
+	// Deadline is the deadline of the call; zero if it has none.
+	Deadline time.Time
+}
+
+// Result says how the backend server dealt with a request.
+type Result uint8
+
+// The results of a request.
+const (
+	// ResultOK is an answer that is no error of the backend server.
+	ResultOK Result = iota + 1
+	// ResultError is an answer that reports an error of the backend server.
+	ResultError
+	// ResultRefused is a refusal by the backend server for lack of capacity.
+	ResultRefused
+	// ResultTimeout is no answer before the deadline.
+	ResultTimeout
+	// ResultLost is a connection that could not be made or that broke.
+	ResultLost
+	// ResultCancelled is a call that its caller gave up; it says nothing about the backend server.
+	ResultCancelled
+)
+
+// Outcome is what the limiter learns from a finished request.
+type Outcome struct {
+	Result Result
+	// Latency is the time from the start to the head of the answer. If it is
+	// zero the time that the slot was held counts.
+	Latency time.Duration
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonDraining      Reason = "backend server is leaving"
+	ReasonDataCentreOut Reason = "data centre is out of service"
+	ReasonQueueFull     Reason = "queue full"
+	ReasonStale         Reason = "no slot in time"
+	ReasonCancelled     Reason = "cancelled by the caller"
+)
+
+// NotRun is the error of a request that was refused before any byte of it
+// reached the backend server.
+type NotRun struct{ Reason Reason }
+
+// Error returns the reason.
+func (e *NotRun) Error() string { return "not run: " + string(e.Reason) }
--- /dev/null
+++ b/mesh/admission/queue.go
@@ -0,0 +1,177 @@
+package admission
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Waiter is a request in the queue. The Gate fills it in.
+type Waiter struct {
+	Ticket
+	// Arrived is when the request came.
+	Arrived time.Time
+	// GiveUp is when waiting is no longer of use: an admission at that time or
+	// later comes too late.
+	GiveUp time.Time
+
+	class  *class
+	elem   *list.Element
+	index  int // in the heap of its class
+	number uint64
+}
+
+// class holds the waiters of one kind by arrival and by the time they give up.
+type class struct {
+	arrivals list.List // of *Waiter, oldest first
+	byGiveUp giveUpHeap
+}
+
+// Queue orders the requests that wait for a slot. Urgent requests come first,
+// those that give up soonest before others; then writes in order of arrival;
+// then lookups, those that give up soonest first, but the newest first under
+// overload, as the oldest would be late anyway. It is not safe for concurrent
+// use; Gate owns it.
+type Queue struct {
+	limit         int
+	overloadAfter time.Duration
+	urgent        class
+	writes        class
+	lookups       class
+	size          int
+	arrivals      uint64
+	// busySince is when the queue was last empty before its present waiters.
+	busySince time.Time
+}
+
+// NewQueue returns a queue of at most limit waiters. It is overloaded while it
+// has not been empty for overloadAfter.
+func NewQueue(limit int, overloadAfter time.Duration) *Queue {
+	return &Queue{limit: limit, overloadAfter: overloadAfter}
+}
+
+// Len returns the number of waiters.
+func (q *Queue) Len() int { return q.size }
+
+// Overloaded reports whether requests arrive faster than they are served.
+func (q *Queue) Overloaded(now time.Time) bool {
+	return q.size > 0 && now.Sub(q.busySince) >= q.overloadAfter
+}
+
+// Push adds a waiter. If the queue is full it returns the waiter that has to
+// leave, which can be w itself: the oldest lookup, for an urgent request
+// otherwise the newest write, otherwise w.
+func (q *Queue) Push(now time.Time, w *Waiter) (evicted *Waiter) {
+	if q.size >= q.limit {
+		evicted = q.victim(w)
+		if evicted == w {
+			return w
+		}
+		q.Remove(evicted)
+	}
+	if q.size == 0 && evicted == nil {
+		q.busySince = now
+	}
+	q.arrivals++
+	w.number = q.arrivals
+	w.class = q.classOf(w.Kind)
+	w.elem = w.class.arrivals.PushBack(w)
+	heap.Push(&w.class.byGiveUp, w)
+	q.size++
+	return evicted
+}
+
+func (q *Queue) victim(w *Waiter) *Waiter {
+	if oldest := q.lookups.arrivals.Front(); oldest != nil {
+		return oldest.Value.(*Waiter)
+	}
+	if newest := q.writes.arrivals.Back(); newest != nil && w.Kind == model.KindUrgent {
+		return newest.Value.(*Waiter)
+	}
+	return w
+}
+
+// Pop removes and returns the waiter that is served next; nil if there is none.
+// Call Expire first: Pop does not examine GiveUp.
+func (q *Queue) Pop(now time.Time) *Waiter {
+	var w *Waiter
+	switch {
+	case len(q.urgent.byGiveUp) > 0:
+		w = q.urgent.byGiveUp[0]
+	case q.writes.arrivals.Len() > 0:
+		w = q.writes.arrivals.Front().Value.(*Waiter)
+	case q.lookups.arrivals.Len() == 0:
+		return nil
+	case q.Overloaded(now):
+		w = q.lookups.arrivals.Back().Value.(*Waiter)
+	default:
+		w = q.lookups.byGiveUp[0]
+	}
+	q.Remove(w)
+	return w
+}
+
+// Expire removes and returns the waiters whose time to give up has come.
+func (q *Queue) Expire(now time.Time) []*Waiter {
+	var stale []*Waiter
+	for _, c := range []*class{&q.urgent, &q.writes, &q.lookups} {
+		for len(c.byGiveUp) > 0 && !now.Before(c.byGiveUp[0].GiveUp) {
+			w := c.byGiveUp[0]
+			q.Remove(w)
+			stale = append(stale, w)
+		}
+	}
+	return stale
+}
+
+// Remove takes a waiter out; it reports whether the waiter was in the queue.
+func (q *Queue) Remove(w *Waiter) bool {
+	if w.class == nil {
+		return false
+	}
+	w.class.arrivals.Remove(w.elem)
+	heap.Remove(&w.class.byGiveUp, w.index)
+	w.class, w.elem = nil, nil
+	q.size--
+	return true
+}
+
+func (q *Queue) classOf(k model.Kind) *class {
+	switch k {
+	case model.KindUrgent:
+		return &q.urgent
+	case model.KindWrite:
+		return &q.writes
+	default:
+		return &q.lookups
+	}
+}
+
+// giveUpHeap implements heap.Interface by GiveUp, then by arrival.
+type giveUpHeap []*Waiter
+
+func (h giveUpHeap) Len() int { return len(h) }
+func (h giveUpHeap) Less(i, j int) bool {
+	if c := h[i].GiveUp.Compare(h[j].GiveUp); c != 0 {
+		return c < 0
+	}
+	return h[i].number < h[j].number
+}
+func (h giveUpHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *giveUpHeap) Push(x any) {
+	w := x.(*Waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+func (h *giveUpHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/mesh/admission/queue_test.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// listQueue is the naive queue: one list in order of arrival that is sorted for each decision.
+type listQueue struct {
+	list      []*Waiter
+	limit     int
+	busySince time.Time
+}
+
+func (l *listQueue) push(now time.Time, w *Waiter) (evicted *Waiter) {
+	if len(l.list) >= l.limit {
+		i := slices.IndexFunc(l.list, func(o *Waiter) bool { return o.Kind == model.KindLookup })
+		if i < 0 && w.Kind == model.KindUrgent {
+			for j, o := range l.list {
+				if o.Kind == model.KindWrite {
+					i = j
+				}
+			}
+		}
+		if i < 0 {
+			return w
+		}
+		evicted = l.list[i]
+		l.list = slices.Delete(l.list, i, i+1)
+	} else if len(l.list) == 0 {
+		l.busySince = now
+	}
+	l.list = append(l.list, w)
+	return evicted
+}
+
+func (l *listQueue) pop(now time.Time) *Waiter {
+	if len(l.list) == 0 {
+		return nil
+	}
+	order := map[model.Kind]int{model.KindUrgent: 0, model.KindWrite: 1, model.KindLookup: 2}
+	overloaded := now.Sub(l.busySince) >= DefaultOverloadAfter
+	sorted := slices.Clone(l.list)
+	if overloaded {
+		slices.Reverse(sorted)
+	}
+	slices.SortStableFunc(sorted, func(a, b *Waiter) int {
+		if c := cmp.Compare(order[a.Kind], order[b.Kind]); c != 0 {
+			return c
+		}
+		if a.Kind == model.KindWrite {
+			return cmp.Compare(slices.Index(l.list, a), slices.Index(l.list, b))
+		}
+		if a.Kind == model.KindLookup && overloaded {
+			return 0
+		}
+		if c := a.GiveUp.Compare(b.GiveUp); c != 0 {
+			return c
+		}
+		return cmp.Compare(slices.Index(l.list, a), slices.Index(l.list, b))
+	})
+	l.remove(sorted[0])
+	return sorted[0]
+}
+
+func (l *listQueue) remove(w *Waiter) bool {
+	n := len(l.list)
+	l.list = slices.DeleteFunc(l.list, func(o *Waiter) bool { return o == w })
+	return len(l.list) < n
+}
+
+func (l *listQueue) expire(now time.Time) []*Waiter {
+	var stale []*Waiter
+	for _, w := range slices.Clone(l.list) {
+		if !now.Before(w.GiveUp) {
+			stale = append(stale, w)
+			l.remove(w)
+		}
+	}
+	return stale
+}
+
+var _ = Describe("Queue", func() {
+	It("decides like a sorted list in 30,000 random steps", func() {
+		r := rand.New(rand.NewPCG(5, 7))
+		q, naive := NewQueue(12, DefaultOverloadAfter), &listQueue{limit: 12}
+		now := time.Unix(1000, 0)
+		var known []*Waiter
+		for range 30_000 {
+			now = now.Add(time.Duration(r.IntN(12)) * time.Millisecond)
+			Expect(q.Expire(now)).To(ConsistOf(naive.expire(now)))
+			switch op := r.IntN(10); {
+			case op < 5:
+				w := &Waiter{Ticket: Ticket{Kind: model.Kinds[r.IntN(3)]}}
+				w.GiveUp = now.Add(time.Duration(1+r.IntN(200)) * time.Millisecond)
+				Expect(q.Push(now, w)).To(BeIdenticalTo(naive.push(now, w)))
+				known = append(known, w)
+			case op < 9:
+				Expect(q.Pop(now)).To(BeIdenticalTo(naive.pop(now)))
+			case len(known) > 0:
+				w := known[len(known)-1-r.IntN(min(len(known), 20))]
+				Expect(q.Remove(w)).To(Equal(naive.remove(w)))
+			}
+			Expect(q.Len()).To(Equal(len(naive.list)))
+		}
+	})
+
+	It("serves the newest lookup first only under overload, and always after urgent requests and writes", func() {
+		now := time.Unix(1000, 0)
+		q := NewQueue(10, DefaultOverloadAfter)
+		names := map[*Waiter]string{}
+		push := func(name string, k model.Kind, giveUp time.Duration) {
+			w := &Waiter{Ticket: Ticket{Kind: k}, GiveUp: now.Add(giveUp)}
+			names[w] = name
+			q.Push(now, w)
+		}
+		push("old", model.KindLookup, 300*time.Millisecond)
+		push("middle", model.KindLookup, 200*time.Millisecond)
+		push("new", model.KindLookup, 400*time.Millisecond)
+		push("write 1", model.KindWrite, 900*time.Millisecond)
+		push("write 2", model.KindWrite, 100*time.Millisecond)
+		push("urgent", model.KindUrgent, time.Second)
+		Expect(names[q.Pop(now)]).To(Equal("urgent"))
+		Expect(names[q.Pop(now)]).To(Equal("write 1"))
+		Expect(names[q.Pop(now)]).To(Equal("write 2"))
+		Expect(names[q.Pop(now)]).To(Equal("middle"))
+		Expect(names[q.Pop(now.Add(DefaultOverloadAfter))]).To(Equal("new"))
+		Expect(names[q.Pop(now.Add(DefaultOverloadAfter))]).To(Equal("old"))
+	})
+})
--- /dev/null
+++ b/mesh/admission/scheduler.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/note"
+)
+
+// Bounds on admissions of requests that had arrived before the backend server
+// began to leave or its data centre was taken out. Requests in the queue at
+// that time still get a slot within queueGrace; the limits are the targets of
+// the design and are asserted.
+const (
+	queueGrace      = time.Second
+	leaveLimit      = 2 * time.Second
+	dataCentreLimit = 3 * time.Second
+)
+
+// scheduler combines limiter, queue and state. It holds the decisions of Gate
+// and knows neither clock nor goroutine.
+type scheduler struct {
+	service  note.Service
+	limiter  *Limiter
+	queue    *Queue
+	inFlight int
+	// draining and out are the times from which no new request is accepted; zero if
+	// that is not so.
+	draining time.Time
+	out      time.Time
+}
+
+// decision is the end of a request's wait: a slot, or a refusal.
+type decision struct {
+	waiter  *Waiter
+	refused Reason
+	// inFlight is the number of requests that run, this one included.
+	inFlight int
+}
+
+func newScheduler(service note.Service, overloadAfter time.Duration) *scheduler {
+	return &scheduler{
+		service: service,
+		limiter: NewLimiter(service.Slots),
+		queue:   NewQueue(service.QueueLimit, overloadAfter),
+	}
+}
+
+// arrive admits, queues or refuses a request, and decides on others that the
+// arrival affects.
+func (s *scheduler) arrive(now time.Time, w *Waiter) []decision {
+	w.Arrived = now
+	w.GiveUp = s.giveUp(now, w.Ticket)
+	if reason := s.closed(); reason != "" {
+		return []decision{{waiter: w, refused: reason}}
+	}
+	if !w.Deadline.IsZero() && !now.Before(s.latestStart(w.Ticket)) {
+		return []decision{{waiter: w, refused: ReasonStale}}
+	}
+	if s.queue.Len() == 0 && s.inFlight < s.limiter.Limit() {
+		return []decision{s.admit(now, w)}
+	}
+	evicted := s.queue.Push(now, w)
+	decided := s.advance(now)
+	if evicted != nil {
+		decided = append(decided, decision{waiter: evicted, refused: ReasonQueueFull})
+	}
+	return decided
+}
+
+// giveUp returns when waiting is no longer of use.
+func (s *scheduler) giveUp(now time.Time, t Ticket) time.Time {
+	giveUp := now.Add(s.service.QueueTimeout)
+	if latest := s.latestStart(t); !t.Deadline.IsZero() && latest.Before(giveUp) {
+		return latest
+	}
+	return giveUp
+}
+
+// latestStart is half the usual latency before the deadline: a request that
+// starts later is almost certainly late.
+func (s *scheduler) latestStart(t Ticket) time.Time {
+	return t.Deadline.Add(-s.limiter.Expected(t.Route) / 2)
+}
+
+func (s *scheduler) closed() Reason {
+	switch {
+	case !s.draining.IsZero():
+		return ReasonDraining
+	case !s.out.IsZero():
+		return ReasonDataCentreOut
+	}
+	return ""
+}
+
+// admit gives a request a slot.
+func (s *scheduler) admit(now time.Time, w *Waiter) decision {
+	s.inFlight++
+	limit := s.limiter.Limit()
+	invariant.Check(s.inFlight <= limit && limit <= 1+s.limiter.successes, invariant.ColdStartLimit,
+		"request admitted above the demonstrated limit",
+		"in_flight", s.inFlight, "limit", limit, "successes", s.limiter.successes)
+	invariant.Check(s.draining.IsZero() || w.Arrived.Before(s.draining) && now.Sub(s.draining) <= leaveLimit,
+		invariant.LeavingServer, "request admitted on a leaving backend server",
+		"draining", s.draining, "arrived", w.Arrived, "now", now)
+	invariant.Check(s.out.IsZero() || w.Arrived.Before(s.out) && now.Sub(s.out) <= dataCentreLimit,
+		invariant.DataCentreOut, "request admitted in a data centre that is out",
+		"out", s.out, "arrived", w.Arrived, "now", now)
+	return decision{waiter: w, inFlight: s.inFlight}
+}
+
+// advance refuses stale waiters and gives free slots to others.
+func (s *scheduler) advance(now time.Time) []decision {
+	var decided []decision
+	for _, w := range s.queue.Expire(now) {
+		decided = append(decided, decision{waiter: w, refused: ReasonStale})
+	}
+	reason := s.closed()
+	late := reason != "" && now.Sub(s.closedSince()) >= queueGrace
+	for s.queue.Len() > 0 && (late || s.inFlight < s.limiter.Limit()) {
+		w := s.queue.Pop(now)
+		if late {
+			decided = append(decided, decision{waiter: w, refused: reason})
+			continue
+		}
+		decided = append(decided, s.admit(now, w))
+	}
+	return decided
+}
+
+// closedSince is when the first of the states that refuse work began.
+func (s *scheduler) closedSince() time.Time {
+	if s.draining.IsZero() || !s.out.IsZero() && s.out.Before(s.draining) {
+		return s.out
+	}
+	return s.draining
+}
+
+// finish returns a slot.
+func (s *scheduler) finish(now time.Time, sample Sample) []decision {
+	s.inFlight--
+	s.limiter.Observe(now, sample)
+	return s.advance(now)
+}
+
+// drain refuses new requests from now on.
+func (s *scheduler) drain(now time.Time) {
+	if s.draining.IsZero() {
+		s.draining = now
+	}
+}
+
+// setDataCentre follows the state of the data centre. A backend server whose
+// data centre returns has served nothing for a while and counts as cold.
+func (s *scheduler) setDataCentre(now time.Time, state note.DataCentreState) {
+	switch {
+	case state == note.DataCentreOut && s.out.IsZero():
+		s.out = now
+	case state != note.DataCentreOut && !s.out.IsZero():
+		s.out = time.Time{}
+		s.limiter.ColdStart(now)
+	}
+}
+
+// limit is the advertised concurrency limit; zero while no work is accepted.
+func (s *scheduler) limit() int {
+	if s.closed() != "" {
+		return 0
+	}
+	return s.limiter.Limit()
+}
