Add idempotency claims: replicated table, service and client

A write that is resent after a lost answer or a crashed entry node must not run again. The claim table grants a key to one attempt, keeps the answer for 24 h and grants again only after a release. The client retries by token and releases a grant that it never learned, so that its refusal as not run is true.

Random runs over lost, repeated and reordered messages, a differential run against the full history and a run of real clients over a lossy net pass, also with -race.

--- /dev/null
+++ b/mesh/claim/bench_test.go
@@ -0,0 +1,38 @@
+package claim
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkClaimAndComplete measures what one write costs a control host's
+// apply loop and how many bytes its record keeps for 24 h.
+func BenchmarkClaimAndComplete(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := NewState()
+	limits := Limits{Claims: b.N + 1, Bytes: 1 << 40}
+	commandBytes := 0
+	b.ResetTimer()
+	for i := range b.N {
+		key := keyAt(t0, fmt.Sprintf("%032d", i))
+		claim, complete := claimCommand(key, fmt.Sprintf("%026d", i), t0), completeCommand(key, fmt.Sprintf("%026d", i), t0, "recorded")
+		claim.Limits, complete.Limits = limits, limits
+		for n, c := range []Command{claim, complete} {
+			data, _ := EncodeCommand(c)
+			commandBytes += len(data)
+			decoded, _ := DecodeCommand(data)
+			s.Apply(decoded, uint64(2*i+n))
+		}
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	_, accounted := s.Len()
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "heap-B/record")
+	b.ReportMetric(float64(accounted)/float64(b.N), "accounted-B/record")
+	b.ReportMetric(float64(commandBytes)/float64(b.N), "log-B/write")
+	runtime.KeepAlive(s)
+}
--- /dev/null
+++ b/mesh/claim/client.go
@@ -0,0 +1,290 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// Caller makes a unary call to a peer; *peer.Endpoint is one.
+type Caller interface {
+	Call(ctx context.Context, addr string, want peer.Identity, name string, req, resp any) error
+}
+
+// ControlHost is a control host and the address of its peer endpoint.
+type ControlHost struct {
+	Host    model.HostID
+	Address string
+}
+
+// ClientConfig is the configuration of a Client.
+type ClientConfig struct {
+	Caller Caller
+	// Hosts returns the control hosts in order of preference.
+	Hosts func() []ControlHost
+	// Groups is the number of claim groups, the same in every process.
+	Groups uint32
+	// Incarnation returns this node's current incarnation.
+	Incarnation func() uint64
+	// TryTimeout bounds one call to one control host. A longer one waits longer
+	// for a silent host, a shorter one asks twice when commits are slow.
+	TryTimeout time.Duration
+	// PendingReleases bounds the queued background releases of each group. A
+	// release that finds the queue full is dropped; the claim then ends as
+	// "outcome unknown" at its run deadline.
+	PendingReleases int
+	Log             *slog.Logger
+}
+
+// Grant is the right to run one write once, until Deadline.
+type Grant struct {
+	Key   string
+	Token string
+	Group uint32
+	// Deadline is by this node's clock. No write may be started after it.
+	Deadline time.Time
+	digest   Digest
+}
+
+// Client claims keys for a node. The mutex guards the known leaders; each
+// group has one goroutine for background releases, started by Run.
+type Client struct {
+	cfg      ClientConfig
+	mu       sync.Mutex
+	leaders  map[uint32]model.HostID
+	releases map[uint32]chan Grant
+}
+
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.TryTimeout == 0 {
+		cfg.TryTimeout = 500 * time.Millisecond
+	}
+	if cfg.PendingReleases == 0 {
+		cfg.PendingReleases = 1024
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	c := &Client{cfg: cfg, leaders: map[uint32]model.HostID{}, releases: map[uint32]chan Grant{}}
+	for g := uint32(1); g <= cfg.Groups; g++ {
+		c.releases[g] = make(chan Grant, cfg.PendingReleases)
+	}
+	return c
+}
+
+// Claim asks for the right to run the write of the key once within lifetime.
+// It retries with the same token until ctx ends. On an error the caller must
+// not run the write; NotRun tells whether it may say so.
+func (c *Client) Claim(ctx context.Context, key string, digest Digest, route model.RouteName, lifetime time.Duration) (Grant, error) {
+	if _, err := KeyTime(key); err != nil {
+		return Grant{}, err
+	}
+	g := Grant{
+		Key: key, Token: rand.Text(), Group: GroupOf(key, c.cfg.Groups),
+		Deadline: time.Now().Add(lifetime), digest: digest,
+	}
+	req := Request{
+		Group: g.Group, Key: key, Token: g.Token, Digest: digest, Route: route,
+		Incarnation: c.cfg.Incarnation(), Lifetime: lifetime,
+	}
+	ctx, cancel := context.WithDeadline(ctx, g.Deadline)
+	defer cancel()
+	result, err := c.ask(ctx, MethodClaim, req)
+	if err == nil {
+		err = claimError(result)
+	}
+	if NotRun(err) {
+		// An earlier try of this attempt may still be applied and hold the key.
+		c.releaseLater(g)
+	}
+	if err != nil {
+		return Grant{}, err
+	}
+	return g, nil
+}
+
+// claimError turns a result that is no grant into an error.
+func claimError(r Result) error {
+	switch r.Status {
+	case StatusGranted:
+		return nil
+	case StatusAnswered:
+		return &AnsweredError{Answer: *r.Answer}
+	case StatusInProgress:
+		return eris.Wrap(ErrInProgress, "claim")
+	case StatusUnknown:
+		return eris.Wrap(ErrOutcomeUnknown, "claim")
+	case StatusMismatch:
+		return eris.Wrap(ErrBodyMismatch, "claim")
+	case StatusExpired:
+		return eris.Wrap(ErrKeyExpired, "claim")
+	case StatusAhead:
+		return eris.Wrap(ErrKeyAhead, "claim")
+	case StatusBadKey:
+		return eris.Wrap(ErrBadKey, "claim")
+	case StatusFull:
+		return eris.Wrap(ErrFull, "claim")
+	default:
+		return eris.Wrapf(ErrRefused, "claim: %s", r.Status)
+	}
+}
+
+// Complete records the answer of a granted write; it retries until ctx ends.
+func (c *Client) Complete(ctx context.Context, g Grant, a Answer) error {
+	result, err := c.ask(ctx, MethodComplete, Request{Group: g.Group, Key: g.Key, Token: g.Token, Digest: g.digest, Answer: &a})
+	return doneError(result, err, StatusAnswered)
+}
+
+// Release gives a grant back on proof that the write did not run; it retries until ctx ends.
+func (c *Client) Release(ctx context.Context, g Grant, reason string) error {
+	result, err := c.ask(ctx, MethodRelease, Request{Group: g.Group, Key: g.Key, Token: g.Token, Digest: g.digest, Reason: reason})
+	return doneError(result, err, StatusReleased)
+}
+
+// doneError hides the errors of ask, because NotRun must not hold for a
+// completion that could not be recorded.
+func doneError(r Result, err error, want Status) error {
+	switch {
+	case err != nil:
+		return eris.Wrapf(ErrNotRecorded, "want %s: %v", want, err)
+	case r.Status == want:
+		return nil
+	case r.Status == StatusNotOwner || r.Status == StatusConflict:
+		return eris.Wrapf(ErrNotOwner, "want %s: %s", want, r.Status)
+	default:
+		return eris.Wrapf(ErrNotRecorded, "want %s: %s", want, r.Status)
+	}
+}
+
+// ask sends the request to the leader of its group until it has a result.
+func (c *Client) ask(ctx context.Context, method string, req Request) (Result, error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = 5*time.Millisecond, 200*time.Millisecond
+	reason := "no control host known"
+	for ctx.Err() == nil {
+		asked := map[model.HostID]bool{}
+		for _, h := range c.order(req.Group) {
+			asked[h.Host] = true
+			resp, err := c.try(ctx, h, method, req)
+			switch {
+			case err != nil:
+				reason = err.Error()
+				c.learn(req.Group, h.Host, "")
+			case resp.Refused != "":
+				return Result{}, eris.Wrap(ErrRefused, resp.Refused)
+			case resp.NotLeader:
+				reason = "no host leads the group"
+				c.learn(req.Group, h.Host, resp.Leader)
+			case resp.Uncertain != "":
+				reason = resp.Uncertain
+			default:
+				c.learn(req.Group, "", h.Host)
+				return resp.Result, nil
+			}
+			if resp.Leader != "" && !asked[resp.Leader] {
+				break // asks the named leader next
+			}
+		}
+		sleep(ctx, wait.NextBackOff())
+	}
+	return Result{}, eris.Wrapf(ErrUnavailable, "%s: %s", method, reason)
+}
+
+func (c *Client) try(ctx context.Context, h ControlHost, method string, req Request) (Response, error) {
+	if ctx.Err() != nil {
+		return Response{}, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.TryTimeout)
+	defer cancel()
+	var resp Response
+	err := c.cfg.Caller.Call(ctx, h.Address, peer.Identity{Role: peer.RoleControl, Host: h.Host}, method, req, &resp)
+	return resp, err
+}
+
+// order returns the control hosts with the presumed leader first.
+func (c *Client) order(group uint32) []ControlHost {
+	c.mu.Lock()
+	leader := c.leaders[group]
+	c.mu.Unlock()
+	hosts := slices.Clone(c.cfg.Hosts())
+	slices.SortStableFunc(hosts, func(a, b ControlHost) int {
+		switch {
+		case a.Host == leader && b.Host != leader:
+			return -1
+		case b.Host == leader && a.Host != leader:
+			return 1
+		}
+		return 0
+	})
+	return hosts
+}
+
+// learn replaces the presumed leader old, or any with an empty old.
+func (c *Client) learn(group uint32, old, leader model.HostID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old == "" || leader != "" || c.leaders[group] == old {
+		c.leaders[group] = leader
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// releaseLater queues the release of an attempt that will never run and may
+// hold a grant whose answer was lost.
+func (c *Client) releaseLater(g Grant) {
+	select {
+	case c.releases[g.Group] <- g:
+	default:
+		telemetry.Counter("claim.release-dropped").Inc(1)
+	}
+}
+
+// Run sends the background releases until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	eg, ctx := errgroup.WithContext(ctx)
+	for _, queue := range c.releases {
+		eg.Go(func() error { return c.release(ctx, queue) })
+	}
+	return eg.Wait()
+}
+
+func (c *Client) release(ctx context.Context, queue <-chan Grant) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case g := <-queue:
+			c.releaseAttempt(ctx, g)
+		}
+	}
+}
+
+// releaseAttempt tries until the claim's run deadline, after which the claim is
+// "outcome unknown" in any case.
+func (c *Client) releaseAttempt(ctx context.Context, g Grant) {
+	ctx, cancel := context.WithDeadline(ctx, g.Deadline.Add(c.cfg.TryTimeout))
+	defer cancel()
+	if err := c.Release(ctx, g, "attempt ended before its grant was learned"); err != nil {
+		c.cfg.Log.Warn("claim not released", "key", g.Key, "group", g.Group, "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/mesh/claim/client_test.go
@@ -0,0 +1,313 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+type notLeaderError struct{ leader model.HostID }
+
+func (notLeaderError) Error() string { return "not leader" }
+
+// fakeLog is a replicated log of one group whose leader the test sets. All
+// hosts share one State, as after commit.
+type fakeLog struct {
+	mu     sync.Mutex
+	leader model.HostID
+	hint   model.HostID
+	index  uint64
+	state  *State
+}
+
+func (l *fakeLog) at(host model.HostID) Proposer { return hostLog{l, host} }
+
+type hostLog struct {
+	*fakeLog
+	host model.HostID
+}
+
+func (h hostLog) Propose(_ context.Context, data []byte) (any, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leader != h.host {
+		return nil, notLeaderError{h.hint}
+	}
+	c, err := DecodeCommand(data)
+	if err != nil {
+		return nil, err
+	}
+	h.index++
+	return h.state.Apply(c, h.index), nil
+}
+
+// fakeNet connects clients with the services and loses, delays and repeats
+// requests and loses answers at the given rate.
+type fakeNet struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	loss  float64
+	down  map[model.HostID]bool
+	hosts map[string]*Service
+	from  model.HostID
+}
+
+var errLost = errors.New("lost")
+
+func (n *fakeNet) happens() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.Float64() < n.loss
+}
+
+func (n *fakeNet) Call(ctx context.Context, addr string, _ peer.Identity, method string, req, resp any) error {
+	n.mu.Lock()
+	down := n.down[model.HostID(addr)]
+	n.mu.Unlock()
+	if down || n.happens() {
+		<-ctx.Done()
+		return errLost
+	}
+	op := map[string]Op{MethodClaim: OpClaim, MethodComplete: OpComplete, MethodRelease: OpRelease}[method]
+	serve := func() Response {
+		return n.hosts[addr].Handle(context.Background(), peer.Identity{Role: peer.RoleNode, Host: n.from}, op, req.(Request))
+	}
+	if n.happens() { // the request arrives long after its sender gave up
+		go func() { time.Sleep(3 * time.Second); serve() }()
+		<-ctx.Done()
+		return errLost
+	}
+	r := serve()
+	if n.happens() {
+		<-ctx.Done()
+		return errLost
+	}
+	*resp.(*Response) = r
+	return nil
+}
+
+type mesh struct {
+	log   *fakeLog
+	net   *fakeNet
+	hosts []ControlHost
+	svc   *Service
+}
+
+func newMesh(seed uint64, loss float64) *mesh {
+	m := &mesh{log: &fakeLog{leader: "c1", hint: "c1", state: NewState()}}
+	m.net = &fakeNet{rng: rand.New(rand.NewPCG(seed, 1)), loss: loss, down: map[model.HostID]bool{}, hosts: map[string]*Service{}, from: "n1"}
+	for _, h := range []model.HostID{"c1", "c2", "c3"} {
+		svc := NewService(ServiceConfig{
+			Groups: map[uint32]Group{1: {Log: m.log.at(h), State: m.log.state}},
+			NotLeader: func(err error) (model.HostID, bool) {
+				var not notLeaderError
+				ok := errors.As(err, &not)
+				return not.leader, ok
+			},
+		})
+		m.net.hosts[string(h)], m.svc = svc, svc
+		m.hosts = append(m.hosts, ControlHost{Host: h, Address: string(h)})
+	}
+	return m
+}
+
+// lead makes a host the leader and takes another one down.
+func (m *mesh) lead(leader, hint, down model.HostID) {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.log.leader, m.log.hint = leader, hint
+	m.net.down = map[model.HostID]bool{down: true}
+}
+
+func (m *mesh) client() *Client {
+	return NewClient(ClientConfig{Caller: m.net, Hosts: func() []ControlHost { return m.hosts }, Groups: 1, Incarnation: func() uint64 { return 1 }})
+}
+
+func newKey(name string) string { return keyAt(InstantOf(time.Now()), name) }
+
+func claimFor(c *Client, key string, d time.Duration) (Grant, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return c.Claim(ctx, key, DigestOf(nil), "restock", 5*time.Second)
+}
+
+// Guards against writes failing while a leader exists: a silent host, a wrong
+// hint and a change of leader cost time but no claim.
+func TestClientFindsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 0)
+		c := m.client()
+		for i, set := range [][3]model.HostID{{"c1", "c1", ""}, {"c3", "c1", "c1"}, {"c2", "c3", ""}, {"c2", "", ""}} {
+			m.lead(set[0], set[1], set[2])
+			g, err := claimFor(c, newKey(fmt.Sprint(i)), 3*time.Second)
+			if err != nil {
+				t.Fatalf("round %d: %v", i, err)
+			}
+			if err := c.Complete(context.Background(), g, NewAnswer(200, nil, nil)); err != nil {
+				t.Fatalf("round %d: %v", i, err)
+			}
+			var answered *AnsweredError
+			if _, err := claimFor(c, g.Key, time.Second); !errors.As(err, &answered) || answered.Answer.Status != 200 || NotRun(err) {
+				t.Fatalf("round %d: resend got %v", i, err)
+			}
+		}
+	})
+}
+
+// Guards against a false "not run": with the leader gone the client gives up,
+// says so, and releases the claim in the background once a leader is back.
+func TestClientReleasesUnlearnedGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 0)
+		c := m.client()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- c.Run(ctx) }()
+		m.lead("", "", "")
+		key := newKey("a")
+		if _, err := claimFor(c, key, time.Second); !NotRun(err) || !errors.Is(err, ErrUnavailable) {
+			t.Fatalf("got %v", err)
+		}
+		m.lead("c2", "", "")
+		time.Sleep(time.Second)
+		if records, _ := m.log.state.Len(); records != 1 {
+			t.Fatal("the release that overtook its claim left no record")
+		}
+		if _, err := claimFor(c, key, time.Second); err != nil {
+			t.Fatalf("a resend after the release got %v", err)
+		}
+		if err := (&Client{cfg: c.cfg}).Complete(canceled(), Grant{Key: key, Group: 1}, Answer{}); NotRun(err) {
+			t.Fatalf("an unrecorded completion is called not run: %v", err)
+		}
+		cancel()
+		<-done
+	})
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// Guards against claims that stay in progress for ever after their node's end.
+func TestServiceSweepsAndMarksOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 0)
+		m.lead("c3", "", "")
+		c := m.client()
+		late, gone := newKey("a"), newKey("b")
+		_, _ = claimFor(c, gone, time.Second)
+		if err := m.svc.OwnerGone(context.Background(), "n1", 1); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = claimFor(c, late, time.Second)
+		if _, err := claimFor(c, gone, time.Second); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Fatalf("owner gone: %v", err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- m.svc.Run(ctx) }()
+		time.Sleep(7 * time.Second)
+		cancel()
+		<-done
+		if m.log.state.records[late].Phase != phaseUnknown {
+			t.Fatal("claim past its run deadline is not marked")
+		}
+		if r := m.svc.Handle(context.Background(), peer.Identity{}, OpClaim, Request{Group: 2, Key: late}); r.Refused == "" {
+			t.Fatal("a key of another group is accepted")
+		}
+	})
+}
+
+// Guards against a second run with the real client and service: several nodes
+// resend the same writes over a lossy net while the leader changes.
+func TestManyNodesOverLossyNet(t *testing.T) {
+	const keys, nodes = 30, 4
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(seed, 0.2)
+			ctx, cancel := context.WithCancel(context.Background())
+			var background, work sync.WaitGroup
+			background.Go(func() { _ = m.svc.Run(ctx) })
+			background.Go(func() { m.moveLeader(ctx) })
+			var mu sync.Mutex
+			runs, told := map[string]int{}, map[string]int{}
+			for node := range nodes {
+				c := m.client()
+				background.Go(func() { _ = c.Run(ctx) })
+				rng := rand.New(rand.NewPCG(seed, uint64(node)+10))
+				work.Go(func() {
+					for k := range keys {
+						for range 3 { // resends of one caller
+							outcome := attemptWrite(c, newKeyAtStart(k), rng, func() { mu.Lock(); runs[fmt.Sprint(k)]++; mu.Unlock() })
+							mu.Lock()
+							told[outcome]++
+							mu.Unlock()
+						}
+					}
+				})
+			}
+			work.Wait()
+			time.Sleep(20 * time.Second)
+			cancel()
+			background.Wait()
+			for k, n := range runs {
+				if n > 1 {
+					t.Errorf("seed %d: key %s ran %d times", seed, k, n)
+				}
+			}
+			if len(runs) < keys*9/10 || told["answered"] == 0 {
+				t.Errorf("seed %d: only %d of %d writes ran, outcomes %v", seed, len(runs), keys, told)
+			}
+		})
+	}
+}
+
+func newKeyAtStart(k int) string { return keyAt(946_684_800_000, fmt.Sprint(k)) } // synctest starts there
+
+func (m *mesh) moveLeader(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		sleep(ctx, 700*time.Millisecond)
+		m.lead(m.hosts[i%3].Host, m.hosts[(i+2)%3].Host, "")
+	}
+}
+
+// attemptWrite is what a node does with one write: claim, run, complete. It
+// ends at a random point as if the node lost interest or crashed.
+func attemptWrite(c *Client, key string, rng *rand.Rand, run func()) string {
+	g, err := claimFor(c, key, time.Duration(200+rng.IntN(3000))*time.Millisecond)
+	var answered *AnsweredError
+	switch {
+	case errors.As(err, &answered):
+		return "answered"
+	case NotRun(err):
+		return "not run"
+	case err != nil:
+		return "refused"
+	}
+	if rng.IntN(4) == 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_ = c.Release(ctx, g, "connection refused")
+		return "released"
+	}
+	run()
+	if rng.IntN(4) == 0 {
+		return "crashed"
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = c.Complete(ctx, g, NewAnswer(200, nil, nil))
+	return "completed"
+}
--- /dev/null
+++ b/mesh/claim/fuzz_test.go
@@ -0,0 +1,60 @@
+package claim
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against a panic of the apply loop on a malformed or hostile entry.
+func FuzzCommand(f *testing.F) {
+	for _, c := range []Command{
+		claimCommand(keyAt(t0, "a"), "t1", t0), completeCommand(keyAt(t0, "a"), "t1", t0, "x"),
+		releaseCommand(keyAt(t0, "a"), "t1", t0), {Op: OpMarkUnknown, Time: t0, Owner: "n1", Incarnation: 1},
+	} {
+		b, _ := EncodeCommand(c)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := DecodeCommand(b)
+		if err != nil {
+			return
+		}
+		s := NewState()
+		s.Apply(claimCommand(keyAt(t0, "a"), "t1", t0), 1)
+		s.Apply(c, 2)
+		snap, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := NewState().Restore(snap); err != nil {
+			t.Fatalf("state after %+v does not restore: %v", c, err)
+		}
+	})
+}
+
+// Guards against a damaged snapshot that panics or restores to another state.
+func FuzzSnapshot(f *testing.F) {
+	s := &table{State: NewState()}
+	s.do(claimCommand(keyAt(t0, "a"), "t1", t0))
+	s.do(completeCommand(keyAt(t0, "a"), "t1", t0, "x"))
+	s.do(releaseCommand(keyAt(t0, "b"), "t2", t0))
+	b, _ := s.Snapshot()
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := NewState()
+		if s.Restore(b) != nil {
+			return
+		}
+		first, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := NewState()
+		if err := r.Restore(first); err != nil {
+			t.Fatal(err)
+		}
+		if second, _ := r.Snapshot(); !bytes.Equal(first, second) {
+			t.Fatal("snapshot changes when it is restored")
+		}
+	})
+}
--- /dev/null
+++ b/mesh/claim/model_test.go
@@ -0,0 +1,311 @@
+package claim
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+type stage int
+
+const (
+	asking stage = iota
+	granted
+	ran
+	notRun // the caller was told "not run"
+	over
+)
+
+// attempt is one try of a caller's write on one entry node.
+type attempt struct {
+	token, key, node string
+	stage            stage
+	runs             int
+}
+
+type reply struct {
+	a *attempt
+	r Result
+}
+
+// world is a model of callers and entry nodes around one claim group. Messages
+// and replies wait in pools, from which they are lost, repeated and reordered.
+type world struct {
+	table
+	now      Instant
+	sends    []Command
+	replies  []reply
+	attempts map[string]*attempt
+	order    []*attempt
+	runs     map[string]string // key to the token that ran it
+}
+
+func (w *world) pick(t *rapid.T, stages ...stage) *attempt {
+	var fit []*attempt
+	for _, a := range w.order {
+		if slices.Contains(stages, a.stage) {
+			fit = append(fit, a)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(fit).Draw(t, "attempt")
+}
+
+func (w *world) start(t *rapid.T) {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+	a := &attempt{token: fmt.Sprint("t", len(w.order)), key: keyAt(t0, name), node: rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "node")}
+	w.attempts[a.token] = a
+	w.order = append(w.order, a)
+	w.ask(a)
+}
+
+func (w *world) ask(a *attempt) {
+	c := claimCommand(a.key, a.token, w.now)
+	c.Limits.Claims = 2
+	w.sends = append(w.sends, c)
+}
+
+// deliver applies a message of the pool, which may stay there to arrive again.
+func (w *world) deliver(t *rapid.T) {
+	if len(w.sends) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.sends)-1).Draw(t, "message")
+	c := w.sends[i]
+	if !rapid.Bool().Draw(t, "repeat") {
+		w.sends = slices.Delete(w.sends, i, i+1)
+	}
+	r := w.do(c)
+	if a := w.attempts[c.Token]; a != nil && c.Op == OpClaim {
+		w.replies = append(w.replies, reply{a, r})
+	}
+}
+
+// hear gives a waiting reply to its attempt.
+func (w *world) hear(t *rapid.T) {
+	if len(w.replies) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply")
+	p := w.replies[i]
+	w.replies = slices.Delete(w.replies, i, i+1)
+	if p.a.stage != asking {
+		return
+	}
+	switch p.r.Status {
+	case StatusGranted:
+		p.a.stage = granted
+	case StatusFull:
+		w.tellNotRun(p.a)
+	case StatusAnswered:
+		if body := string(p.r.Answer.Body); body != w.runs[p.a.key] {
+			t.Fatalf("key %s: recorded answer of %q, but %q ran", p.a.key, body, w.runs[p.a.key])
+		}
+		p.a.stage = over
+	default:
+		p.a.stage = over
+	}
+}
+
+func (w *world) tellNotRun(a *attempt) {
+	a.stage = notRun
+	w.sends = append(w.sends, releaseCommand(a.key, a.token, w.now))
+}
+
+func (w *world) run(t *rapid.T, a *attempt) {
+	if by, ok := w.runs[a.key]; ok {
+		t.Fatalf("key %s ran twice: by %s and %s", a.key, by, a.token)
+	}
+	w.runs[a.key] = a.token
+	a.stage = ran
+	a.runs++
+}
+
+func (w *world) crash(node string) {
+	for _, a := range w.order {
+		if a.node == node && a.stage != notRun {
+			a.stage = over
+		}
+	}
+	w.sends = append(w.sends, Command{Op: OpMarkUnknown, Time: w.now, Owner: "n1", Incarnation: 1})
+}
+
+func (w *world) step(t *rapid.T) {
+	switch rapid.IntRange(0, 15).Draw(t, "action") {
+	case 0:
+		w.start(t)
+	case 2, 3, 4:
+		w.deliver(t)
+	case 5, 6:
+		w.hear(t)
+	case 7:
+		if a := w.pick(t, asking); a != nil {
+			w.ask(a)
+		}
+	case 8:
+		if a := w.pick(t, asking); a != nil {
+			w.tellNotRun(a)
+		}
+	case 9, 14:
+		if a := w.pick(t, granted); a != nil {
+			w.run(t, a)
+		}
+	case 10:
+		if a := w.pick(t, granted); a != nil {
+			w.tellNotRun(a)
+		}
+	case 11, 15:
+		if a := w.pick(t, ran); a != nil {
+			w.sends = append(w.sends, completeCommand(a.key, a.token, w.now, a.token))
+		}
+	case 12:
+		w.crash(rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "node"))
+	case 13:
+		w.now += rapid.SampledFrom([]Instant{100, 1000, 10_000, 2 * minute, 9 * hour}).Draw(t, "span")
+		if b, err := w.Snapshot(); err != nil || w.Restore(b) != nil {
+			t.Fatalf("snapshot does not restore: %v", err)
+		}
+	}
+}
+
+// Guards against a second run of a write and against a false "not run" under
+// lost, repeated and reordered messages, crashes of entry nodes and expiry.
+func TestWritesRunAtMostOnce(t *testing.T) {
+	grants, writes, answers := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{table: table{State: NewState()}, now: t0, attempts: map[string]*attempt{}, runs: map[string]string{}}
+		for range rapid.IntRange(50, 250).Draw(t, "steps") {
+			w.step(t)
+			for _, a := range w.order {
+				if a.stage == notRun && a.runs > 0 {
+					t.Fatalf("attempt %s was called not run but ran", a.token)
+				}
+			}
+		}
+		for _, r := range w.records {
+			if r.Phase == phaseAnswered {
+				answers++
+			}
+		}
+		grants += len(w.order)
+		writes += len(w.runs)
+	})
+	t.Logf("%d attempts, %d writes ran, %d answers recorded at the end", grants, writes, answers)
+	if writes == 0 || answers == 0 {
+		t.Fatal("the runs exercise nothing")
+	}
+}
+
+// naive decides by reading the whole history of a key again for each command.
+type naive struct {
+	clock   Instant
+	history map[string][]Command // accepted commands, and the marks
+}
+
+func (n *naive) apply(c Command) Status {
+	n.clock = max(n.clock, c.Time)
+	created, err := KeyTime(c.Key)
+	switch {
+	case c.Op == OpMarkUnknown:
+		for k := range n.history {
+			n.history[k] = append(n.history[k], c)
+		}
+		return StatusDone
+	case err != nil:
+		return StatusBadKey
+	case created+24*hour <= n.clock:
+		return StatusExpired
+	case c.Op == OpClaim && created > n.clock+5*minute:
+		return StatusAhead
+	}
+	n.history[c.Key] = append(n.history[c.Key], Command{Op: OpMarkUnknown, Time: n.clock}, c)
+	return n.fold(c.Key)
+}
+
+// fold replays the history and returns the status of its last command.
+func (n *naive) fold(key string) (last Status) {
+	var holder, answer string
+	var first, open Command
+	released, unknown := map[string]bool{}, false
+	for _, c := range n.history[key] {
+		switch {
+		case c.Op == OpMarkUnknown:
+			gone := c.Owner != "" && c.Owner == open.Owner && c.Incarnation >= open.Incarnation
+			unknown = unknown || holder != "" && (gone || open.RunDeadline < c.Time)
+		case c.Op == OpRelease && (released[c.Token] || holder != c.Token || answer == ""):
+			released[c.Token] = true
+			if holder == c.Token {
+				holder, unknown = "", false
+			}
+			last = StatusReleased
+		case c.Op == OpRelease:
+			last = StatusNotOwner
+		case c.Op == OpComplete && holder != c.Token:
+			last = StatusNotOwner
+		case c.Op == OpComplete && answer != "" && answer != string(c.Answer.Body):
+			last = StatusConflict
+		case c.Op == OpComplete:
+			answer, last = string(c.Answer.Body), StatusAnswered
+		case released[c.Token]:
+			last = StatusReleased
+		case first.Op != 0 && first.Digest != c.Digest:
+			last = StatusMismatch
+		case holder == "":
+			holder, open, last = c.Token, c, StatusGranted
+			if first.Op == 0 {
+				first = c
+			}
+		case answer != "":
+			last = StatusAnswered
+		case unknown:
+			last = StatusUnknown
+		case holder == c.Token:
+			last = StatusGranted
+		default:
+			last = StatusInProgress
+		}
+	}
+	return last
+}
+
+// Guards against the table (expiry, snapshots, remembered tokens) deciding
+// otherwise than a full history would.
+func TestStateAgainstHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &table{State: NewState()}
+		n := &naive{history: map[string][]Command{}}
+		now := t0
+		done := map[string]bool{} // tokens that were released, which must not complete
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.SampledFrom([]Instant{-minute, 0, 1, minute / 2, 5 * hour}).Draw(t, "span")
+			key := keyAt(t0+rapid.SampledFrom([]Instant{0, hour}).Draw(t, "created"), "k")
+			token := fmt.Sprint("t", rapid.IntRange(0, 4).Draw(t, "token"))
+			c := claimCommand(key, token, now)
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				c.Digest = DigestOf([]byte(rapid.SampledFrom([]string{"body", "other"}).Draw(t, "body")))
+			case 1:
+				c = releaseCommand(key, token, now)
+				done[key+token] = true
+			case 2:
+				c = completeCommand(key, token, now, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "answer"))
+			case 3:
+				c = Command{Op: OpMarkUnknown, Time: now, Owner: "n1", Incarnation: rapid.Uint64Range(0, 1).Draw(t, "incarnation")}
+			}
+			if c.Op == OpComplete && done[key+token] {
+				continue // the protocol forbids it and the assertion covers it
+			}
+			got, want := s.do(c).Status, n.apply(c)
+			if got != want {
+				t.Fatalf("%s %s %s at %d: %s, want %s", c.Op, key, token, now, got, want)
+			}
+			if b, err := s.Snapshot(); err != nil || s.Restore(b) != nil {
+				t.Fatal("snapshot does not restore")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/mesh/claim/service.go
@@ -0,0 +1,173 @@
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// The peer methods of control hosts.
+const (
+	MethodClaim    = "claim.claim"
+	MethodComplete = "claim.complete"
+	MethodRelease  = "claim.release"
+)
+
+// maxLifetime bounds the run deadline of a claim, so that a wrong message
+// cannot keep a key in progress for its whole life. It covers the greatest
+// route timeout that a configuration accepts.
+const maxLifetime = 10 * time.Minute
+
+// Proposer is a replicated log; the result is what State.Apply returned.
+type Proposer interface {
+	Propose(ctx context.Context, data []byte) (any, error)
+}
+
+// Group is one claim group on this control host.
+type Group struct {
+	Log Proposer
+	// State is the table that the log applies to; the service only reads from it.
+	State *State
+}
+
+// ServiceConfig is the configuration of a Service.
+type ServiceConfig struct {
+	// Groups are the claim groups from number 1; every process has the same number of them.
+	Groups map[uint32]Group
+	// NotLeader reports whether a proposal failed because another host leads,
+	// and which one if known. Every other failure counts as of unknown outcome.
+	NotLeader func(error) (model.HostID, bool)
+	Limits    Limits
+	// SweepInterval is the time between two looks for claims past their run
+	// deadline. A longer one leaves "in progress" standing longer after a crash.
+	SweepInterval time.Duration
+	Now           func() time.Time
+	Log           *slog.Logger
+}
+
+// Service answers nodes on a control host. It has no state of its own.
+type Service struct{ cfg ServiceConfig }
+
+// NewService returns a service for the groups.
+func NewService(cfg ServiceConfig) *Service {
+	if cfg.Limits == (Limits{}) {
+		cfg.Limits = DefaultLimits
+	}
+	if cfg.SweepInterval == 0 {
+		cfg.SweepInterval = time.Second
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Service{cfg: cfg}
+}
+
+// Register adds the methods to the endpoint; only nodes may use them.
+func (s *Service) Register(e *peer.Endpoint) {
+	nodes := []peer.Role{peer.RoleNode}
+	peer.HandleCall(e, MethodClaim, nodes, s.handler(OpClaim))
+	peer.HandleCall(e, MethodComplete, nodes, s.handler(OpComplete))
+	peer.HandleCall(e, MethodRelease, nodes, s.handler(OpRelease))
+}
+
+func (s *Service) handler(op Op) func(context.Context, peer.Identity, Request) (Response, error) {
+	return func(ctx context.Context, from peer.Identity, req Request) (Response, error) {
+		return s.Handle(ctx, from, op, req), nil
+	}
+}
+
+// Handle proposes the command of one request and waits for its result.
+func (s *Service) Handle(ctx context.Context, from peer.Identity, op Op, req Request) Response {
+	g, ok := s.cfg.Groups[req.Group]
+	if !ok || GroupOf(req.Key, uint32(len(s.cfg.Groups))) != req.Group {
+		return Response{Refused: "the key does not belong to this group"}
+	}
+	if req.Lifetime < 0 || req.Lifetime > maxLifetime {
+		return Response{Refused: "lifetime out of range"}
+	}
+	now := InstantOf(s.cfg.Now())
+	return s.propose(ctx, g, Command{
+		Op: op, Key: req.Key, Time: now, Token: req.Token, Digest: req.Digest, Route: req.Route,
+		Owner: from.Host, Incarnation: req.Incarnation, RunDeadline: now.add(req.Lifetime),
+		Limits: s.cfg.Limits, Answer: req.Answer, Reason: req.Reason,
+	})
+}
+
+func (s *Service) propose(ctx context.Context, g Group, c Command) Response {
+	data, err := EncodeCommand(c)
+	if err != nil {
+		return Response{Refused: err.Error()}
+	}
+	out, err := g.Log.Propose(ctx, data)
+	if err != nil {
+		if leader, not := s.cfg.NotLeader(err); not {
+			return Response{NotLeader: true, Leader: leader}
+		}
+		return Response{Uncertain: err.Error()}
+	}
+	result, ok := out.(Result)
+	if !ok {
+		return Response{Uncertain: "the log returned no claim result"}
+	}
+	telemetry.Counter("claim." + c.Op.String() + "." + result.Status.String()).Inc(1)
+	return Response{Result: result}
+}
+
+// Run marks claims past their run deadline as unknown in the groups that this
+// host leads, until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	t := time.NewTicker(s.cfg.SweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			s.sweep(ctx)
+		}
+	}
+}
+
+func (s *Service) sweep(ctx context.Context) {
+	now := InstantOf(s.cfg.Now())
+	for number, g := range s.cfg.Groups {
+		if g.State.Due(now) {
+			s.mark(ctx, number, g, Command{Op: OpMarkUnknown, Time: now})
+		}
+	}
+}
+
+// OwnerGone marks the claims in progress of the owner's incarnations up to the
+// given one as unknown. It may be called on any control host; only the leader
+// of a group proposes. It returns an error if a group's leader could not commit.
+func (s *Service) OwnerGone(ctx context.Context, owner model.HostID, incarnation uint64) error {
+	now := InstantOf(s.cfg.Now())
+	for number, g := range s.cfg.Groups {
+		if !g.State.Holds(owner, incarnation) {
+			continue
+		}
+		c := Command{Op: OpMarkUnknown, Time: now, Owner: owner, Incarnation: incarnation}
+		if r := s.mark(ctx, number, g, c); r.Uncertain != "" {
+			return eris.Wrapf(ErrUnavailable, "group %d: %s", number, r.Uncertain)
+		}
+	}
+	return nil
+}
+
+func (s *Service) mark(ctx context.Context, number uint32, g Group, c Command) Response {
+	r := s.propose(ctx, g, c)
+	if r.Result.Marked > 0 {
+		s.cfg.Log.Warn("claims marked as outcome unknown", "group", number, "claims", r.Result.Marked,
+			"owner", string(c.Owner), "incarnation", c.Incarnation)
+	}
+	return r
+}
--- /dev/null
+++ b/mesh/claim/state.go
@@ -0,0 +1,352 @@
+// Package claim keeps writes from running twice. Before the first byte of a
+// write goes to a backend server, the entry node claims the write's
+// idempotency key in a replicated log group. State is the replicated table,
+// Service the handler on control hosts and Client the entry node's side.
+package claim
+
+import (
+	"container/heap"
+	"slices"
+	"sync"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	// recordOverhead is the accounted size of a record beside its strings. A
+	// benchmark run measured 510 B of heap for a record with 103 B of strings.
+	recordOverhead = 400
+	// maxDropped bounds the expired records that one command drops, so that no entry takes long to apply.
+	maxDropped = 64
+	// maxReleased bounds the remembered tokens of released attempts of one key.
+	maxReleased = 8
+	maxField    = 128
+)
+
+type phase uint8
+
+const (
+	phaseInProgress phase = iota + 1
+	phaseAnswered
+	phaseUnknown
+	phaseReleased
+)
+
+// record is the state of one key.
+type record struct {
+	Key         string          `cbor:"1,keyasint"`
+	Phase       phase           `cbor:"2,keyasint"`
+	Digest      Digest          `cbor:"3,keyasint"`
+	Route       model.RouteName `cbor:"4,keyasint,omitempty"`
+	Owner       model.HostID    `cbor:"5,keyasint,omitempty"`
+	Incarnation uint64          `cbor:"6,keyasint,omitempty"`
+	Token       string          `cbor:"7,keyasint,omitempty"`
+	RunDeadline Instant         `cbor:"8,keyasint,omitempty"`
+	Index       uint64          `cbor:"9,keyasint,omitempty"`
+	Answer      *Answer         `cbor:"10,keyasint,omitempty"`
+	// Released are the tokens of the newest released attempts. A delayed claim of one gets no grant.
+	Released []string `cbor:"11,keyasint,omitempty"`
+	created  Instant
+}
+
+func (r *record) size() int {
+	n := recordOverhead + len(r.Key) + len(r.Route) + len(r.Owner) + len(r.Token)
+	for _, t := range r.Released {
+		n += len(t)
+	}
+	if r.Answer != nil {
+		n += r.Answer.size()
+	}
+	return n
+}
+
+// matches reports whether c is the same request. A release that overtook its
+// claim leaves a record without digest and route, which matches any.
+func (r *record) matches(c Command) bool {
+	return r.Index == 0 || r.Digest == c.Digest && r.Route == c.Route
+}
+
+// State is the replicated claim table of one group. It is deterministic: it
+// depends only on the applied commands, and its clock is the greatest time
+// that a command carried. One mutex guards it; the log applies and the service
+// asks what is due.
+type State struct {
+	mu      sync.Mutex
+	clock   Instant
+	records map[string]*record
+	expiry  expiryHeap
+	// running are the records in progress, which OpMarkUnknown scans.
+	running map[string]*record
+	bytes   int
+}
+
+// NewState returns an empty table.
+func NewState() *State {
+	return &State{records: map[string]*record{}, running: map[string]*record{}}
+}
+
+// Len returns the number of records and their accounted bytes.
+func (s *State) Len() (records, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records), s.bytes
+}
+
+// Due reports whether a claim in progress has passed its run deadline.
+func (s *State) Due(now Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.running {
+		if r.RunDeadline < now {
+			return true
+		}
+	}
+	return false
+}
+
+// Holds reports whether an incarnation of the owner up to the given one has a claim in progress.
+func (s *State) Holds(owner model.HostID, incarnation uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.running {
+		if r.Owner == owner && r.Incarnation <= incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Apply applies the command of the log entry at index.
+func (s *State) Apply(c Command, index uint64) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock = max(s.clock, c.Time)
+	s.dropExpired()
+	if c.Op == OpMarkUnknown {
+		return s.markUnknown(c)
+	}
+	if status := s.check(c); status != 0 {
+		return Result{Status: status}
+	}
+	switch c.Op {
+	case OpClaim:
+		return s.claim(c, index)
+	case OpComplete:
+		return s.complete(c)
+	default:
+		return s.release(c)
+	}
+}
+
+// check returns the refusal of a command whose fields or key are out of bounds, or 0.
+func (s *State) check(c Command) Status {
+	created, err := KeyTime(c.Key)
+	switch {
+	case c.Op < OpClaim || c.Op > OpRelease:
+		return StatusBadCommand
+	case err != nil:
+		return StatusBadKey
+	case c.Token == "" || len(c.Token) > maxField || len(c.Route) > maxField || len(c.Owner) > maxField:
+		return StatusBadCommand
+	case c.Op == OpComplete && (c.Answer == nil || !c.Answer.valid()):
+		return StatusBadCommand
+	case created.add(KeyLifetime) <= s.clock:
+		return StatusExpired
+	case c.Op == OpClaim && created > s.clock.add(MaxAhead):
+		return StatusAhead
+	}
+	return 0
+}
+
+func (s *State) claim(c Command, index uint64) Result {
+	r := s.records[c.Key]
+	if r == nil {
+		if s.full(c) {
+			return Result{Status: StatusFull}
+		}
+		return s.grant(s.insert(c.Key), c, index)
+	}
+	if slices.Contains(r.Released, c.Token) {
+		return Result{Status: StatusReleased}
+	}
+	if !r.matches(c) {
+		return Result{Status: StatusMismatch}
+	}
+	s.expireRun(r)
+	switch r.Phase {
+	case phaseAnswered:
+		return Result{Status: StatusAnswered, Answer: r.Answer}
+	case phaseUnknown:
+		return Result{Status: StatusUnknown}
+	case phaseInProgress:
+		if r.Token == c.Token {
+			return Result{Status: StatusGranted, Index: r.Index}
+		}
+		return Result{Status: StatusInProgress}
+	default:
+		return s.grant(r, c, index)
+	}
+}
+
+func (s *State) full(c Command) bool {
+	size := recordOverhead + len(c.Key) + len(c.Route) + len(c.Owner) + len(c.Token)
+	return len(s.records) >= c.Limits.Claims || s.bytes+size > c.Limits.Bytes
+}
+
+// grant gives the claim to the command's attempt.
+func (s *State) grant(r *record, c Command, index uint64) Result {
+	invariant.Check(r.Phase == phaseReleased, invariant.WriteAtMostOnce, "second grant of a key",
+		"key", r.Key, "phase", r.Phase, "holder", r.Token, "token", c.Token, "index", index)
+	s.update(r, func() {
+		r.Phase, r.Digest, r.Route = phaseInProgress, c.Digest, c.Route
+		r.Owner, r.Incarnation, r.Token = c.Owner, c.Incarnation, c.Token
+		r.RunDeadline, r.Index = c.RunDeadline, index
+	})
+	s.running[r.Key] = r
+	return Result{Status: StatusGranted, Index: index}
+}
+
+func (s *State) complete(c Command) Result {
+	r := s.records[c.Key]
+	if r == nil {
+		return Result{Status: StatusNotOwner}
+	}
+	invariant.Check(!slices.Contains(r.Released, c.Token), invariant.TrueNotRun, "answer of an attempt that was released as not run",
+		"key", r.Key, "token", c.Token)
+	switch {
+	case r.Token != c.Token || r.Phase == phaseReleased:
+		return Result{Status: StatusNotOwner}
+	case r.Phase == phaseAnswered && !r.Answer.same(*c.Answer):
+		return Result{Status: StatusConflict, Answer: r.Answer}
+	case r.Phase == phaseAnswered:
+		return Result{Status: StatusAnswered, Answer: r.Answer}
+	}
+	a := *c.Answer
+	if s.bytes+a.size() > c.Limits.Bytes {
+		a = a.withoutBody()
+	}
+	s.setAnswer(r, a)
+	return Result{Status: StatusAnswered, Answer: r.Answer}
+}
+
+func (s *State) setAnswer(r *record, a Answer) {
+	invariant.Check(r.Answer == nil || r.Answer.same(a), invariant.WriteAtMostOnce, "recorded answer replaced by another",
+		"key", r.Key, "token", r.Token)
+	s.update(r, func() { r.Phase, r.Answer = phaseAnswered, &a })
+	delete(s.running, r.Key)
+}
+
+// release ends the attempt of the token. A release that overtakes its claim is
+// remembered, so that the claim gets no grant that nobody would use.
+func (s *State) release(c Command) Result {
+	r := s.records[c.Key]
+	if r == nil {
+		if s.full(c) {
+			return Result{Status: StatusFull}
+		}
+		r = s.insert(c.Key)
+	}
+	switch {
+	case slices.Contains(r.Released, c.Token):
+		return Result{Status: StatusReleased}
+	case r.Token == c.Token && r.Phase == phaseAnswered:
+		return Result{Status: StatusNotOwner}
+	}
+	held := r.Token == c.Token
+	s.update(r, func() {
+		r.Released = append(slices.Clone(r.Released), c.Token)
+		r.Released = r.Released[max(0, len(r.Released)-maxReleased):]
+		if held {
+			r.Phase, r.Token = phaseReleased, ""
+		}
+	})
+	if held {
+		delete(s.running, r.Key)
+	}
+	return Result{Status: StatusReleased}
+}
+
+func (s *State) markUnknown(c Command) Result {
+	marked := 0
+	for _, r := range s.running {
+		gone := c.Owner != "" && r.Owner == c.Owner && r.Incarnation <= c.Incarnation
+		if gone || r.RunDeadline < s.clock {
+			s.toUnknown(r)
+			marked++
+		}
+	}
+	return Result{Status: StatusDone, Marked: marked}
+}
+
+func (s *State) expireRun(r *record) {
+	if r.Phase == phaseInProgress && r.RunDeadline < s.clock {
+		s.toUnknown(r)
+	}
+}
+
+func (s *State) toUnknown(r *record) {
+	r.Phase = phaseUnknown
+	delete(s.running, r.Key)
+}
+
+// insert adds a record without a holder.
+func (s *State) insert(key string) *record {
+	created, _ := KeyTime(key) // checked before
+	r := &record{Key: key, Phase: phaseReleased, created: created}
+	s.add(r)
+	return r
+}
+
+func (s *State) add(r *record) {
+	s.records[r.Key] = r
+	s.bytes += r.size()
+	heap.Push(&s.expiry, r)
+}
+
+// update changes a record and keeps the accounted bytes right.
+func (s *State) update(r *record, change func()) {
+	s.bytes -= r.size()
+	change()
+	s.bytes += r.size()
+}
+
+func (s *State) dropExpired() {
+	for range maxDropped {
+		if len(s.expiry) == 0 || s.expiry[0].created.add(KeyLifetime) > s.clock {
+			return
+		}
+		r, _ := heap.Pop(&s.expiry).(*record)
+		delete(s.records, r.Key)
+		delete(s.running, r.Key)
+		s.bytes -= r.size()
+	}
+}
+
+// expiryHeap orders records by creation time, then key, so that every host
+// drops the same ones.
+type expiryHeap []*record
+
+func (h expiryHeap) Len() int { return len(h) }
+func (h expiryHeap) Less(i, j int) bool {
+	if h[i].created != h[j].created {
+		return h[i].created < h[j].created
+	}
+	return h[i].Key < h[j].Key
+}
+func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	r, _ := x.(*record)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return r
+}
