Add the JSON settings of control hosts and nodes

Both roles need settings before they can be started. An unknown or repeated key, a missing unit, a value out of range and a contradiction between fields are refused with the field's path; the other fields keep their documented defaults. Relative file names start at the folder of the settings file.

Tested with a table of refusals; FuzzSettings ran 8 s without a finding.

--- /dev/null
+++ b/mesh/settings/node.go
@@ -0,0 +1,173 @@
+package settings
+
+import (
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Node holds the settings of a node.
+type Node struct {
+	Process
+	// Listen holds the addresses that the process listens on.
+	Listen NodeListen `json:"listen"`
+	// Advertise holds the addresses that other processes use.
+	Advertise Advertise `json:"advertise"`
+	// Backend is the backend server beside this node.
+	Backend Backend `json:"backend"`
+	// CacheFile keeps the newest configuration for a restart while the source
+	// is out; empty, the default, keeps none. A restarted node then routes only
+	// once it has learned the position from control hosts or peers.
+	CacheFile string `json:"cache_file"`
+	// Timeouts holds the time limits.
+	Timeouts NodeTimeouts `json:"timeouts"`
+	// FanOut bounds the node's part in the distribution tree.
+	FanOut FanOut `json:"fan_out"`
+	// Limits holds the size limits.
+	Limits NodeLimits `json:"limits"`
+}
+
+// NodeListen holds the listen addresses of a node.
+type NodeListen struct {
+	// Caller is the TCP address for callers' HTTP requests.
+	Caller string `json:"caller" validate:"required,listen"`
+	// Outgoing is the TCP address for HTTP requests that the own backend server
+	// sends to other services. It should be a loopback address.
+	Outgoing string `json:"outgoing" validate:"required,listen"`
+	// Peer is the UDP address for control streams.
+	Peer string `json:"peer" validate:"required,listen"`
+	// Call is the TCP address for calls of other nodes.
+	Call string `json:"call" validate:"required,listen"`
+	// Admin is the TCP address for metrics and health. It should be a loopback
+	// address, since it asks for no token.
+	Admin string `json:"admin" validate:"required,listen"`
+}
+
+// Advertise holds the addresses by which other processes reach a node. Empty
+// ones stand for the listen addresses; they are needed if those name no host.
+type Advertise struct {
+	// Peer is the UDP address for control streams.
+	Peer string `json:"peer" validate:"omitempty,address"`
+	// Call is the TCP address for calls of other nodes.
+	Call string `json:"call" validate:"omitempty,address"`
+}
+
+// Backend is the backend server beside a node.
+type Backend struct {
+	// Service is the service that it answers for.
+	Service model.ServiceName `json:"service" validate:"required,name"`
+	// Version is its version.
+	Version model.ServiceVersion `json:"version" validate:"required,name"`
+	// URL is where it answers, such as http://127.0.0.1:8080.
+	URL string `json:"url" validate:"required,http_url"`
+	// Slots is the number of requests that it runs at a time. A number above the
+	// true one overloads it, a lower one wastes capacity.
+	Slots int `json:"slots" validate:"min=1,max=10000"`
+	// Connections bounds the connections to it, at least Slots. Spare ones
+	// replace silent connections without delay.
+	Connections int `json:"connections" validate:"min=1,max=10000,gtefield=Slots"`
+	// HealthPath is asked before the first request is sent; default /healthz.
+	HealthPath string `json:"health_path" validate:"startswith=/,max=1024"`
+}
+
+// NodeTimeouts holds the time limits of a node.
+type NodeTimeouts struct {
+	// LeaseRenew is the interval of renewals with a control host; default
+	// 500ms. A shorter one tolerates more lost renewals and costs bytes; it must
+	// be at most a third of EndpointLease.
+	LeaseRenew time.Duration `json:"lease_renew" validate:"min=50ms,max=20s"`
+	// EndpointLease is the lease that control hosts grant; default 2s. It must
+	// equal timeouts.endpoint_lease of the control hosts.
+	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=500ms,max=1m"`
+	// ParentSilence is the silence after which a tree parent is replaced;
+	// default 1s. A shorter one converges sooner after a crash and replaces
+	// parents whose host is merely slow.
+	ParentSilence time.Duration `json:"parent_silence" validate:"min=200ms,max=30s"`
+	// Repair is the interval of comparing positions with a random peer; default
+	// 2s. A shorter one repairs lost updates sooner and costs bytes.
+	Repair time.Duration `json:"repair" validate:"min=200ms,max=1m"`
+	// Connect bounds making a connection to a backend server or node; default
+	// 250ms. A shorter one fails over sooner, but not across a slow link.
+	Connect time.Duration `json:"connect" validate:"min=5ms,max=10s"`
+	// Health is the interval of health requests to the backend server; default
+	// 1s. A shorter one costs the backend server requests.
+	Health time.Duration `json:"health" validate:"min=50ms,max=1m"`
+	// Drain is how long running requests may go on at a planned stop; default
+	// 15s. A longer one interrupts no slow request, a shorter one stops sooner.
+	Drain time.Duration `json:"drain" validate:"min=0s,max=10m"`
+	// HeaderRead bounds reading a caller's request header; default 5s. A
+	// shorter one frees connections of slow callers sooner.
+	HeaderRead time.Duration `json:"header_read" validate:"min=100ms,max=1m"`
+}
+
+// FanOut bounds a node's part in the distribution tree.
+type FanOut struct {
+	// Children bounds the nodes that this node serves; default 8. More make
+	// the tree flatter and cost this node bytes.
+	Children int `json:"children" validate:"min=1,max=64"`
+	// Candidates is the number of possible parents; default 3. More find a
+	// parent sooner after failures and spread the children less evenly.
+	Candidates int `json:"candidates" validate:"min=1,max=16"`
+	// Snapshots bounds the snapshots sent together; default 2. More end a storm
+	// of restarts sooner and cost this node processor time.
+	Snapshots int `json:"snapshots" validate:"min=1,max=16"`
+}
+
+// NodeLimits holds the size limits of a node.
+type NodeLimits struct {
+	// BodyBytes bounds a request body; default 4194304 bytes. A greater one
+	// admits greater uploads and costs memory for each call.
+	BodyBytes int64 `json:"body_bytes" validate:"min=1024,max=1073741824"`
+	// HeaderBytes bounds a request header; default 65536 bytes.
+	HeaderBytes int `json:"header_bytes" validate:"min=1024,max=1048576"`
+	// Calls bounds the calls of this entry side in flight; default 4096. Beyond
+	// it calls are refused as not run, which protects the node's memory.
+	Calls int `json:"calls" validate:"min=1,max=1000000"`
+}
+
+// DefaultNode returns the defaults of the fields that have one.
+func DefaultNode() Node {
+	return Node{
+		Backend: Backend{HealthPath: "/healthz"},
+		Timeouts: NodeTimeouts{
+			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: time.Second,
+			Repair: 2 * time.Second, Connect: 250 * time.Millisecond, Health: time.Second,
+			Drain: 15 * time.Second, HeaderRead: 5 * time.Second,
+		},
+		FanOut: FanOut{Children: 8, Candidates: 3, Snapshots: 2},
+		Limits: NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096},
+	}
+}
+
+// check checks what concerns several fields.
+func (n *Node) check() error {
+	if n.Timeouts.LeaseRenew*3 > n.Timeouts.EndpointLease {
+		return invalid("timeouts.lease_renew", "%s is more than a third of endpoint_lease %s",
+			n.Timeouts.LeaseRenew, n.Timeouts.EndpointLease)
+	}
+	for i, h := range n.ControlHosts {
+		if h.Host == n.Host {
+			return invalid(index("control_hosts", i)+".host", "%q is this node", h.Host)
+		}
+	}
+	if n.Advertise.Peer == "" && !namesHost(n.Listen.Peer) {
+		return invalid("advertise.peer", "is needed since listen.peer names no host")
+	}
+	if n.Advertise.Call == "" && !namesHost(n.Listen.Call) {
+		return invalid("advertise.call", "is needed since listen.call names no host")
+	}
+	return nil
+}
+
+// fill sets the fields that default to others.
+func (n *Node) fill() {
+	if n.Advertise.Peer == "" {
+		n.Advertise.Peer = n.Listen.Peer
+	}
+	if n.Advertise.Call == "" {
+		n.Advertise.Call = n.Listen.Call
+	}
+}
+
+// paths lists the file names that may be relative to the settings file.
+func (n *Node) paths() []*string { return append(n.Process.paths(), &n.CacheFile) }
--- /dev/null
+++ b/mesh/settings/settings_test.go
@@ -0,0 +1,118 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const processPart = `
+  "data_centre": "thun", "region": "aare", "cluster": "aare",
+  "credentials": {"ca": "ca.pem", "certificate": "x.pem", "key": "/keys/x-key.pem"},
+  "control_hosts": [{"host": "c1", "data_centre": "thun", "peer": "127.0.0.1:7001", "voter": true}],`
+
+const controlJSON = `{"host": "c1",` + processPart + `
+  "data_dir": "data", "listen": {"peer": "127.0.0.1:7001", "operator": "127.0.0.1:7101"},
+  "data_centres": ["thun"],
+  "operator_tls": {"certificate": "server.pem", "key": "server-key.pem"},
+  "operators": [{"name": "berta", "token_sha256": "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"}],
+  "timeouts": {"election": "1s"}, "claim_groups": 4}`
+
+const nodeJSON = `{"host": "n1",` + processPart + `
+  "listen": {"caller": "127.0.0.1:8001", "outgoing": "127.0.0.1:8002", "peer": "127.0.0.1:8003",
+    "call": "127.0.0.1:8004", "admin": "127.0.0.1:8005"},
+  "backend": {"service": "ledger", "version": "v1", "url": "http://127.0.0.1:9001", "slots": 20, "connections": 100},
+  "timeouts": {"lease_renew": "500ms"}}`
+
+// refusal parses the JSON with one text replaced and returns the bad field.
+func refusal(text, old, with string) string {
+	Expect(text).To(ContainSubstring(old))
+	text = strings.Replace(text, old, with, 1)
+	_, err := settings.ParseControl([]byte(text))
+	if strings.Contains(text, `"backend"`) {
+		_, err = settings.ParseNode([]byte(text))
+	}
+	Expect(err).To(MatchError(settings.ErrInvalid))
+	var f *settings.FieldError
+	Expect(errors.As(err, &f)).To(BeTrue())
+	return f.Field
+}
+
+var _ = Describe("Settings", func() {
+	It("keeps defaults beside the fields that are stated", func() {
+		c, err := settings.ParseControl([]byte(controlJSON))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Timeouts.Heartbeat).To(Equal(150 * time.Millisecond))
+		n, err := settings.ParseNode([]byte(nodeJSON))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Advertise.Call).To(Equal("127.0.0.1:8004"))
+		Expect(n.FanOut.Children).To(Equal(8))
+	})
+
+	It("resolves relative file names against the folder of the settings file", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "c1.json")
+		Expect(os.WriteFile(path, []byte(controlJSON), 0o600)).To(Succeed())
+		c, err := settings.LoadControl(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.DataDir).To(Equal(filepath.Join(filepath.Dir(path), "data")))
+		Expect(c.Credentials.Key).To(Equal("/keys/x-key.pem"))
+	})
+
+	DescribeTable("refuses control settings and names the field",
+		func(old, with, field string) { Expect(refusal(controlJSON, old, with)).To(Equal(field)) },
+		Entry("unknown key", `"election"`, `"elections"`, "timeouts.elections"),
+		Entry("unit left out", `"1s"`, `1`, "timeouts.election"),
+		Entry("unit misspelt", `"1s"`, `"1 sec"`, "timeouts.election"),
+		Entry("too short", `"1s"`, `"1ms"`, "timeouts.election"),
+		Entry("heartbeat against election", `"1s"`, `"300ms"`, "timeouts.heartbeat"),
+		Entry("no host", `"host": "c1",`, ``, "host"),
+		Entry("bad name", `"region": "aare"`, `"region": "a b"`, "region"),
+		Entry("address without port", `127.0.0.1:7001", "voter"`, `127.0.0.1", "voter"`, "control_hosts[0].peer"),
+		Entry("not in the control hosts", `{"host": "c1",`, `{"host": "c9",`, "control_hosts"),
+		Entry("no voter", `true`, `false`, "control_hosts"),
+		Entry("unknown data centre", `["thun"]`, `["bern"]`, "data_centre"),
+		Entry("a token in place of its digest", `9f86d081`, ``, "operators[0].token_sha256"),
+		Entry("repeated key", `"claim_groups": 4`, `"claim_groups": 4, "claim_groups": 5`, "claim_groups"),
+		Entry("null", `"claim_groups": 4`, `"claim_groups": null`, "claim_groups"),
+		Entry("fraction", `"claim_groups": 4`, `"claim_groups": 4.5`, "claim_groups"),
+		Entry("no credentials", `"ca": "ca.pem",`, ``, "credentials.ca"),
+	)
+
+	DescribeTable("refuses node settings and names the field",
+		func(old, with, field string) { Expect(refusal(nodeJSON, old, with)).To(Equal(field)) },
+		Entry("no slots", `"slots": 20,`, ``, "backend.slots"),
+		Entry("fewer connections than slots", `100`, `10`, "backend.connections"),
+		Entry("bad URL", `http://127`, `127`, "backend.url"),
+		Entry("renewal against lease", `"500ms"`, `"1s"`, "timeouts.lease_renew"),
+		Entry("nothing to advertise", `127.0.0.1:8004`, `:8004`, "advertise.call"),
+		Entry("itself as control host", `{"host": "n1",`, `{"host": "c1",`, "control_hosts[0].host"),
+	)
+})
+
+// FuzzSettings guards against input that panics a parser, and against accepted
+// settings that do not meet their own rules.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(controlJSON))
+	f.Add([]byte(nodeJSON))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if c, err := settings.ParseControl(data); err == nil && c.Timeouts.Heartbeat*3 > c.Timeouts.Election {
+			t.Fatal("accepted a heartbeat longer than a third of the election timeout")
+		}
+		if n, err := settings.ParseNode(data); err == nil && n.Backend.Connections < n.Backend.Slots {
+			t.Fatal("accepted fewer connections than slots")
+		}
+	})
+}
--- /dev/null
+++ b/mesh/settings/validate.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// checker knows the tags of this package besides those of the validator.
+var checker = newChecker()
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	tags := map[string]validator.Func{
+		"name":    func(f validator.FieldLevel) bool { return namePattern.MatchString(f.Field().String()) },
+		"address": func(f validator.FieldLevel) bool { return isAddress(f.Field().String(), 1) },
+		"listen":  func(f validator.FieldLevel) bool { return isAddress(f.Field().String(), 0) },
+	}
+	for tag, fn := range tags {
+		if err := v.RegisterValidation(tag, fn); err != nil {
+			panic(err) // the tags are constants
+		}
+	}
+	return v
+}
+
+// isAddress reports whether s is host:port; leastPort 0 also allows an empty
+// host, as listen addresses do.
+func isAddress(s string, leastPort uint64) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n >= leastPort && (host != "" || leastPort == 0)
+}
+
+// validate checks the tags of v and names the path of the first bad field.
+func validate(v any) error {
+	err := checker.Struct(v)
+	var fields validator.ValidationErrors
+	if err == nil {
+		return nil
+	}
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return invalid("", "%v", err)
+	}
+	return &FieldError{Field: fieldPath(fields[0].Namespace()), Message: explain(fields[0])}
+}
+
+// fieldPath drops the type and the embedded struct from a namespace such as
+// Control.Process.host.
+func fieldPath(namespace string) string {
+	_, path, _ := strings.Cut(namespace, ".")
+	return strings.TrimPrefix(path, "Process.")
+}
+
+// explain states a validator's rule in words.
+func explain(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "is required"
+	case "name":
+		return fmt.Sprintf("%q is not a name of 1 to 64 letters, digits, dots, dashes and underscores", f.Value())
+	case "address":
+		return fmt.Sprintf("%q is not host:port", f.Value())
+	case "listen":
+		return fmt.Sprintf("%q is not an address to listen on, such as 127.0.0.1:7000", f.Value())
+	case "min":
+		return fmt.Sprintf("%s, want at least %s", length(f), f.Param())
+	case "max":
+		return fmt.Sprintf("%s, want at most %s", length(f), f.Param())
+	case "unique":
+		return "names the same entry twice"
+	default:
+		return strings.TrimSpace(fmt.Sprintf("%v, want %s %s", f.Value(), f.Tag(), f.Param()))
+	}
+}
+
+func length(f validator.FieldError) string {
+	switch f.Kind() {
+	case reflect.Slice, reflect.String, reflect.Map:
+		return fmt.Sprintf("length %d", reflect.ValueOf(f.Value()).Len())
+	default:
+		return fmt.Sprint(f.Value())
+	}
+}
