--- a/mesh/note/apply.go
+++ b/mesh/note/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -237,9 +238,8 @@
 	if !known && len(s.config.DataCentres) >= maxDataCentres {
 		return Result{}, invalid("data_centre", "more than %d data centres", maxDataCentres)
 	}
-	next := s.config.share()
-	next.DataCentres[dc] = to
-	s.config = next
+	s.config.DataCentres = maps.Clone(s.config.DataCentres)
+	s.config.DataCentres[dc] = to
 	s.audit.add(AuditRecord{
 		Operator: c.Operator, Operation: c.Operation, Action: action, Position: pos, DataCentre: dc, Accepted: s.now,
 		Changes: []string{fmt.Sprintf("data centre %s from %s to %s", dc, was, to)},
--- /dev/null
+++ b/mesh/note/bench_test.go
@@ -0,0 +1,67 @@
+package note
+
+import (
+	"fmt"
+	"testing"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// fullState returns a state with the services of the planned size: 1,500
+// services with three routes each.
+func fullState(b *testing.B) *driver {
+	d := newDriver(defaultLimits)
+	for i := range uint64(15) {
+		n := Note{Number: i + 1}
+		for j := range 100 {
+			name := model.ServiceName(fmt.Sprintf("service-%d-%d", i, j))
+			n.Services.Added = append(n.Services.Added, service(name))
+			n.Shares = append(n.Shares, ServiceShares{Service: name, Shares: all("v1")})
+			for k := range 3 {
+				n.Routes.Added = append(n.Routes.Added, route(model.RouteName(fmt.Sprintf("%s-%d", name, k)), name))
+			}
+		}
+		if err := d.publish(n).Err(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return d
+}
+
+// BenchmarkPublish measures one change of a configuration of full size; bursts
+// of 500 changes a second must leave the leader time for other work.
+func BenchmarkPublish(b *testing.B) {
+	d := fullState(b)
+	for b.Loop() {
+		s := service("service-1-1")
+		s.Slots = 1 + int(d.index%100)
+		n := Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{s}}}
+		if err := d.publish(n).Err(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkWithdraw measures a refold of all retained notes.
+func BenchmarkWithdraw(b *testing.B) {
+	d := fullState(b)
+	for d.Head() < maxRetained-1 {
+		d.publish(Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{service("service-1-1")}}})
+	}
+	for b.Loop() {
+		d.publish(Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{service("service-1-2")}}})
+		if err := d.do(Command{Withdraw: &Withdraw{Number: d.Head(), Expected: 1}}).Err(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkDiff measures the delta between two configurations of full size.
+func BenchmarkDiff(b *testing.B) {
+	d := fullState(b)
+	before := d.Config()
+	d.publish(Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{service("service-1-1")}}})
+	for b.Loop() {
+		Diff(before, d.Config())
+	}
+}
--- a/mesh/note/delta.go
+++ b/mesh/note/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 
 	"balsamtrail.org/mesh/model"
@@ -81,6 +82,9 @@
 }
 
 func diffKeys[K ~string, V any](from, to map[K]V, same func(a, b V) bool) (changed, removed []K) {
+	if reflect.ValueOf(from).UnsafePointer() == reflect.ValueOf(to).UnsafePointer() {
+		return nil, nil // one shared map
+	}
 	for k, v := range to {
 		if old, ok := from[k]; !ok || !same(old, v) {
 			changed = append(changed, k)
--- a/mesh/note/fold.go
+++ b/mesh/note/fold.go
@@ -6,26 +6,35 @@
 	"balsamtrail.org/mesh/model"
 )
 
-// builder folds notes into one configuration. It owns the outer maps of cfg;
-// the inner maps of shares are replaced as a whole and never changed.
+// builder folds notes into one configuration. An outer map is copied before
+// its first change; the inner maps of shares are replaced as a whole. Maps that
+// no note touches stay shared, which keeps small changes and their Diff cheap.
 type builder struct {
 	cfg Config
 	// changed lists what the folded notes touched, for validateChange.
 	changed Delta
+
+	ownServices, ownRoutes, ownShares bool
 }
 
-func newBuilder(c Config) *builder { return &builder{cfg: c.share()} }
+func newBuilder(c Config) *builder { return &builder{cfg: c} }
 
-// share returns a copy with its own outer maps.
-func (c Config) share() Config {
-	return Config{
-		Services:    maps.Clone(c.Services),
-		Routes:      maps.Clone(c.Routes),
-		Shares:      maps.Clone(c.Shares),
-		DataCentres: maps.Clone(c.DataCentres),
+// own copies a map on its first change.
+func own[K comparable, V any](m *map[K]V, owned *bool) map[K]V {
+	if !*owned {
+		*m, *owned = maps.Clone(*m), true
 	}
+	return *m
+}
+
+func (b *builder) services() map[model.ServiceName]Service {
+	return own(&b.cfg.Services, &b.ownServices)
 }
 
+func (b *builder) routes() map[model.RouteName]Route { return own(&b.cfg.Routes, &b.ownRoutes) }
+
+func (b *builder) shares() map[model.ServiceName]Shares { return own(&b.cfg.Shares, &b.ownShares) }
+
 // fold applies a note: what it adds must be absent, what it changes or
 // withdraws must be present. steps are the shares that its moves have reached.
 func (b *builder) fold(n Note, steps map[model.ServiceName]Shares) error {
@@ -62,8 +71,8 @@
 		if _, ok := b.cfg.Services[name]; !ok {
 			return invalid(index("services.withdrawn", i), "unknown service %q", w)
 		}
-		delete(b.cfg.Services, name)
-		delete(b.cfg.Shares, name)
+		delete(b.services(), name)
+		delete(b.shares(), name)
 		delete(b.changed.Shares, name)
 		b.changed.RemovedServices = append(b.changed.RemovedServices, name)
 	}
@@ -71,7 +80,7 @@
 }
 
 func (b *builder) setService(s Service) {
-	b.cfg.Services[s.Name] = s
+	b.services()[s.Name] = s
 	b.changed.Services = append(b.changed.Services, s)
 }
 
@@ -93,13 +102,13 @@
 		if _, ok := b.cfg.Routes[name]; !ok {
 			return invalid(index("routes.withdrawn", i), "unknown route %q", w)
 		}
-		delete(b.cfg.Routes, name)
+		delete(b.routes(), name)
 	}
 	return nil
 }
 
 func (b *builder) setRoute(r Route) {
-	b.cfg.Routes[r.Name] = r
+	b.routes()[r.Name] = r
 	b.changed.Routes = append(b.changed.Routes, r)
 }
 
@@ -122,7 +131,7 @@
 }
 
 func (b *builder) setShares(service model.ServiceName, shares Shares) {
-	b.cfg.Shares[service] = shares
+	b.shares()[service] = shares
 	b.changed.setShares(service, shares)
 }
 
--- a/mesh/note/snapshot.go
+++ b/mesh/note/snapshot.go
@@ -41,7 +41,7 @@
 	}
 	n := newState(s.limits)
 	n.now, n.position, n.head = snap.Now, snap.Position, snap.Head
-	n.base = snap.Base.share().withMaps()
+	n.base = snap.Base.withMaps()
 	if n.retained, err = snap.records(); err != nil {
 		return err
 	}
@@ -90,8 +90,9 @@
 			return eris.Wrapf(ErrMalformed, "note %d: %v", r.Note.Number, err)
 		}
 	}
-	for dc, state := range dcs {
-		b.cfg.DataCentres[dc] = state
+	b.cfg.DataCentres = dcs
+	if dcs == nil {
+		b.cfg.DataCentres = map[model.DataCentre]DataCentreState{}
 	}
 	if err := Validate(b.cfg); err != nil {
 		return eris.Wrapf(ErrMalformed, "%v", err)
--- a/mesh/note/steps.go
+++ b/mesh/note/steps.go
@@ -27,7 +27,7 @@
 		return Result{}, nil
 	}
 	s.storeStep(owner, cmd.Service, cmd.Shares)
-	s.config = s.config.share()
+	s.config.Shares = maps.Clone(s.config.Shares)
 	s.config.Shares[cmd.Service] = cmd.Shares
 	s.audit.add(AuditRecord{
 		Operator: c.Operator, Operation: c.Operation, Action: ActionSetShares, Position: pos, Number: cmd.Note,
@@ -57,7 +57,7 @@
 
 func (s *State) storeStep(owner *Record, service model.ServiceName, shares Shares) {
 	if owner == nil {
-		s.base = s.base.share()
+		s.base.Shares = maps.Clone(s.base.Shares)
 		s.base.Shares[service] = shares
 		return
 	}
