Test the fan-out tree, failover, repair and the floor

Parents are hashed once for each choice instead of at each comparison. The tests check that differing views give no cycle, that 1,000 nodes attach within seven levels and few children of the source, that a lost parent is replaced within about a second, that a planned stop leaves no gap, and that an hour without the source causes no storm.

Tested with go test -race ./mesh/distribute.

--- /dev/null
+++ b/mesh/distribute/attach_test.go
@@ -0,0 +1,273 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// network connects the processes of a test. One mutex guards it.
+type network struct {
+	ctx   context.Context
+	opens atomic.Int64
+
+	mu     sync.Mutex
+	up     map[model.HostID]*process
+	cancel map[model.HostID]context.CancelFunc
+	own    map[model.HostID]context.Context
+	silent map[model.HostID]bool
+}
+
+func newNetwork(ctx context.Context) *network {
+	return &network{ctx: ctx, up: map[model.HostID]*process{}, cancel: map[model.HostID]context.CancelFunc{},
+		own: map[model.HostID]context.Context{}, silent: map[model.HostID]bool{}}
+}
+
+func (n *network) start(id peer.Identity) *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := newProcess(id)
+	n.up[id.Host] = p
+	n.own[id.Host], n.cancel[id.Host] = context.WithCancel(n.ctx)
+	return p
+}
+
+// stop crashes a process: its streams end and no new one opens.
+func (n *network) stop(h model.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.up, h)
+	n.cancel[h]()
+}
+
+func (n *network) open(child peer.Identity) func(context.Context, Parent) (peer.Stream, error) {
+	return func(_ context.Context, p Parent) (peer.Stream, error) {
+		n.opens.Add(1)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.silent[p.Host] {
+			st, _ := peer.Pipe(child, p.Identity())
+			return st, nil
+		}
+		if target := n.up[p.Host]; target != nil {
+			return target.open(n.own[p.Host], child), nil
+		}
+		return nil, errors.New("unreachable")
+	}
+}
+
+// attach starts Attach on a node with fixed candidates.
+func (n *network) attach(p *process, candidates ...Parent) {
+	n.mu.Lock()
+	ctx := n.own[p.id.Host]
+	n.mu.Unlock()
+	o := AttachOptions{Self: p.id.Host, Follow: p.follow(), Log: quiet, Open: n.open(p.id),
+		Candidates: func() []Parent { return candidates }}
+	go func() { _ = Attach(ctx, p.a, p.eps, o) }()
+}
+
+// threeNodes returns a source and nodes in the order of rank.
+func threeNodes(t *testing.T) (n *network, source *process, nodes []*process, root Parent, parents []Parent) {
+	n = newNetwork(t.Context())
+	source = n.start(sourceIdentity)
+	source.speak(t.Context())
+	source.eps.Merge(serving("h", "ledger", 1))
+	all := nodeParents(3)
+	root = Parent{Host: sourceIdentity.Host, Role: peer.RoleControl}
+	for range all { // insertion by rank
+		for i := 1; i < len(all); i++ {
+			if below(all[i].Host, all[i-1].Host) {
+				all[i], all[i-1] = all[i-1], all[i]
+			}
+		}
+	}
+	for _, p := range all {
+		nodes = append(nodes, n.start(peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: p.Host}))
+	}
+	return n, source, nodes, root, all
+}
+
+// TestAttachFailover guards against a child that stays with a crashed or
+// silent parent for more than about a second.
+func TestAttachFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		n.attach(nodes[0], root)
+		n.attach(nodes[1], root)
+		n.attach(nodes[2], all[0], all[1], root)
+		time.Sleep(time.Second)
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		time.Sleep(time.Second)
+		expectPosition(t, nodes[2], 1)
+		if nodes[0].serve.Admission.Children() != 1 {
+			t.Fatal("the first candidate has no child")
+		}
+		n.stop(all[0].Host)
+		publish(t, source, 2, configOf(route("r", "ledger", 1)))
+		time.Sleep(time.Second)
+		expectPosition(t, nodes[2], 2)
+		n.mu.Lock()
+		n.silent[all[1].Host] = true
+		n.mu.Unlock()
+		n.stop(all[1].Host)
+		publish(t, source, 3, configOf(route("r", "ledger", 2)))
+		time.Sleep(2 * time.Second)
+		expectPosition(t, nodes[2], 3)
+	})
+}
+
+// TestAttachHandoff guards against a planned stop during which a child has no
+// parent, or after which the stopping parent still has children.
+func TestAttachHandoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		n.attach(nodes[0], root)
+		n.attach(nodes[1], root)
+		n.attach(nodes[2], all[0], all[1], root)
+		time.Sleep(time.Second)
+		nodes[0].serve.Admission.Drain(time.Second)
+		for i := range uint64(20) {
+			publish(t, source, i+1, configOf(route("r", "ledger", int(i%3))))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(pushGap * 3)
+		expectPosition(t, nodes[2], 20)
+		if nodes[0].serve.Admission.Children() != 0 || nodes[1].serve.Admission.Children() != 1 {
+			t.Fatalf("children %d and %d", nodes[0].serve.Admission.Children(), nodes[1].serve.Admission.Children())
+		}
+		n.stop(all[0].Host)
+		publish(t, source, 21, configOf(route("r", "ledger", 2)))
+		time.Sleep(500 * time.Millisecond)
+		expectPosition(t, nodes[2], 21)
+	})
+}
+
+// TestAttachSourceOutage guards against nodes that storm around between stale
+// parents while the source is silent, and that lose their last version.
+func TestAttachSourceOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		n.attach(nodes[0], root)
+		n.attach(nodes[1], all[0], root)
+		n.attach(nodes[2], all[0], all[1], root)
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		time.Sleep(5 * time.Second)
+		n.stop(sourceIdentity.Host)
+		before := n.opens.Load()
+		time.Sleep(time.Hour)
+		expectPosition(t, nodes[2], 1)
+		// The first node tries its only candidate about every 3 s, the others move rarely.
+		if got := n.opens.Load() - before; got > 3000 {
+			t.Fatalf("%d streams opened in an hour", got)
+		}
+		back := n.start(sourceIdentity)
+		back.speak(t.Context())
+		publish(t, back, 1, configOf(route("r", "ledger", 0)))
+		publish(t, back, 2, configOf(route("r", "ledger", 1)))
+		time.Sleep(maxBackoff * 2)
+		expectPosition(t, nodes[2], 2)
+	})
+}
+
+// TestAttachRedirect guards against a node that knows only the source and is
+// refused there, and against alternatives that would close a cycle.
+func TestAttachRedirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		source.serve.Planned = func(child peer.Identity) (bool, []Parent) { return false, all }
+		source.serve.Admission = NewAdmission(AdmissionConfig{Children: 1, Snapshots: 1, RetryAfter: defaultRetryAfter})
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		for _, p := range nodes {
+			n.attach(p, root)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		for _, p := range nodes {
+			expectPosition(t, p, 1)
+		}
+	})
+}
+
+// exchange runs one comparison between two processes.
+func exchange(t *testing.T, a, b *process, withEndpoints bool) (Comparison, error) {
+	mine, theirs := peer.Pipe(a.id, b.id)
+	go func() { _ = ServeExchange(t.Context(), b.store, b.eps, theirs, b.serve) }()
+	return Exchange(t.Context(), a.a, a.eps, mine, withEndpoints, quiet)
+}
+
+// TestExchange guards against a repair that misses versions or endpoints, and
+// against transfers between peers that have the same.
+func TestExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ahead, behind := newProcess(nodeIdentity("n1")), newProcess(nodeIdentity("n2"))
+		for i := range 300 {
+			ahead.eps.Merge(serving(fmt.Sprintf("h%d", i), "ledger", 1))
+		}
+		if err := ahead.a.acceptVersion(&Version{Position: at(4), Config: largeConfig(2000), Sum: sumOf(largeConfig(2000))}); err != nil {
+			t.Fatal(err)
+		}
+		c, err := exchange(t, behind, ahead, false)
+		if err != nil || !c.Pulled || !c.EndpointsDiffer || len(behind.eps.All()) != 0 {
+			t.Fatalf("%+v %v, %d endpoints", c, err, len(behind.eps.All()))
+		}
+		expectPosition(t, behind, 4)
+		if c, err = exchange(t, behind, ahead, true); err != nil || behind.eps.Digest() != ahead.eps.Digest() {
+			t.Fatalf("%+v %v", c, err)
+		}
+		if len(behind.a.InForce().Held) != 0 {
+			t.Fatal("routes stay held after their endpoints came")
+		}
+		if c, err = exchange(t, behind, ahead, true); err != nil || c.Pulled || c.EndpointsDiffer {
+			t.Fatalf("%+v %v", c, err)
+		}
+		if c, err = exchange(t, ahead, newProcess(nodeIdentity("n3")), true); err != nil || ahead.a.Position() != at(4) {
+			t.Fatalf("a peer behind changed the position: %+v %v", c, err)
+		}
+	})
+}
+
+// TestAskPosition guards against a control host whose confirmed position is
+// not told apart from its own, and a node that claims one.
+func TestAskPosition(t *testing.T) {
+	source := newProcess(sourceIdentity)
+	source.serve.Confirm = func(context.Context) (model.Position, error) { return at(9), nil }
+	for _, p := range []*process{source, newProcess(nodeIdentity("n1"))} {
+		mine, theirs := peer.Pipe(nodeIdentity("n2"), p.id)
+		go func() { _ = ServeExchange(t.Context(), p.store, p.eps, theirs, p.serve) }()
+		a, err := AskPosition(t.Context(), mine)
+		if err != nil || a.From != p.id || a.Confirmed != (p == source) {
+			t.Fatalf("%+v %v", a, err)
+		}
+	}
+}
+
+// TestSourcePlan guards against a source that hands its places to nodes deep
+// in the tree, or names no parents to the nodes that it refuses.
+func TestSourcePlan(t *testing.T) {
+	eps := membership.NewTable()
+	for i := range 100 {
+		eps.Merge(serving(fmt.Sprintf("node-%d", i), "ledger", 1))
+	}
+	plan := SourcePlan(eps)
+	planned := 0
+	for i := range 100 {
+		ok, alternatives := plan(nodeIdentity(fmt.Sprintf("node-%d", i)))
+		if ok {
+			planned++
+		} else if len(alternatives) < 2 {
+			t.Fatalf("node-%d: alternatives %v", i, alternatives)
+		}
+	}
+	if planned != firstLevel {
+		t.Fatalf("%d planned children", planned)
+	}
+}
--- a/mesh/distribute/tree.go
+++ b/mesh/distribute/tree.go
@@ -92,18 +92,7 @@
 // nodes of lower rank, then the roots. nodes are those of the data centre; they
 // need not contain self.
 func Parents(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
-	lower := make([]Parent, 0, len(nodes))
-	for _, n := range nodes {
-		if n.Host != self && n.DataCentre == dc && below(n.Host, self) {
-			lower = append(lower, n)
-		}
-	}
-	slices.SortFunc(lower, func(a, b Parent) int {
-		if below(a.Host, b.Host) {
-			return -1
-		}
-		return 1
-	})
+	lower := lowerNodes(self, dc, nodes)
 	own := orderRoots(self, dc, roots)
 	level := Level(len(lower))
 	var out []Parent
@@ -120,12 +109,45 @@
 	return out
 }
 
-// take returns the n parents with the greatest rendezvous weight for the child.
-func take(child model.HostID, from []Parent, n int) []Parent {
-	s := slices.Clone(from)
-	slices.SortFunc(s, func(a, b Parent) int {
-		return cmp.Compare(pairHash(child, b.Host), pairHash(child, a.Host))
+// weighted is a parent with the hash that orders it; hashing once for each
+// parent instead of at each comparison matters with hundreds of nodes.
+type weighted struct {
+	Parent
+	weight uint64
+}
+
+func sorted(ps []Parent, weight func(Parent) uint64) []Parent {
+	ws := make([]weighted, len(ps))
+	for i, p := range ps {
+		ws[i] = weighted{Parent: p, weight: weight(p)}
+	}
+	slices.SortFunc(ws, func(a, b weighted) int {
+		if c := cmp.Compare(a.weight, b.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Host, b.Host)
 	})
+	out := make([]Parent, len(ps))
+	for i, w := range ws {
+		out[i] = w.Parent
+	}
+	return out
+}
+
+// lowerNodes returns the nodes of the data centre of lower rank than self, by rank.
+func lowerNodes(self model.HostID, dc model.DataCentre, nodes []Parent) []Parent {
+	lower := make([]Parent, 0, len(nodes))
+	for _, n := range nodes {
+		if n.Host != self && n.DataCentre == dc && below(n.Host, self) {
+			lower = append(lower, n)
+		}
+	}
+	return sorted(lower, func(p Parent) uint64 { return rankHash(p.Host) })
+}
+
+// take returns the n parents with the least rendezvous weight for the child.
+func take(child model.HostID, from []Parent, n int) []Parent {
+	s := sorted(from, func(p Parent) uint64 { return pairHash(child, p.Host) })
 	return s[:min(n, len(s))]
 }
 
--- /dev/null
+++ b/mesh/distribute/tree_test.go
@@ -0,0 +1,155 @@
+package distribute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+func nodeParents(n int) []Parent {
+	out := make([]Parent, n)
+	for i := range out {
+		out[i] = Parent{Host: model.HostID(fmt.Sprintf("node-%d", i)), Role: peer.RoleNode, DataCentre: "thun"}
+	}
+	return out
+}
+
+var roots = []Parent{
+	{Host: "c1", Role: peer.RoleControl, DataCentre: "burgdorf"},
+	{Host: "c2", Role: peer.RoleControl, DataCentre: "thun"},
+}
+
+// TestParentsWithoutCycle guards against nodes that know different parts of
+// the data centre and become each other's ancestors.
+func TestParentsWithoutCycle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := nodeParents(rapid.IntRange(1, 60).Draw(t, "nodes"))
+		parent := map[model.HostID]Parent{}
+		for _, n := range all {
+			view := rapid.Permutation(all).Draw(t, "view")[:rapid.IntRange(0, len(all)).Draw(t, "known")]
+			candidates := Parents(n.Host, "thun", view, roots)
+			parent[n.Host] = rapid.SampledFrom(candidates).Draw(t, "choice")
+		}
+		for _, n := range all {
+			at, steps := n, 0
+			for at.Role == peer.RoleNode {
+				if at = parent[at.Host]; steps > len(all) {
+					t.Fatalf("cycle above %s", n.Host)
+				}
+				steps++
+			}
+		}
+	})
+}
+
+// attachAll lets every node take its first candidate with room and returns the
+// greatest depth, the children of the source and the refusals.
+func attachAll(nodes []Parent) (depth, source, refused int) {
+	children, parents := map[model.HostID]int{}, map[model.HostID]Parent{}
+	for _, n := range nodes {
+		for _, c := range Parents(n.Host, "thun", nodes, roots) {
+			if c.Role == peer.RoleNode && children[c.Host] >= MaxChildren {
+				refused++
+				continue
+			}
+			children[c.Host]++
+			parents[n.Host] = c
+			break
+		}
+	}
+	for _, n := range nodes {
+		d := 0
+		for at := n; at.Role == peer.RoleNode; at = parents[at.Host] {
+			d++
+		}
+		depth = max(depth, d)
+	}
+	return depth, children["c1"] + children["c2"], refused
+}
+
+var _ = Describe("Parents", func() {
+	DescribeTable("keeps the tree flat and the source's children few as the data centre grows",
+		func(n, maxDepth int) {
+			depth, source, refused := attachAll(nodeParents(n))
+			Expect(depth).To(BeNumerically("<=", maxDepth))
+			Expect(source).To(BeNumerically("<=", SourcePerDataCentre))
+			Expect(refused).To(BeNumerically("<=", n/5))
+		},
+		Entry("one node", 1, 1), Entry("10 nodes", 10, 2), Entry("50 nodes", 50, 4),
+		Entry("200 nodes", 200, 5), Entry("684 nodes, the planned size", 684, 6), Entry("1,000 nodes", 1000, 7),
+	)
+
+	It("prefers roots of the own data centre and never offers the node itself", func() {
+		Expect(Parents("node-0", "thun", nodeParents(1), roots)).To(Equal([]Parent{roots[1], roots[0]}))
+	})
+
+	It("keeps most parents when one node leaves", func() {
+		nodes := nodeParents(200)
+		moved := 0
+		for _, n := range nodes[1:] {
+			if Parents(n.Host, "thun", nodes, roots)[0] != Parents(n.Host, "thun", nodes[1:], roots)[0] {
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically("<", 20))
+	})
+})
+
+var _ = Describe("Admission", func() {
+	It("bounds children, keeps places for planned ones and refuses all while stopping", func() {
+		a := NewAdmission(SourceAdmission())
+		admit := func(planned bool) bool { _, ok := a.Admit("thun", planned); return ok }
+		for range SourcePerDataCentre - sourceReserve {
+			Expect(admit(false)).To(BeTrue())
+		}
+		Expect(admit(false)).To(BeFalse())
+		for range sourceReserve {
+			Expect(admit(true)).To(BeTrue())
+		}
+		Expect(admit(true)).To(BeFalse())
+		a.Release("thun")
+		Expect(admit(true)).To(BeTrue())
+		_, ok := a.Admit("burgdorf", false)
+		Expect(ok).To(BeTrue())
+		a.Drain(time.Second)
+		Expect(a.Draining()).To(BeClosed())
+		_, ok = a.Admit("sakiet", true)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("Floor", func() {
+	answer := func(role peer.Role, host string, i uint64, confirmed bool) FloorAnswer {
+		return FloorAnswer{From: peer.Identity{Role: role, Host: model.HostID(host)}, Position: at(i), Confirmed: confirmed}
+	}
+	c, n := peer.RoleControl, peer.RoleNode
+	DescribeTable("decides on the least position to route by",
+		func(answers []FloorAnswer, controlHosts, peers int, want uint64, ok bool) {
+			got, settled := Floor(answers, controlHosts, peers)
+			Expect(settled).To(Equal(ok))
+			if ok {
+				Expect(got).To(Equal(at(want)))
+			}
+		},
+		Entry("no answer", nil, 3, 5, uint64(0), false),
+		Entry("one confirmed control host", []FloorAnswer{answer(c, "c1", 7, true)}, 3, 5, uint64(7), true),
+		Entry("one unconfirmed control host", []FloorAnswer{answer(c, "c1", 7, false)}, 3, 5, uint64(0), false),
+		Entry("the same control host twice is no quorum",
+			[]FloorAnswer{answer(c, "c1", 7, false), answer(c, "c1", 8, false)}, 3, 5, uint64(0), false),
+		Entry("a quorum of control hosts", []FloorAnswer{answer(c, "c1", 7, false), answer(c, "c2", 9, false)}, 3, 5, uint64(9), true),
+		Entry("a peer that says confirmed does not count as the source", []FloorAnswer{answer(n, "n1", 9, true)}, 3, 9, uint64(0), false),
+		Entry("half of the peers, but fewer than three", []FloorAnswer{answer(n, "n1", 5, false), answer(n, "n2", 4, false)}, 3, 4, uint64(0), false),
+		Entry("three peers, but less than half",
+			[]FloorAnswer{answer(n, "n1", 5, false), answer(n, "n2", 4, false), answer(n, "n3", 6, false)}, 3, 7, uint64(0), false),
+		Entry("half of the peers", []FloorAnswer{answer(n, "n1", 5, false), answer(n, "n2", 4, false), answer(n, "n3", 6, false)}, 3, 6, uint64(6), true),
+		Entry("peers and one control host that knows more",
+			[]FloorAnswer{answer(n, "n1", 5, false), answer(n, "n2", 4, false), answer(n, "n3", 6, false), answer(c, "c1", 8, false)}, 3, 3, uint64(8), true),
+	)
+})
