Add routing: table, version and backend server choice, retry budget, hedging

Cause: the entry node decides route, version by share and backend server by load. Change: immutable Table; a weighted choice that keeps the lag of each version within one call, with a random phase per service; two random choices by capacity and load; a ramp for returning data centres; ejection of at most a third; a retry budget that travels with the call; hedging bounded to 5%.

--- /dev/null
+++ b/mesh/routing/budget.go
@@ -0,0 +1,120 @@
+package routing
+
+import "sync"
+
+// Budget is the number of further tries that one call, and all calls nested
+// in it, may still make. All goroutines that serve the call share it. It
+// travels with the call: Lend gives tries to the next level, Return takes back
+// what that level did not use, so the total never grows.
+type Budget struct {
+	// mu guards left.
+	mu   sync.Mutex
+	left int
+}
+
+// maxBudget bounds the budget that a peer may send.
+const maxBudget = 16
+
+// NewBudget returns a budget of that many tries; it is bounded, since the
+// number may come from a peer.
+func NewBudget(tries int) *Budget { return &Budget{left: min(max(tries, 0), maxBudget)} }
+
+// Take uses one try; it reports false if none is left.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+// Lend gives the next level all tries but one, which stays for a fault of that
+// level itself.
+func (b *Budget) Lend() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lent := max(b.left-1, 0)
+	b.left -= lent
+	return lent
+}
+
+// Return takes back unused tries that were lent. Pass at most what Lend gave;
+// after an unknown outcome pass nothing.
+func (b *Budget) Return(tries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.left+max(tries, 0), maxBudget)
+}
+
+// Left returns the tries left.
+func (b *Budget) Left() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left
+}
+
+// Bucket bounds extra tries to a part of the calls of this node: each call adds
+// that part of a token, each extra try takes one.
+type Bucket struct {
+	part  float64
+	burst float64
+
+	// mu guards tokens.
+	mu     sync.Mutex
+	tokens float64
+}
+
+// Parts of extra tries and the tokens that a bucket holds at most. The burst
+// lets a node with few calls retry at all.
+const (
+	RetryPart  = 0.10
+	HedgePart  = 0.05
+	retryBurst = 10
+	hedgeBurst = 5
+)
+
+// NewRetryBucket returns the bucket of a node's retries.
+func NewRetryBucket() *Bucket { return &Bucket{part: RetryPart, burst: retryBurst, tokens: retryBurst} }
+
+// NewHedgeBucket returns the bucket of a node's hedged calls. It starts empty:
+// hedging is never needed.
+func NewHedgeBucket() *Bucket { return &Bucket{part: HedgePart, burst: hedgeBurst} }
+
+// Call counts a call.
+func (b *Bucket) Call() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+b.part, b.burst)
+}
+
+// Take uses a token; it reports false if there is none.
+func (b *Bucket) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// giveBack returns a token that was not used.
+func (b *Bucket) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+1, b.burst)
+}
+
+// TakeRetry uses one try of the node's bucket and of the call's budget, or neither.
+func TakeRetry(node *Bucket, call *Budget) bool {
+	if !node.Take() {
+		return false
+	}
+	if !call.Take() {
+		node.giveBack()
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/mesh/routing/hedge.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// Constants of hedging.
+const (
+	hedgeQuantile = 0.95
+	// hedgeWindow is the number of latencies the quantile is taken over.
+	hedgeWindow = 200
+	// hedgeEvery is the number of latencies after which it is computed again.
+	hedgeEvery = 20
+	// maxHedgeRoutes bounds the routes with a window.
+	maxHedgeRoutes = 4096
+)
+
+// Hedger gives the delay after which a second try of a slow lookup is worth
+// its cost.
+type Hedger struct {
+	bucket *Bucket
+
+	// mu guards routes.
+	mu     sync.Mutex
+	routes map[model.RouteName]*latencyWindow
+}
+
+type latencyWindow struct {
+	latencies []time.Duration
+	count     int
+	delay     time.Duration
+}
+
+// NewHedger returns a Hedger without observations.
+func NewHedger() *Hedger {
+	return &Hedger{bucket: NewHedgeBucket(), routes: map[model.RouteName]*latencyWindow{}}
+}
+
+// Delay counts a call and returns the 95th percentile of the route's latency;
+// false until it is known.
+func (h *Hedger) Delay(route model.RouteName) (time.Duration, bool) {
+	h.bucket.Call()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := h.routes[route]
+	if w == nil || w.delay == 0 {
+		return 0, false
+	}
+	return w.delay, true
+}
+
+// Take reports whether the second try may be sent now; at most 5% of calls may.
+func (h *Hedger) Take() bool { return h.bucket.Take() }
+
+// Observe adds the latency of a first try that was answered.
+func (h *Hedger) Observe(route model.RouteName, latency time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := h.routes[route]
+	if w == nil {
+		if len(h.routes) >= maxHedgeRoutes {
+			return
+		}
+		w = &latencyWindow{}
+		h.routes[route] = w
+	}
+	if len(w.latencies) < hedgeWindow {
+		w.latencies = append(w.latencies, latency)
+	} else {
+		w.latencies[w.count%hedgeWindow] = latency
+	}
+	w.count++
+	if w.count%hedgeEvery == 0 {
+		sorted := slices.Sorted(slices.Values(w.latencies))
+		w.delay = sorted[int(hedgeQuantile*float64(len(sorted)))]
+	}
+}
--- /dev/null
+++ b/mesh/routing/host.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"balsamtrail.org/mesh/membership"
+)
+
+// Constants of the view of one backend server.
+const (
+	// latencyTime is the time constant of the latency average.
+	latencyTime = 5 * time.Second
+	// limitLifetime is how long an advertised limit counts. After it the backend
+	// server may have warmed up through the calls of other nodes.
+	limitLifetime = 10 * time.Second
+	// zeroLimitLifetime is how long an advertised limit of zero keeps calls away.
+	zeroLimitLifetime = time.Second
+	// ejectAfter is the number of failures or refusals in a row that ejects.
+	ejectAfter = 5
+	// ejectBase doubles with each ejection in a row, up to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = time.Minute
+	// ejectForget is how long a backend server must stay in use without an
+	// ejection before the next one counts as the first.
+	ejectForget = time.Minute
+)
+
+// host is what this node knows of one backend server. The mutex of the Picker
+// guards it.
+type host struct {
+	membership.Announcement
+	inFlight int
+	// latency is the average in seconds; zero if unknown.
+	latency  float64
+	observed time.Time
+	limit    int
+	// limitAt is when the limit was learned; zero if it is unknown.
+	limitAt time.Time
+	// cold says that it started after this node first saw its service.
+	cold         bool
+	bad          int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+// observe learns from a try; it reports whether the backend server is due for ejection.
+func (h *host) observe(now time.Time, o Outcome) (eject bool) {
+	switch o.Result {
+	case ResultCancelled:
+		return false
+	case ResultOK, ResultError:
+		h.bad = 0
+		h.observeLatency(now, o.Latency)
+	case ResultRefused, ResultFailed:
+		h.bad++
+	}
+	h.observed = now
+	if o.Result != ResultFailed {
+		h.limit, h.limitAt = o.Limit, now
+	}
+	if h.ejections > 0 && now.Sub(h.ejectedUntil) > ejectForget {
+		h.ejections = 0
+	}
+	return h.bad >= ejectAfter && !h.ejected(now)
+}
+
+func (h *host) observeLatency(now time.Time, latency time.Duration) {
+	l := latency.Seconds()
+	if h.latency == 0 {
+		h.latency = l
+		return
+	}
+	// The floor keeps calls that end at the same time from having no weight.
+	weight := max(0.05, 1-math.Exp(-now.Sub(h.observed).Seconds()/latencyTime.Seconds()))
+	h.latency += weight * (l - h.latency)
+}
+
+func (h *host) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// eject keeps calls away for a time that doubles with each ejection in a row.
+func (h *host) eject(now time.Time) time.Duration {
+	length := min(ejectBase<<min(h.ejections, 10), ejectMax)
+	h.ejections++
+	h.bad = 0
+	h.ejectedUntil = now.Add(length)
+	return length
+}
+
+// closed reports whether it said lately that it takes no work.
+func (h *host) closed(now time.Time) bool {
+	return h.limit == 0 && !h.limitAt.IsZero() && now.Sub(h.limitAt) < zeroLimitLifetime
+}
+
+// capacity is the concurrency limit to assume: the advertised one while it is
+// recent, 1 for a backend server that has just started, else its slots.
+func (h *host) capacity(now time.Time) float64 {
+	slots := float64(max(h.Slots, 1))
+	switch {
+	case h.limitAt.IsZero() && h.cold:
+		return 1
+	case h.limitAt.IsZero():
+		return slots
+	case now.Sub(h.limitAt) > limitLifetime:
+		return max(float64(h.limit), slots/2)
+	}
+	return max(float64(h.limit), 1)
+}
--- /dev/null
+++ b/mesh/routing/picker.go
@@ -0,0 +1,314 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// PickerConfig is the configuration of a Picker.
+type PickerConfig struct {
+	// DataCentre is the data centre of this node.
+	DataCentre model.DataCentre
+	// Ramp is how long a returning data centre takes to get its full part of
+	// calls. A longer one is gentler to cold backend servers and leaves the other
+	// data centres with more load for longer.
+	Ramp time.Duration
+	// Seed makes random choices repeatable; zero takes a random seed.
+	Seed uint64
+	// Log receives ejections and skipped versions and, at debug level, one line
+	// for each choice.
+	Log *slog.Logger
+}
+
+// DefaultRamp is the default of PickerConfig.Ramp.
+const DefaultRamp = 30 * time.Second
+
+const (
+	// maxIdleHosts is the number of backend servers above which those not used
+	// for hostLifetime are forgotten at a change of table.
+	maxIdleHosts = 1024
+	hostLifetime = 10 * time.Minute
+)
+
+// Picker chooses version and backend server for the calls of one node.
+type Picker struct {
+	cfg PickerConfig
+
+	// mu guards the fields below and all they refer to, but for the immutable table.
+	mu       sync.Mutex
+	rand     *rand.Rand
+	table    *Table
+	services map[model.ServiceName]*serviceView
+	hosts    map[model.HostID]*host
+	// returned is when a data centre came back into service.
+	returned map[model.DataCentre]time.Time
+}
+
+// serviceView is the mutable side of one service; it is brought up to date when
+// the service is used.
+type serviceView struct {
+	source   *serviceTable
+	balance  *balance
+	versions map[model.ServiceVersion]*versionView
+	blocked  map[model.ServiceVersion]bool
+	// skipped has the versions that were reported as skipped.
+	skipped map[model.ServiceVersion]bool
+}
+
+// NewPicker returns a picker; SetTable must come before the first choice.
+func NewPicker(cfg PickerConfig) *Picker {
+	if cfg.Ramp == 0 {
+		cfg.Ramp = DefaultRamp
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Picker{
+		cfg:      cfg,
+		rand:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+		services: map[model.ServiceName]*serviceView{},
+		hosts:    map[model.HostID]*host{},
+		returned: map[model.DataCentre]time.Time{},
+	}
+}
+
+// SetTable puts a table in force for all later choices.
+func (p *Picker) SetTable(now time.Time, t *Table) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for dc, state := range t.dataCentres {
+		wasOut := p.table != nil && p.table.dataCentres[dc] == note.DataCentreOut
+		_, known := p.returned[dc]
+		switch {
+		case state == note.DataCentreOut:
+			delete(p.returned, dc)
+		case wasOut, state == note.DataCentreReturning && !known:
+			p.returned[dc] = now
+			p.cfg.Log.Info("data centre returns", "data_centre", string(dc), "ramp", p.cfg.Ramp.String())
+		}
+	}
+	for name := range p.services {
+		if t.services[name] == nil {
+			delete(p.services, name)
+		}
+	}
+	p.table = t
+	p.forget(now)
+}
+
+// forget drops the backend servers that are gone or not used any more.
+func (p *Picker) forget(now time.Time) {
+	if len(p.hosts) <= maxIdleHosts {
+		return
+	}
+	for id, h := range p.hosts {
+		if h.inFlight == 0 && now.Sub(h.observed) > hostLifetime {
+			delete(p.hosts, id)
+		}
+	}
+}
+
+// view returns the service's view, brought up to date with the table.
+func (p *Picker) view(name model.ServiceName) (*serviceView, error) {
+	if p.table == nil || p.table.services[name] == nil {
+		return nil, eris.Wrapf(ErrUnknownService, "%q", name)
+	}
+	source := p.table.services[name]
+	v := p.services[name]
+	if v == nil {
+		v = &serviceView{balance: newBalance(p.rand), blocked: map[model.ServiceVersion]bool{}, skipped: map[model.ServiceVersion]bool{}}
+		p.services[name] = v
+	}
+	if v.source != source {
+		p.refresh(name, v, source)
+	}
+	return v, nil
+}
+
+func (p *Picker) refresh(name model.ServiceName, v *serviceView, source *serviceTable) {
+	first := v.source == nil
+	old := v.versions
+	v.source = source
+	v.versions = make(map[model.ServiceVersion]*versionView, len(source.pools))
+	for version, pool := range source.pools {
+		view := &versionView{}
+		if o := old[version]; o != nil {
+			view.own.pressure, view.others.pressure = o.own.pressure, o.others.pressure
+		}
+		for _, a := range pool {
+			view.add(p.host(a, !first), a.DataCentre == p.cfg.DataCentre)
+		}
+		v.versions[version] = view
+	}
+	p.share(name, v)
+}
+
+// host returns the state of an announced backend server. A new incarnation is
+// a fresh start; one that appears later than the first table is cold.
+func (p *Picker) host(a membership.Announcement, cold bool) *host {
+	h := p.hosts[a.Host]
+	switch {
+	case h == nil:
+		h = &host{Announcement: a, cold: cold}
+		p.hosts[a.Host] = h
+	case h.Incarnation != a.Incarnation:
+		*h = host{Announcement: a, cold: true, inFlight: h.inFlight}
+	default:
+		h.Announcement = a
+	}
+	return h
+}
+
+// share sets the shares of the versions that can get calls. A version without
+// a backend server is skipped; so is a blocked one, unless none would be left.
+func (p *Picker) share(name model.ServiceName, v *serviceView) {
+	shares := make(map[model.ServiceVersion]model.Share, len(v.source.shares))
+	var sum model.Share
+	for version, s := range v.source.shares {
+		skip := s > 0 && v.versions[version] == nil
+		if skip && !v.skipped[version] {
+			p.cfg.Log.Warn("version skipped", "service", string(name), "version", string(version),
+				"share", int(s), "reason", "no live backend server")
+		}
+		v.skipped[version] = skip
+		if skip {
+			s = 0
+		}
+		if v.blocked[version] {
+			s = 0
+		}
+		shares[version] = s
+		sum += s
+	}
+	if sum == 0 && len(v.blocked) > 0 {
+		for version, s := range v.source.shares {
+			if v.versions[version] != nil {
+				shares[version] = s
+			}
+		}
+	}
+	v.balance.setShares(shares)
+}
+
+// Block keeps calls away from a version on this node, or ends that. It is for
+// strong evidence found here; a version stays in use if no other one has a share.
+func (p *Picker) Block(service model.ServiceName, version model.ServiceVersion, on bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, err := p.view(service)
+	if err != nil {
+		return err
+	}
+	delete(v.blocked, version)
+	if on {
+		v.blocked[version] = true
+	}
+	p.cfg.Log.Info("version blocked", "service", string(service), "version", string(version), "blocked", on)
+	p.share(service, v)
+	return nil
+}
+
+// Version chooses the version of the next call of a service. The number of
+// calls each version gets differs from its share by less than one call.
+func (p *Picker) Version(service model.ServiceName) (model.ServiceVersion, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, err := p.view(service)
+	if err != nil {
+		return "", err
+	}
+	e, ok := v.balance.next()
+	if !ok {
+		return "", eris.Wrapf(ErrNoVersion, "%q", service)
+	}
+	invariant.Check(v.source.shares[e.version] > 0, invariant.BadVersionShare, "call for a version without a share",
+		"service", service, "version", e.version)
+	return e.version, nil
+}
+
+// BackendServer chooses the backend server of a try and counts it as in
+// flight until Observe, which must follow exactly once. exclude lists the hosts
+// that earlier tries of the call used.
+func (p *Picker) BackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (membership.Announcement, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, err := p.view(service)
+	if err != nil {
+		return membership.Announcement{}, err
+	}
+	view := v.versions[version]
+	if view == nil {
+		return membership.Announcement{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
+	}
+	h, reason := p.pick(now, view, exclude)
+	if h == nil {
+		return membership.Announcement{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
+	}
+	p.check(h, service)
+	h.inFlight++
+	if p.cfg.Log.Enabled(context.Background(), slog.LevelDebug) {
+		p.cfg.Log.Debug("backend server chosen", "service", string(service), "version", string(version),
+			"host", string(h.Host), "data_centre", string(h.DataCentre), "reason", reason)
+	}
+	return h.Announcement, nil
+}
+
+func (p *Picker) check(h *host, service model.ServiceName) {
+	invariant.Check(h.State == membership.StateServing, invariant.LeavingServer, "call for a backend server that is not serving",
+		"service", service, "host", h.Host, "state", h.State)
+	invariant.Check(p.table.dataCentres[h.DataCentre] != note.DataCentreOut, invariant.DataCentreOut,
+		"call for a data centre that is out", "service", service, "host", h.Host, "data_centre", h.DataCentre)
+}
+
+// Observe learns from a try that BackendServer chose.
+func (p *Picker) Observe(now time.Time, id model.HostID, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	if h == nil {
+		return
+	}
+	h.inFlight = max(h.inFlight-1, 0)
+	due := h.observe(now, o)
+	v := p.services[h.Service]
+	if v == nil || v.versions[h.Version] == nil {
+		return
+	}
+	view := v.versions[h.Version]
+	view.groupOf(h, p.cfg.DataCentre).observe(o.Result)
+	if due && view.mayEject(now) {
+		length := h.eject(now)
+		p.cfg.Log.Warn("backend server ejected", "service", string(h.Service), "version", string(h.Version),
+			"host", string(h.Host), "for", length.String(), "reason", "failures or refusals in a row")
+	}
+}
+
+// Ejected returns the hosts of a service version that are ejected at present.
+func (p *Picker) Ejected(now time.Time, service model.ServiceName, version model.ServiceVersion) []model.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []model.HostID
+	if v := p.services[service]; v != nil && v.versions[version] != nil {
+		for _, h := range v.versions[version].all {
+			if h.ejected(now) {
+				ids = append(ids, h.Host)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/mesh/routing/picker_test.go
@@ -0,0 +1,253 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+var start = time.Unix(1000, 0)
+
+var _ = Describe("Picker", func() {
+	all := note.Shares{"v1": model.ShareAll}
+	okay := Outcome{Result: ResultOK, Latency: 5 * time.Millisecond, Limit: 20}
+
+	picker := func(seed uint64, c note.Config, list []membership.Announcement) *Picker {
+		p := NewPicker(PickerConfig{DataCentre: "thun", Seed: seed})
+		p.SetTable(start, NewTable(c, list))
+		return p
+	}
+	// call makes one call that ends as outcome says and returns the chosen backend server.
+	call := func(p *Picker, now time.Time, outcome func(membership.Announcement) Outcome, exclude ...model.HostID) membership.Announcement {
+		a, err := p.BackendServer(now, "s", "v1", exclude)
+		Expect(err).NotTo(HaveOccurred())
+		p.Observe(now, a.Host, outcome(a))
+		return a
+	}
+	always := func(o Outcome) func(membership.Announcement) Outcome {
+		return func(membership.Announcement) Outcome { return o }
+	}
+
+	It("prefers the own data centre and leaves it in proportion to its refusals", func() {
+		p := picker(1, config(all), append(servers("v1", "thun", 4), servers("v1", "bern", 4)...))
+		away := func(refused float64) (n int) {
+			r := rand.New(rand.NewPCG(2, 2))
+			for i := range 4000 {
+				a := call(p, start.Add(time.Duration(i)*time.Millisecond), func(a membership.Announcement) Outcome {
+					if a.DataCentre == "thun" && r.Float64() < refused {
+						return Outcome{Result: ResultRefused, Limit: 20}
+					}
+					return okay
+				})
+				if a.DataCentre != "thun" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(away(0)).To(BeZero())
+		Expect(away(0.3)).To(BeNumerically("~", 1200, 300))
+		Expect(away(0)).To(BeNumerically("<", 100), "the calls come back when the refusals end")
+	})
+
+	It("uses another data centre, then an ejected backend server, before it fails", func() {
+		p := picker(1, config(all), append(servers("v1", "thun", 1), servers("v1", "bern", 2)...))
+		failed := Outcome{Result: ResultFailed}
+		for range ejectAfter {
+			Expect(call(p, start, always(failed)).DataCentre).To(BeEquivalentTo("thun"))
+		}
+		Expect(p.Ejected(start, "s", "v1")).To(ConsistOf(model.HostID("thun-v1-0")))
+		b := call(p, start, always(okay))
+		Expect(b.DataCentre).To(BeEquivalentTo("bern"))
+		Expect(call(p, start, always(okay), "bern-v1-0", "bern-v1-1").DataCentre).To(BeEquivalentTo("thun"))
+		_, err := p.BackendServer(start, "s", "v1", []model.HostID{"bern-v1-0", "bern-v1-1", "thun-v1-0"})
+		Expect(err).To(MatchError(ErrNoBackendServer))
+	})
+
+	It("never ejects more than a third of a version, also after others have left, and ejects longer each time", func() {
+		list := servers("v1", "thun", 9)
+		p := picker(1, config(all), list)
+		now := start
+		for i := range 5000 {
+			now = start.Add(time.Duration(i) * 20 * time.Millisecond)
+			call(p, now, always(Outcome{Result: ResultFailed}))
+			Expect(len(p.Ejected(now, "s", "v1"))).To(BeNumerically("<=", 3))
+		}
+		Expect(p.Ejected(now, "s", "v1")).To(HaveLen(3))
+		ejected := p.Ejected(now, "s", "v1")
+		left := slices.DeleteFunc(slices.Clone(list), func(a membership.Announcement) bool {
+			return !slices.Contains(ejected, a.Host) && a.Host != list[0].Host && a.Host != list[1].Host && a.Host != list[2].Host
+		})
+		p.SetTable(now, NewTable(config(all), left))
+		call(p, now, always(okay))
+		Expect(len(p.Ejected(now, "s", "v1")) * 3).To(BeNumerically("<=", len(left)))
+		h := &host{}
+		for _, want := range []time.Duration{1, 2, 4, 8, 16, 32, 60, 60} {
+			Expect(h.eject(now)).To(Equal(want * time.Second))
+		}
+	})
+
+	It("does not concentrate load on the fastest backend server", func() {
+		counts := map[model.HostID]int{}
+		list := servers("v1", "thun", 6)
+		for seed := range uint64(50) {
+			p := picker(seed+1, config(all), list)
+			for i := range 400 {
+				a := call(p, start.Add(time.Duration(i)*time.Millisecond), func(a membership.Announcement) Outcome {
+					o := okay
+					if a.Host == "thun-v1-0" {
+						o.Latency = time.Millisecond
+					}
+					return o
+				})
+				counts[a.Host]++
+			}
+		}
+		Expect(counts["thun-v1-0"]).To(BeNumerically("<", 2*20_000/6))
+		for _, a := range list {
+			Expect(counts[a.Host]).To(BeNumerically(">", 20_000/6/2))
+		}
+	})
+
+	It("balances calls that are in flight", func() {
+		p := picker(1, config(all), servers("v1", "thun", 6))
+		counts := map[model.HostID]int{}
+		for range 60 {
+			a, err := p.BackendServer(start, "s", "v1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			counts[a.Host]++
+		}
+		for id, n := range counts {
+			Expect(n).To(BeNumerically("~", 10, 3), string(id))
+		}
+	})
+
+	It("gives a fresh backend server little work until it advertises more, without starving it", func() {
+		list := servers("v1", "thun", 5)
+		p := picker(1, config(all), list[:4])
+		part := func(limit int) float64 {
+			n := 0
+			for range 2000 {
+				a := call(p, start, func(a membership.Announcement) Outcome {
+					o := okay
+					if a.Host == list[4].Host {
+						o.Limit = limit
+					}
+					return o
+				})
+				if a.Host == list[4].Host {
+					n++
+				}
+			}
+			return float64(n) / 2000
+		}
+		part(1)
+		p.SetTable(start, NewTable(config(all), list))
+		Expect(part(1)).To(And(BeNumerically(">", 0.005), BeNumerically("<", 0.05)))
+		part(20)
+		Expect(part(20)).To(BeNumerically("~", 0.2, 0.04))
+		Expect(part(0)).To(BeNumerically("<", 0.01), "a limit of zero takes no work")
+	})
+
+	It("sends nothing to a data centre that is out and a growing part to one that returns", func() {
+		list := append(servers("v1", "thun", 4), servers("v1", "bern", 4)...)
+		c := config(all)
+		p := picker(1, c, list)
+		set := func(now time.Time, s note.DataCentreState) {
+			c = c.Clone()
+			c.DataCentres["thun"] = s
+			p.SetTable(now, NewTable(c, list))
+		}
+		home := func(now time.Time) float64 {
+			n := 0
+			for range 1000 {
+				if call(p, now, always(okay)).DataCentre == "thun" {
+					n++
+				}
+			}
+			return float64(n) / 1000
+		}
+		Expect(home(start)).To(Equal(1.0))
+		set(start, note.DataCentreOut)
+		Expect(home(start)).To(BeZero())
+		set(start, note.DataCentreReturning)
+		Expect(home(start)).To(BeNumerically("~", 0.05, 0.03))
+		Expect(home(start.Add(DefaultRamp / 2))).To(BeNumerically("~", 0.525, 0.06))
+		set(start.Add(DefaultRamp/2), note.DataCentreIn)
+		Expect(home(start.Add(DefaultRamp / 2))).To(BeNumerically("~", 0.525, 0.06))
+		Expect(home(start.Add(DefaultRamp))).To(Equal(1.0))
+	})
+
+	It("spreads the first calls of many nodes over versions by share", func() {
+		list := append(servers("v1", "thun", 2), servers("v2", "thun", 2)...)
+		first := make([]int, 20)
+		for seed := range uint64(2000) {
+			p := picker(seed+1, config(note.Shares{"v1": 9900, "v2": 100}), list)
+			for i := range first {
+				if v, _ := p.Version("s"); v == "v2" {
+					first[i]++
+				}
+			}
+		}
+		for _, n := range first {
+			Expect(n).To(BeNumerically("~", 20, 18), "calls of 2,000 nodes to the version with 1%%")
+		}
+	})
+
+	It("keeps calls away from a blocked version, but not from the last one", func() {
+		list := append(servers("v1", "thun", 2), servers("v2", "thun", 2)...)
+		p := picker(1, config(note.Shares{"v1": 5000, "v2": 5000}), list)
+		Expect(p.Block("s", "v2", true)).To(Succeed())
+		for range 10 {
+			Expect(p.Version("s")).To(BeEquivalentTo("v1"))
+		}
+		Expect(p.Block("s", "v1", true)).To(Succeed())
+		_, err := p.Version("s")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("asserts", func(name string, breakState func(*Picker)) {
+		p := picker(1, config(all), servers("v1", "thun", 1))
+		call(p, start, always(okay))
+		breakState(p)
+		Expect(func() {
+			_, _ = p.Version("s")
+			_, _ = p.BackendServer(start, "s", "v1", nil)
+		}).To(PanicWith(ContainSubstring(name)))
+	},
+		Entry("no call for a version without a share", "bad-version-share",
+			func(p *Picker) { p.services["s"].source.shares = note.Shares{} }),
+		Entry("no call for a leaving backend server", "leaving-server",
+			func(p *Picker) { p.hosts["thun-v1-0"].State = membership.StateDraining }),
+		Entry("no call for a data centre that is out", "data-centre-out",
+			func(p *Picker) { p.table.dataCentres["thun"] = note.DataCentreOut }),
+	)
+})
+
+var _ = Describe("Hedger", func() {
+	It("delays by the 95th percentile and allows at most 5% extra calls", func() {
+		h := NewHedger()
+		_, known := h.Delay("r")
+		Expect(known).To(BeFalse())
+		for i := range 1000 {
+			h.Observe("r", time.Duration(1+i%100)*time.Millisecond)
+		}
+		hedges := 0
+		for range 10_000 {
+			delay, known := h.Delay("r")
+			Expect(known).To(BeTrue())
+			Expect(delay).To(BeNumerically("~", 95*time.Millisecond, 2*time.Millisecond))
+			if h.Take() {
+				hedges++
+			}
+		}
+		Expect(hedges).To(BeNumerically("<=", 501))
+	})
+})
--- /dev/null
+++ b/mesh/routing/table.go
@@ -0,0 +1,107 @@
+// Package routing decides on the entry side where a call goes: the route, the
+// version by share, the backend server by load, and whether it may be tried
+// again. Decisions take the time as an argument and do not block.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// Table is the immutable routing state of one configuration and one set of
+// announcements.
+type Table struct {
+	// routes has the routes of each path prefix, without a slash at the end.
+	routes map[string][]note.Route
+	// longest is the length of the longest prefix.
+	longest     int
+	services    map[model.ServiceName]*serviceTable
+	dataCentres map[model.DataCentre]note.DataCentreState
+}
+
+type serviceTable struct {
+	shares note.Shares
+	// pools has the backend servers that take new work, by version.
+	pools map[model.ServiceVersion][]membership.Announcement
+}
+
+// NewTable builds a table. Backend servers that are not serving and those in
+// data centres that are out are left out.
+func NewTable(cfg note.Config, announcements []membership.Announcement) *Table {
+	t := &Table{
+		routes:      make(map[string][]note.Route, len(cfg.Routes)),
+		services:    make(map[model.ServiceName]*serviceTable, len(cfg.Services)),
+		dataCentres: cfg.DataCentres,
+	}
+	for name := range cfg.Services {
+		t.services[name] = &serviceTable{shares: cfg.Shares[name], pools: map[model.ServiceVersion][]membership.Announcement{}}
+	}
+	for _, r := range cfg.Routes {
+		t.addRoute(r)
+	}
+	for _, a := range announcements {
+		s := t.services[a.Service]
+		if s == nil || a.State != membership.StateServing || t.dataCentres[a.DataCentre] == note.DataCentreOut {
+			continue
+		}
+		s.pools[a.Version] = append(s.pools[a.Version], a)
+	}
+	return t
+}
+
+func (t *Table) addRoute(r note.Route) {
+	prefix := strings.TrimRight(r.PathPrefix, "/")
+	routes := append(t.routes[prefix], r)
+	slices.SortFunc(routes, func(a, b note.Route) int { return cmp.Compare(a.Name, b.Name) })
+	t.routes[prefix] = routes
+	t.longest = max(t.longest, len(prefix))
+}
+
+// Match returns the route of the method with the longest path prefix. A prefix
+// matches whole path segments: /a matches /a and /a/b but not /ab. Of routes
+// with equal prefixes the first by name wins. A query behind the path is ignored.
+func (t *Table) Match(method, path string) (note.Route, error) {
+	path, _, _ = strings.Cut(path, "?")
+	prefix, otherMethod := path, false
+	for {
+		if len(prefix) <= t.longest {
+			for _, r := range t.routes[prefix] {
+				if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+					return r, nil
+				}
+				otherMethod = true
+			}
+		}
+		i := strings.LastIndexByte(prefix, '/')
+		if i < 0 {
+			break
+		}
+		prefix = prefix[:i]
+	}
+	if otherMethod {
+		return note.Route{}, eris.Wrapf(ErrMethodNotAllowed, "%s %.200s", method, path)
+	}
+	return note.Route{}, eris.Wrapf(ErrNoRoute, "%.200s", path)
+}
+
+// Skipped returns the versions that have a share but no backend server that
+// takes new work; their calls go to the other versions.
+func (t *Table) Skipped() map[model.ServiceName][]model.ServiceVersion {
+	skipped := map[model.ServiceName][]model.ServiceVersion{}
+	for name, s := range t.services {
+		for v, share := range s.shares {
+			if share > 0 && len(s.pools[v]) == 0 {
+				skipped[name] = append(skipped[name], v)
+			}
+		}
+		slices.Sort(skipped[name])
+	}
+	return skipped
+}
--- /dev/null
+++ b/mesh/routing/table_test.go
@@ -0,0 +1,103 @@
+package routing
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+var _ = Describe("Table", func() {
+	cfg := config(note.Shares{"v1": model.ShareAll})
+	for _, r := range []note.Route{
+		{Name: "all", PathPrefix: "/"},
+		{Name: "cabinets", PathPrefix: "/cabinets/", Methods: []string{"GET"}},
+		{Name: "restock", PathPrefix: "/cabinets/restock", Methods: []string{"POST"}},
+		{Name: "roster-b", PathPrefix: "/roster", Methods: []string{"PUT"}},
+		{Name: "roster-a", PathPrefix: "/roster"},
+	} {
+		cfg.Routes[r.Name] = r
+	}
+
+	DescribeTable("matches the method and the longest prefix of whole segments", func(method, path, want string) {
+		r, err := NewTable(cfg, nil).Match(method, path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(r.Name)).To(Equal(want))
+	},
+		Entry(nil, "GET", "/cabinets", "cabinets"),
+		Entry(nil, "GET", "/cabinets/7?full=1", "cabinets"),
+		Entry("a longer word is another segment", "GET", "/cabinetsx", "all"),
+		Entry("of another method falls back to the shorter prefix", "GET", "/cabinets/restock/7", "cabinets"),
+		Entry(nil, "POST", "/cabinets/restock/7", "restock"),
+		Entry("a query is no path", "POST", "/x?/cabinets/restock", "all"),
+		Entry("equal prefixes are decided by name", "PUT", "/roster/1", "roster-a"),
+		Entry("a path longer than any prefix", "GET", "/cabinets/restock/7/8/9/10/11/12", "cabinets"),
+	)
+
+	It("tells an unknown path from a method that is not allowed", func() {
+		c := cfg.Clone()
+		delete(c.Routes, "all")
+		_, err := NewTable(c, nil).Match("GET", "/nothing")
+		Expect(err).To(MatchError(ErrNoRoute))
+		_, err = NewTable(c, nil).Match("DELETE", "/cabinets/7")
+		Expect(err).To(MatchError(ErrMethodNotAllowed))
+	})
+
+	It("leaves out backend servers that take no new work and reports versions without any", func() {
+		c := config(note.Shares{"v1": 9000, "v2": 500, "v3": 500})
+		c.DataCentres["burgdorf"] = note.DataCentreOut
+		list := append(servers("v1", "thun", 2), servers("v2", "burgdorf", 2)...)
+		for i, state := range []membership.State{membership.StateDraining, membership.StateLeft, membership.StateLapsed} {
+			a := servers("v3", "bern", 3)[i]
+			a.State = state
+			list = append(list, a)
+		}
+		t := NewTable(c, list)
+		Expect(t.Skipped()).To(Equal(map[model.ServiceName][]model.ServiceVersion{"s": {"v2", "v3"}}))
+		p := NewPicker(PickerConfig{DataCentre: "thun", Seed: 1})
+		p.SetTable(start, t)
+		for range 100 {
+			Expect(p.Version("s")).To(Equal(model.ServiceVersion("v1")))
+		}
+	})
+})
+
+var _ = Describe("Budget and Bucket", func() {
+	It("bounds the tries over all levels", func() {
+		tries := 0
+		var call func(level int, budget *Budget)
+		call = func(level int, budget *Budget) {
+			for {
+				if level < 25 {
+					next := NewBudget(budget.Lend())
+					call(level+1, next)
+					budget.Return(next.Left())
+				}
+				if !budget.Take() { // each level fails and tries again while it may
+					return
+				}
+				tries++
+			}
+		}
+		call(0, NewBudget(3))
+		Expect(tries).To(Equal(3))
+	})
+
+	It("bounds the retries of a node to 10% of its calls, and leaves a call's budget alone if it refuses", func() {
+		b, retries := NewRetryBucket(), 0
+		last := NewBudget(1)
+		for range 10_000 {
+			b.Call()
+			if TakeRetry(b, NewBudget(1)) {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("~", 1000, retryBurst))
+		for b.Take() {
+		}
+		Expect(TakeRetry(b, last)).To(BeFalse())
+		Expect(last.Left()).To(Equal(1))
+	})
+})
