--- /dev/null
+++ b/bench/demo/fleet.go
@@ -0,0 +1,219 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note/strictjson"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/settings"
+)
+
+const (
+	cluster = "demo"
+	token   = "demo-operator-token"
+)
+
+// Fleet is the set of processes of one run and their addresses.
+type Fleet struct {
+	dir, bin string
+	ports    *ports
+	ca       *peer.DevCA
+
+	DataCentres []model.DataCentre
+	Controls    []*ControlHost
+	Servers     []*BackendServer
+
+	addresses []settings.ControlHost
+}
+
+// ControlHost is one control process.
+type ControlHost struct {
+	*Process
+	Host     model.HostID
+	Operator string
+}
+
+// BackendServer is a stand-in with the node beside it.
+type BackendServer struct {
+	Host       model.HostID
+	DataCentre model.DataCentre
+	Service    model.ServiceName
+	Version    model.ServiceVersion
+	Backend    *Process
+	Node       *Process
+	// BackendAddress, Caller and Admin are the addresses to ask.
+	BackendAddress, Caller, Admin string
+}
+
+// NewFleet makes the folder, the development CA and the control hosts' settings.
+func NewFleet(dir, bin string, dcs []model.DataCentre) (*Fleet, error) {
+	ca, err := peer.OpenDevCA(filepath.Join(dir, "ca"))
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{dir: dir, bin: bin, ports: newPorts(), ca: ca, DataCentres: dcs}
+	for i, dc := range dcs {
+		addr, err := f.ports.next()
+		if err != nil {
+			return nil, err
+		}
+		host := model.HostID(fmt.Sprintf("c%d", i+1))
+		f.addresses = append(f.addresses, settings.ControlHost{Host: host, DataCentre: dc, Peer: addr, Voter: i < maxVoters})
+	}
+	for _, a := range f.addresses {
+		if err := f.addControl(a); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// maxVoters is the number of control hosts that vote at the start.
+const maxVoters = 5
+
+func (f *Fleet) process(host model.HostID, dc model.DataCentre, role peer.Role) (settings.Process, error) {
+	files, err := f.ca.Issue(peer.Identity{Role: role, DataCentre: dc, Host: host})
+	if err != nil {
+		return settings.Process{}, err
+	}
+	return settings.Process{
+		Host: host, DataCentre: dc, Region: "demo", Cluster: cluster, Credentials: files,
+		ControlHosts: f.addresses, LogLevel: slog.LevelInfo, InvariantsFatal: true,
+	}, nil
+}
+
+func (f *Fleet) addControl(a settings.ControlHost) error {
+	p, err := f.process(a.Host, a.DataCentre, peer.RoleControl)
+	if err != nil {
+		return err
+	}
+	op, err := f.ports.next()
+	if err != nil {
+		return err
+	}
+	c := settings.DefaultControl()
+	c.Process = p
+	c.DataDir = filepath.Join(f.dir, string(a.Host)+"-data")
+	c.Listen = settings.ControlListen{Peer: a.Peer, Operator: op}
+	c.DataCentres = f.DataCentres
+	c.OperatorTLS = settings.OperatorTLS{Certificate: p.Credentials.Certificate, Key: p.Credentials.Key}
+	sum := sha256.Sum256([]byte(token))
+	c.Operators = []settings.Operator{{Name: "demo", TokenSHA256: hex.EncodeToString(sum[:])}}
+	file, err := f.write(string(a.Host), c)
+	if err != nil {
+		return err
+	}
+	f.Controls = append(f.Controls, &ControlHost{
+		Process:  NewProcess(f.dir, string(a.Host), filepath.Join(f.bin, "balsamtraild"), "control", "--settings", file),
+		Host:     a.Host,
+		Operator: op,
+	})
+	return nil
+}
+
+func (f *Fleet) write(name string, v any) (string, error) {
+	b, err := strictjson.MarshalIndent(v)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(f.dir, name+".json")
+	return file, os.WriteFile(file, b, 0o600)
+}
+
+// Spec describes a backend server to start.
+type Spec struct {
+	Service    model.ServiceName
+	Version    model.ServiceVersion
+	DataCentre model.DataCentre
+	// Flags are further flags of the stand-in.
+	Flags []string
+}
+
+// Add prepares a backend server and its node.
+func (f *Fleet) Add(s Spec) (*BackendServer, error) {
+	host := model.HostID(fmt.Sprintf("%s-%s-%d", s.Service, s.Version, len(f.Servers)+1))
+	p, err := f.process(host, s.DataCentre, peer.RoleNode)
+	if err != nil {
+		return nil, err
+	}
+	var addr [6]string
+	for i := range addr {
+		if addr[i], err = f.ports.next(); err != nil {
+			return nil, err
+		}
+	}
+	n := settings.DefaultNode()
+	n.Process = p
+	n.Listen = settings.NodeListen{Caller: addr[0], Outgoing: addr[1], Peer: addr[2], Call: addr[3], Admin: addr[4]}
+	n.Backend = settings.Backend{
+		Service: s.Service, Version: s.Version, URL: "http://" + addr[5], Slots: 20, Connections: 100, HealthPath: "/healthz",
+	}
+	file, err := f.write(string(host), n)
+	if err != nil {
+		return nil, err
+	}
+	args := append([]string{filepath.Join(f.bin, "bench"), "backend", "--listen", addr[5], "--service", string(s.Service),
+		"--version", string(s.Version), "--host", string(host), "--outgoing", "http://" + addr[1]}, s.Flags...)
+	b := &BackendServer{
+		Host: host, DataCentre: s.DataCentre, Service: s.Service, Version: s.Version,
+		Backend:        NewProcess(f.dir, string(host)+"-backend", args...),
+		Node:           NewProcess(f.dir, string(host), filepath.Join(f.bin, "balsamtraild"), "node", "--settings", file),
+		BackendAddress: addr[5], Caller: "http://" + addr[0], Admin: "http://" + addr[4],
+	}
+	f.Servers = append(f.Servers, b)
+	return b, nil
+}
+
+// Start starts the stand-in and its node.
+func (b *BackendServer) Start() error {
+	if err := b.Backend.Start(); err != nil {
+		return err
+	}
+	return b.Node.Start()
+}
+
+// AddAndStart prepares and starts several backend servers.
+func (f *Fleet) AddAndStart(specs ...Spec) ([]*BackendServer, error) {
+	var out []*BackendServer
+	for _, s := range specs {
+		b, err := f.Add(s)
+		if err != nil {
+			return nil, err
+		}
+		if err := b.Start(); err != nil {
+			return nil, err
+		}
+		out = append(out, b)
+	}
+	return out, nil
+}
+
+// KillAll ends every process that is left.
+func (f *Fleet) KillAll() {
+	for _, s := range f.Servers {
+		s.Node.Kill()
+		s.Backend.Kill()
+	}
+	for _, c := range f.Controls {
+		c.Kill()
+	}
+}
+
+// Eventually calls f every 20 ms until it returns nil or the time is over.
+func Eventually(limit time.Duration, f func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/bench/demo/operate.go
@@ -0,0 +1,131 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"balsamtrail.org/bench/standin"
+	"balsamtrail.org/mesh/operator"
+)
+
+const (
+	commandTimeout = 20 * time.Second
+	askTimeout     = 2 * time.Second
+)
+
+// CLI runs the operators' tool and returns its output.
+func (f *Fleet) CLI(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	var servers []string
+	for _, c := range f.Controls {
+		servers = append(servers, "https://"+c.Operator)
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(f.bin, "balsamtrail"), args...)
+	cmd.Env = append(os.Environ(), "BALSAMTRAIL_SERVERS="+strings.Join(servers, ","), "BALSAMTRAIL_TOKEN="+token,
+		"BALSAMTRAIL_CA="+filepath.Join(f.dir, "ca", "ca.pem"))
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	if err := cmd.Run(); err != nil {
+		return out.String(), fmt.Errorf("balsamtrail %s: %w: %s", strings.Join(args, " "), err, errs.String())
+	}
+	return out.String(), nil
+}
+
+// CLIJSON runs the tool and decodes its JSON output.
+func (f *Fleet) CLIJSON(v any, args ...string) error {
+	out, err := f.CLI(append([]string{"--output", "json"}, args...)...)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal([]byte(out), v)
+}
+
+// Publish writes a note to a file and publishes it.
+func (f *Fleet) Publish(note string) error {
+	file := filepath.Join(f.dir, fmt.Sprintf("note-%d.json", time.Now().UnixNano()))
+	if err := os.WriteFile(file, []byte(note), 0o600); err != nil {
+		return err
+	}
+	_, err := f.CLI("publish", file)
+	return err
+}
+
+// Leader returns the control host that leads.
+func (f *Fleet) Leader() (*ControlHost, error) {
+	var a operator.StatusAnswer
+	if err := f.CLIJSON(&a, "status"); err != nil {
+		return nil, err
+	}
+	for _, c := range f.Controls {
+		if c.Host == a.Status.Leader {
+			return c, nil
+		}
+	}
+	return nil, fmt.Errorf("no leader")
+}
+
+// ask gets a JSON answer over plain HTTP.
+func ask(url string, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", url, resp.StatusCode, b)
+	}
+	return json.Unmarshal(b, v)
+}
+
+// NodeStatus is the part of a node's status that the demo reads.
+type NodeStatus struct {
+	Routable      bool  `json:"routable"`
+	Violations    int64 `json:"invariant_violations"`
+	BytesSent     int64 `json:"control_bytes_sent"`
+	BytesReceived int64 `json:"control_bytes_received"`
+	UptimeMs      int64 `json:"uptime_ms"`
+	Limit         int   `json:"limit"`
+	InFlight      int   `json:"in_flight"`
+	Position      struct {
+		Epoch uint64 `json:"epoch"`
+		Index uint64 `json:"index"`
+	} `json:"position"`
+}
+
+// Status asks the node beside the backend server.
+func (b *BackendServer) Status() (NodeStatus, error) {
+	var s NodeStatus
+	return s, ask(b.Admin+"/status", &s)
+}
+
+// Stats asks the stand-in.
+func (b *BackendServer) Stats() (standin.Stats, error) {
+	var s standin.Stats
+	return s, ask("http://"+b.BackendAddress+"/_standin/stats", &s)
+}
+
+// Keys asks the stand-in for its runs by idempotency key.
+func (b *BackendServer) Keys() (map[string]int, error) {
+	var k map[string]int
+	return k, ask("http://"+b.BackendAddress+"/_standin/keys", &k)
+}
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -126,6 +126,7 @@
 	var res result
 	for try := 0; ; try++ {
 		res = g.send(f, target, nonce, key, body)
+		g.report.key(key, res.outcome, try)
 		again := key != "" && (res.outcome == OutcomeUnknown || res.outcome == OutcomeLost || res.outcome == OutcomeLate)
 		if !again || try >= f.Resends {
 			break
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -48,11 +48,40 @@
 	start   time.Time
 	flows   map[string]*FlowReport
 	details []string
+	keys    map[string]KeyReport
+}
+
+// KeyReport is what callers were told about one write.
+type KeyReport struct {
+	// OK is set once an answer of the backend server was received.
+	OK bool
+	// NotRun is set if every attempt was refused as not run.
+	NotRun bool
+}
+
+// key records the outcome of one attempt of a write.
+func (r *Report) key(key string, o Outcome, attempt int) {
+	if key == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.keys[key]
+	k.OK = k.OK || o == OutcomeOK
+	k.NotRun = o == OutcomeNotRun && (attempt == 0 || k.NotRun)
+	r.keys[key] = k
+}
+
+// Keys returns what callers were told about each write.
+func (r *Report) Keys() map[string]KeyReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.keys)
 }
 
 // NewReport returns an empty report whose seconds count from start.
 func NewReport(start time.Time) *Report {
-	return &Report{start: start, flows: map[string]*FlowReport{}}
+	return &Report{start: start, flows: map[string]*FlowReport{}, keys: map[string]KeyReport{}}
 }
 
 func (r *Report) add(f Flow, res result, due time.Time) {
--- a/bench/standin/ledger.go
+++ b/bench/standin/ledger.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -102,6 +103,13 @@
 	l.stats.Canceled++
 }
 
+// runs returns a copy of the runs per key.
+func (l *ledger) runs() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.stats.Runs)
+}
+
 func (l *ledger) snapshot() Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/bench/standin/server.go
+++ b/bench/standin/server.go
@@ -65,6 +65,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_standin/stats", s.serveStats)
+	mux.HandleFunc("GET /_standin/keys", s.serveKeys)
 	mux.HandleFunc("POST /_standin/drain", s.serveDrain)
 	mux.HandleFunc("POST /_standin/cold", s.serveCold)
 	mux.HandleFunc("GET /healthz", s.serveHealth)
@@ -76,6 +77,11 @@
 	_ = json.NewEncoder(w).Encode(s.ledger.snapshot())
 }
 
+// serveKeys lists the runs of each idempotency key.
+func (s *Server) serveKeys(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.ledger.runs())
+}
+
 func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
--- /dev/null
+++ b/mesh/control/control.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/replog"
+	"balsamtrail.org/mesh/settings"
+)
+
+// configGroup is the group that holds the configuration; claims have the groups from 1.
+const configGroup uint32 = 0
+
+// Control is a control host.
+type Control struct {
+	cfg settings.Control
+	log *slog.Logger
+	ep  *peer.Endpoint
+
+	machine   *Machine
+	config    *replog.Log
+	transport *logTransport
+	claims    *claimGroups
+
+	store     *distribute.Store
+	endpoints *membership.Table
+	keeper    *membership.LeaseKeeper
+	admission *distribute.Admission
+	// nodes sums up the nodes that this host serves, hosts what other control
+	// hosts report. They are apart, so that hosts which follow each other do not
+	// count each other's nodes again and again.
+	nodes, hosts *distribute.Subtree
+	planned      func(peer.Identity) (bool, []distribute.Parent)
+	freshness    *distribute.Freshness
+
+	evidence *evidence
+	lead     *leader
+}
+
+// New opens the listening socket and the data directory of a control host.
+func New(ctx context.Context, cfg settings.Control, log *slog.Logger) (*Control, error) {
+	creds, err := peer.LoadCredentials(cfg.Credentials)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
+	}
+	want := peer.Identity{Role: peer.RoleControl, DataCentre: cfg.DataCentre, Host: cfg.Host}
+	if id := creds.Identity(); id != want {
+		return nil, eris.Wrapf(ErrStart, "certificate is for %s, settings say %s", id, want)
+	}
+	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Log: log})
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "%v", err)
+	}
+	c := &Control{
+		cfg: cfg, log: log, ep: ep,
+		store: distribute.NewStore(), endpoints: membership.NewTable(), keeper: membership.NewLeaseKeeper(),
+		admission: distribute.NewAdmission(distribute.SourceAdmission()),
+		nodes:     distribute.NewSubtree(nil), hosts: distribute.NewSubtree(nil),
+		freshness: &distribute.Freshness{}, evidence: newEvidence(),
+	}
+	c.planned = distribute.SourcePlan(c.endpoints)
+	c.machine = NewMachine(cfg.Epoch, c.store, log)
+	c.transport = newLogTransport(ctx, ep, log, c.findHost)
+	if err := c.openLogs(); err != nil {
+		return nil, err
+	}
+	c.lead = newLeader(c)
+	c.register()
+	return c, nil
+}
+
+// openLogs opens the replicated log of each group.
+func (c *Control) openLogs() error {
+	l, err := c.openLog(configGroup, c.machine)
+	if err != nil {
+		return err
+	}
+	c.config = l
+	c.claims = newClaimGroups(c.log)
+	for g := uint32(1); g <= uint32(c.cfg.ClaimGroups); g++ {
+		state := claim.NewState()
+		l, err := c.openLog(g, claimMachine{state: state})
+		if err != nil {
+			return err
+		}
+		c.claims.add(g, l, state)
+	}
+	c.claims.open()
+	return nil
+}
+
+func (c *Control) openLog(group uint32, sm replog.StateMachine) (*replog.Log, error) {
+	l, err := replog.Open(replog.Config{
+		Cluster: c.cfg.Cluster, Group: group, Self: c.cfg.Host,
+		Dir: filepath.Join(c.cfg.DataDir, "group-"+strconv.Itoa(int(group))), Voters: c.voters(),
+		ElectionTimeout: c.cfg.Timeouts.Election, Heartbeat: c.cfg.Timeouts.Heartbeat,
+		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries),
+		Log:             c.log.With("group", group),
+	}, sm, c.transport)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "group %d: %v", group, err)
+	}
+	c.transport.add(group, l)
+	return l, nil
+}
+
+// voters returns the hosts that form new groups; none if this host joins later.
+func (c *Control) voters() []model.HostID {
+	var out []model.HostID
+	self := false
+	for _, h := range c.cfg.ControlHosts {
+		if h.Voter {
+			out = append(out, h.Host)
+			self = self || h.Host == c.cfg.Host
+		}
+	}
+	if !self {
+		return nil
+	}
+	return out
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (c *Control) Run(ctx context.Context) error {
+	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	g, gctx := errgroup.WithContext(ctx)
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = c.ep.Serve(serveCtx) })
+	g.Go(func() error { return c.serveOperators(gctx) })
+	g.Go(func() error { return c.keepLeases(gctx) })
+	g.Go(func() error { return c.followHosts(gctx) })
+	g.Go(func() error { return c.watchOwners(gctx) })
+	g.Go(func() error { return c.claims.service.Run(gctx) })
+	g.Go(func() error { return c.lead.run(gctx) })
+	g.Go(func() error { return c.watchLogs(gctx) })
+	c.log.Info("control host started", "peer", c.ep.Addr().String(), "operator", c.cfg.Listen.Operator)
+	err := g.Wait()
+	c.stop()
+	stopServing()
+	serving.Wait()
+	c.log.Info("control host stopped")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// handoffSpread is the time over which the children of a stopping control host
+// reconnect elsewhere.
+const handoffSpread = time.Second
+
+// stop hands the children over and closes the logs.
+func (c *Control) stop() {
+	c.admission.Drain(handoffSpread)
+	deadline := time.Now().Add(min(2*handoffSpread, c.cfg.Timeouts.Shutdown))
+	for c.admission.Children() > 0 && time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.claims.close()
+	if err := c.config.Close(); err != nil {
+		c.log.Error("log not closed cleanly", "group", configGroup, "reason", err.Error())
+	}
+}
+
+// watchLogs ends the process when a log has stopped after a disk failure.
+func (c *Control) watchLogs(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for number, l := range c.transport.all() {
+		g.Go(func() error { return watchLog(ctx, number, l) })
+	}
+	return g.Wait()
+}
+
+func watchLog(ctx context.Context, group uint32, l *replog.Log) error {
+	for {
+		st, changed := l.Watch()
+		if st.Err != nil {
+			return eris.Wrapf(st.Err, "group %d stopped", group)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/mesh/control/machine.go
@@ -0,0 +1,215 @@
+package control
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/replog"
+	"balsamtrail.org/mesh/rollout"
+)
+
+// Machine is the replicated state of group 0: notes, data centres, moves and
+// the addresses of the control hosts. It implements replog.StateMachine and is
+// deterministic. Each change of the configuration is published to the store.
+type Machine struct {
+	epoch uint64
+	store *distribute.Store
+	log   *slog.Logger
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	notes    *note.State
+	rollouts *rollout.State
+	hosts    map[model.HostID]HostAddress
+	changed  chan struct{}
+}
+
+// NewMachine returns the state before the first entry.
+func NewMachine(epoch uint64, store *distribute.Store, log *slog.Logger) *Machine {
+	return &Machine{
+		epoch: epoch, store: store, log: log, notes: note.NewState(), rollouts: rollout.NewState(),
+		hosts: map[model.HostID]HostAddress{}, changed: make(chan struct{}),
+	}
+}
+
+// Apply implements replog.StateMachine. The result is a note.Result, a
+// rollout.Result or nil.
+func (m *Machine) Apply(e replog.Entry) any {
+	if e.Kind != replog.EntryCommand {
+		return nil
+	}
+	var c command
+	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		m.log.Error("entry does not decode and is ignored", "index", e.Index, "reason", err.Error())
+		return eris.Wrapf(ErrCorrupt, "entry %d: %v", e.Index, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.wake()
+	switch {
+	case c.Note != nil:
+		return m.applyNote(c.Note, e.Index)
+	case c.Rollout != nil:
+		return m.applyRollout(c.Rollout, e.Index)
+	case c.Host != nil:
+		m.hosts[c.Host.Host] = *c.Host
+	}
+	return nil
+}
+
+func (m *Machine) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Machine) applyNote(data []byte, index uint64) any {
+	c, err := note.DecodeCommand(data)
+	if err != nil {
+		return eris.Wrapf(ErrCorrupt, "entry %d: %v", index, err)
+	}
+	r := m.notes.Apply(c, model.Position{Epoch: m.epoch, Index: index})
+	m.log.Info("note command applied", "index", index, "operator", string(c.Operator), "operation", string(c.Operation),
+		"code", string(r.Code), "changed", r.Changed, "message", r.Message)
+	if r.Code == note.CodeOK && (c.Publish != nil || c.Amend != nil || c.Withdraw != nil) {
+		m.followMoves(rollout.InstantOf(c.Time), index)
+	}
+	if r.Changed {
+		m.publish()
+	}
+	return r
+}
+
+// followMoves starts the rollouts of new moves and withdraws those of moves
+// that were withdrawn.
+func (m *Machine) followMoves(now rollout.Instant, index uint64) {
+	for _, mv := range m.notes.Moves() {
+		id := rollout.MoveID{Note: mv.Note, Service: mv.Move.Service}
+		switch {
+		case mv.First():
+		case mv.Withdrawn:
+			m.rollouts.Apply(rollout.Command{Op: rollout.OpWithdraw, Move: rollout.Move{ID: id}, Time: now,
+				Reason: "withdrawn by an operator"}, index)
+		case mv.Open():
+			m.rollouts.Apply(rollout.Command{Op: rollout.OpStart, Time: now, From: mainVersion(mv.From), Move: rollout.Move{
+				ID: id, Revision: mv.Revision, To: mv.Move.To, By: rollout.InstantOf(mv.Move.By), WatchFor: mv.Move.WatchFor,
+			}}, index)
+		}
+	}
+}
+
+// mainVersion returns the version with the greatest share.
+func mainVersion(shares note.Shares) model.ServiceVersion {
+	versions := make([]model.ServiceVersion, 0, len(shares))
+	for v := range shares {
+		versions = append(versions, v)
+	}
+	if len(versions) == 0 {
+		return ""
+	}
+	return slices.MinFunc(versions, func(a, b model.ServiceVersion) int {
+		if c := cmp.Compare(shares[b], shares[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+}
+
+func (m *Machine) applyRollout(data []byte, index uint64) any {
+	c, err := rollout.DecodeCommand(data)
+	if err != nil {
+		return eris.Wrapf(ErrCorrupt, "entry %d: %v", index, err)
+	}
+	r := m.rollouts.Apply(c, index)
+	m.log.Info("rollout command applied", "index", index, "op", c.Op.String(), "service", string(c.Move.ID.Service),
+		"note", c.Move.ID.Note, "outcome", r.Outcome.String(), "phase", r.Status.Phase.String(),
+		"share", uint32(r.Status.Share), "reason", c.Reason)
+	return r
+}
+
+// publish hands the configuration in force to the store.
+func (m *Machine) publish() {
+	if err := m.store.Publish(m.notes.Position(), m.notes.Config()); err != nil {
+		m.log.Debug("configuration not published", "position", m.notes.Position().String(), "reason", err.Error())
+	}
+}
+
+// Snapshot implements replog.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	notes, err := m.notes.Snapshot()
+	if err != nil {
+		return nil, eris.Wrapf(ErrCorrupt, "notes: %v", err)
+	}
+	moves, err := m.rollouts.Snapshot()
+	if err != nil {
+		return nil, eris.Wrapf(ErrCorrupt, "rollouts: %v", err)
+	}
+	s := machineSnapshot{Notes: notes, Rollouts: moves}
+	for _, h := range m.hosts {
+		s.Hosts = append(s.Hosts, h)
+	}
+	slices.SortFunc(s.Hosts, func(a, b HostAddress) int { return cmp.Compare(a.Host, b.Host) })
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, eris.Wrapf(ErrCorrupt, "snapshot: %v", err)
+	}
+	return b, nil
+}
+
+// Restore implements replog.StateMachine. On an error the state is unchanged.
+func (m *Machine) Restore(data []byte) error {
+	var s machineSnapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return eris.Wrapf(ErrCorrupt, "snapshot: %v", err)
+	}
+	notes, moves := note.NewState(), rollout.NewState()
+	if err := notes.Restore(s.Notes); err != nil {
+		return eris.Wrapf(ErrCorrupt, "snapshot, notes: %v", err)
+	}
+	if err := moves.Restore(s.Rollouts); err != nil {
+		return eris.Wrapf(ErrCorrupt, "snapshot, rollouts: %v", err)
+	}
+	hosts := map[model.HostID]HostAddress{}
+	for _, h := range s.Hosts {
+		hosts[h.Host] = h
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notes, m.rollouts, m.hosts = notes, moves, hosts
+	if !notes.Position().IsZero() {
+		m.publish()
+	}
+	m.wake()
+	return nil
+}
+
+// Host returns the replicated address of a control host.
+func (m *Machine) Host(id model.HostID) (HostAddress, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.hosts[id]
+	return h, ok
+}
+
+// View calls f with the state under the lock; f must not keep or change it.
+func (m *Machine) View(f func(*note.State, *rollout.State)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.notes, m.rollouts)
+}
+
+// Changed returns a channel that is closed when the next entry has been applied.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
--- /dev/null
+++ b/mesh/control/members.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/replog"
+)
+
+// registerHostMethods adds the methods that only control hosts may use.
+func (c *Control) registerHostMethods() {
+	peer.HandleCall(c.ep, methodSubmit, onlyControl, c.handleSubmit)
+	peer.HandleCall(c.ep, methodStatus, onlyControl, c.handleStatus)
+	peer.HandleCall(c.ep, methodDisk, onlyControl, c.handleDisk)
+	peer.HandleCall(c.ep, methodMember, onlyControl, c.handleMember)
+}
+
+func (c *Control) handleDisk(_ context.Context, _ peer.Identity, req diskRequest) (diskReply, error) {
+	l := c.transport.all()[req.Group]
+	if l == nil {
+		return diskReply{}, eris.Wrapf(ErrForbidden, "no group %d", req.Group)
+	}
+	return diskReply{Disk: l.Status().Disk}, nil
+}
+
+// handleMember changes the members of a group if this host leads it.
+func (c *Control) handleMember(ctx context.Context, _ peer.Identity, req memberRequest) (memberReply, error) {
+	l := c.transport.all()[req.Group]
+	if l == nil {
+		return memberReply{}, eris.Wrapf(ErrForbidden, "no group %d", req.Group)
+	}
+	var err error
+	if req.Remove {
+		err = l.RemoveHost(ctx, req.Host)
+	} else {
+		err = l.AddHost(ctx, req.Host, req.Disk)
+	}
+	if err == nil {
+		return memberReply{Done: true}, nil
+	}
+	if leader, not := notLeader(err); not {
+		return memberReply{NotLeader: true, Leader: leader}, nil
+	}
+	return memberReply{Error: err.Error()}, nil
+}
+
+const (
+	memberTimeout = 30 * time.Second
+	memberRetry   = 200 * time.Millisecond
+	callTimeout   = time.Second
+)
+
+// addHost records the address of a control host and adds it to every group. It
+// may be repeated after any error.
+func (c *Control) addHost(ctx context.Context, h HostAddress) error {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	data, err := encodeCommand(command{Host: &h})
+	if err != nil {
+		return err
+	}
+	if _, err := c.config.Propose(ctx, data); err != nil {
+		return eris.Wrapf(ErrNoLeader, "address of %s: %v", h.Host, err)
+	}
+	for group := range c.transport.all() {
+		var d diskReply
+		if err := c.call(ctx, h, methodDisk, diskRequest{Group: group}, &d); err != nil {
+			return eris.Wrapf(ErrUnreachable, "disk of %s: %v", h.Host, err)
+		}
+		if err := c.changeMember(ctx, memberRequest{Group: group, Host: h.Host, Disk: d.Disk}); err != nil {
+			return err
+		}
+	}
+	c.log.Info("control host added", "host", string(h.Host), "address", h.Peer)
+	return nil
+}
+
+// removeHost removes a control host from every group.
+func (c *Control) removeHost(ctx context.Context, host model.HostID) error {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	for group := range c.transport.all() {
+		if err := c.changeMember(ctx, memberRequest{Group: group, Host: host, Remove: true}); err != nil {
+			return err
+		}
+	}
+	c.log.Info("control host removed", "host", string(host))
+	return nil
+}
+
+// changeMember asks the leader of the group until it has done the change.
+func (c *Control) changeMember(ctx context.Context, req memberRequest) error {
+	reason := "no leader is known"
+	for ctx.Err() == nil {
+		l := c.transport.all()[req.Group]
+		st := l.Status()
+		reply, err := c.askMember(ctx, st, req)
+		switch {
+		case err != nil:
+			reason = err.Error()
+		case reply.Done:
+			return nil
+		case reply.Error != "":
+			reason = reply.Error
+		}
+		pause(ctx, memberRetry)
+	}
+	return eris.Wrapf(ErrNoLeader, "group %d, host %s: %s", req.Group, req.Host, reason)
+}
+
+func (c *Control) askMember(ctx context.Context, st replog.Status, req memberRequest) (memberReply, error) {
+	if st.Leader == c.cfg.Host {
+		return c.handleMember(ctx, peer.Identity{}, req)
+	}
+	leader, ok := c.findHost(st.Leader)
+	if !ok {
+		return memberReply{}, eris.Wrapf(ErrUnknownHost, "leader %q", st.Leader)
+	}
+	var reply memberReply
+	err := c.ep.Call(ctx, leader.Peer, leader.Identity(), methodMember, req, &reply)
+	return reply, err
+}
+
+// call makes a bounded call to another control host.
+func (c *Control) call(ctx context.Context, h HostAddress, method string, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.ep.Call(ctx, h.Peer, h.Identity(), method, req, resp)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/mesh/control/serve.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/replog"
+)
+
+var (
+	onlyNodes   = []peer.Role{peer.RoleNode}
+	onlyControl = []peer.Role{peer.RoleControl}
+	anyRole     = []peer.Role{peer.RoleNode, peer.RoleControl}
+)
+
+// register adds the peer methods of a control host.
+func (c *Control) register() {
+	c.ep.Handle(membership.MethodAnnounce, onlyNodes, c.serveAnnounce)
+	c.ep.Handle(distribute.MethodWatch, anyRole, c.serveWatch)
+	c.ep.Handle(distribute.MethodExchange, anyRole, func(ctx context.Context, st peer.Stream) error {
+		return distribute.ServeExchange(ctx, c.store, c.endpoints, st, c.serveOptions(st.Peer()))
+	})
+	c.ep.Handle(MethodEvidence, onlyNodes, c.serveEvidence)
+	c.claims.service.Register(c.ep)
+	c.registerHostMethods()
+}
+
+func (c *Control) serveAnnounce(ctx context.Context, st peer.Stream) error {
+	h := membership.Holder{Table: c.endpoints, Keeper: c.keeper, Status: c.contact, Log: c.log}
+	return membership.ServeAnnounce(ctx, h, st)
+}
+
+// contact returns the position in force here and whether the leader is heard.
+func (c *Control) contact() (model.Position, bool) {
+	return c.store.Position(), c.config.Status().Leader != ""
+}
+
+func (c *Control) serveWatch(ctx context.Context, st peer.Stream) error {
+	return distribute.Serve(ctx, c.store, c.endpoints, st, c.serveOptions(st.Peer()))
+}
+
+func (c *Control) serveOptions(child peer.Identity) distribute.ServeOptions {
+	o := distribute.ServeOptions{
+		Subtree: c.nodes, Freshness: c.freshness, Admission: c.admission,
+		Planned: c.planned, Confirm: c.confirm, Log: c.log,
+	}
+	if child.Role == peer.RoleControl {
+		o.Subtree = c.hosts
+	}
+	return o
+}
+
+// confirm returns a position that includes everything accepted before the call.
+func (c *Control) confirm(ctx context.Context) (model.Position, error) {
+	if _, err := c.config.ConfirmLeader(ctx); err != nil {
+		return model.Position{}, err
+	}
+	return c.store.Position(), nil
+}
+
+// keepLeases expires the leases of silent nodes and prunes old records.
+func (c *Control) keepLeases(ctx context.Context) error {
+	tick := time.NewTicker(membership.TickInterval)
+	defer tick.Stop()
+	suspended := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		now := time.Now()
+		st := c.config.Status()
+		heard := st.Leader != ""
+		switch {
+		case !heard && !suspended:
+			c.keeper.Suspend()
+			c.log.Warn("lease expiry suspended", "reason", "no leader is heard")
+		case heard && suspended:
+			c.keeper.Resume(now)
+			c.log.Info("lease expiry resumed")
+		}
+		suspended = !heard
+		if heard {
+			c.freshness.Heard(now, 0)
+		}
+		for _, a := range c.keeper.Expire(now) {
+			c.endpoints.Merge(a)
+			c.log.Warn("lease lapsed", "host", string(a.Host), "service", string(a.Service), "version", string(a.Version))
+		}
+		c.endpoints.Prune(now)
+	}
+}
+
+// followHosts keeps one endpoint stream to each other control host.
+func (c *Control) followHosts(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	running := map[model.HostID]context.CancelFunc{}
+	for {
+		_, changed := c.config.Watch()
+		wanted := map[model.HostID]bool{}
+		for _, h := range c.otherHosts() {
+			wanted[h.Host] = true
+			if running[h.Host] != nil {
+				continue
+			}
+			hostCtx, cancel := context.WithCancel(ctx)
+			running[h.Host] = cancel
+			wg.Go(func() { c.followHost(hostCtx, h.Host) })
+		}
+		for id, cancel := range running {
+			if !wanted[id] {
+				cancel()
+				delete(running, id)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			for _, cancel := range running {
+				cancel()
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+const (
+	hostRetry       = 300 * time.Millisecond
+	hostOpenTimeout = time.Second
+)
+
+// followHost takes the endpoint changes of one control host until ctx ends.
+func (c *Control) followHost(ctx context.Context, id model.HostID) {
+	progress := &distribute.Progress{}
+	for ctx.Err() == nil {
+		err := c.followOnce(ctx, id, progress)
+		if ctx.Err() != nil {
+			return
+		}
+		c.log.Info("endpoint stream of a control host ended", "peer", string(id), "reason", err.Error())
+		select {
+		case <-time.After(hostRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Control) followOnce(ctx context.Context, id model.HostID, progress *distribute.Progress) error {
+	h, ok := c.findHost(id)
+	if !ok {
+		return eris.Wrapf(ErrUnknownHost, "%s", id)
+	}
+	openCtx, cancel := context.WithTimeout(ctx, hostOpenTimeout)
+	st, err := c.ep.Open(openCtx, h.Peer, h.Identity(), distribute.MethodWatch)
+	cancel()
+	if err != nil {
+		return eris.Wrapf(ErrUnreachable, "%s: %v", id, err)
+	}
+	return distribute.Follow(ctx, nil, c.endpoints, st, distribute.FollowOptions{
+		Subtree: c.nodes, Freshness: &distribute.Freshness{}, Progress: progress, Log: c.log,
+	})
+}
+
+// leads reports whether this host leads group 0.
+func (c *Control) leads() bool { return c.config.Status().Role == replog.Leader }
--- /dev/null
+++ b/mesh/control/transport.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/replog"
+)
+
+// methodLog is the peer method of the streams that carry log messages.
+const methodLog = "control.log"
+
+// logOpenTimeout bounds opening a stream to another control host. The sender
+// of that host waits for it and drops what its queue cannot hold.
+const logOpenTimeout = 500 * time.Millisecond
+
+// linkKey names the stream to one host for one group.
+type linkKey struct {
+	host  model.HostID
+	group uint32
+}
+
+// logTransport carries the messages of all groups. Each group's sender
+// goroutine of a host writes a stream of its own.
+type logTransport struct {
+	ep   *peer.Endpoint
+	log  *slog.Logger
+	ctx  context.Context
+	find func(model.HostID) (HostAddress, bool)
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	streams map[linkKey]peer.Stream
+	groups  map[uint32]*replog.Log
+}
+
+func newLogTransport(ctx context.Context, ep *peer.Endpoint, log *slog.Logger, find func(model.HostID) (HostAddress, bool)) *logTransport {
+	t := &logTransport{ep: ep, log: log, ctx: ctx, find: find,
+		streams: map[linkKey]peer.Stream{}, groups: map[uint32]*replog.Log{}}
+	ep.Handle(methodLog, []peer.Role{peer.RoleControl}, t.receive)
+	return t
+}
+
+// add makes the messages of a group go to its log.
+func (t *logTransport) add(group uint32, l *replog.Log) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.groups[group] = l
+}
+
+// Send implements replog.Transport. A message that cannot be sent is dropped.
+func (t *logTransport) Send(to model.HostID, m replog.Message) {
+	key := linkKey{host: to, group: m.Group}
+	st, err := t.stream(key)
+	if err != nil {
+		t.log.Debug("log stream not opened", "peer", string(to), "group", m.Group, "reason", err.Error())
+		return
+	}
+	if err := st.Send(m); err != nil {
+		t.log.Info("log stream lost", "peer", string(to), "group", m.Group, "reason", err.Error())
+		t.drop(key, st)
+	}
+}
+
+func (t *logTransport) stream(key linkKey) (peer.Stream, error) {
+	t.mu.Lock()
+	st := t.streams[key]
+	t.mu.Unlock()
+	if st != nil && st.Context().Err() == nil {
+		return st, nil
+	}
+	host, ok := t.find(key.host)
+	if !ok {
+		return nil, eris.Wrapf(ErrUnknownHost, "%s", key.host)
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, logOpenTimeout)
+	defer cancel()
+	st, err := t.ep.Open(ctx, host.Peer, host.Identity(), methodLog)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", key.host, err)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.streams[key] = st
+	return st, nil
+}
+
+func (t *logTransport) drop(key linkKey, st peer.Stream) {
+	st.Abort()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.streams[key] == st {
+		delete(t.streams, key)
+	}
+}
+
+// receive delivers the messages of one stream. A message must come from the
+// host in the certificate.
+func (t *logTransport) receive(_ context.Context, st peer.Stream) error {
+	for {
+		var m replog.Message
+		if err := st.Recv(&m); err != nil {
+			return eris.Wrapf(ErrUnreachable, "log stream: %v", err)
+		}
+		if m.From != st.Peer().Host {
+			return eris.Wrapf(ErrForbidden, "message of %s sent by %s", m.From, st.Peer())
+		}
+		t.mu.Lock()
+		l := t.groups[m.Group]
+		t.mu.Unlock()
+		if l != nil {
+			l.Deliver(m)
+		}
+	}
+}
+
+// all returns the logs of all groups.
+func (t *logTransport) all() map[uint32]*replog.Log {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.groups)
+}
--- /dev/null
+++ b/mesh/node/entry.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/routing"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// entry accepts the requests of callers and of the own backend server.
+type entry struct {
+	log        *slog.Logger
+	dispatcher *dispatcher
+	// table returns the routes in force; nil until the node may route.
+	table  func() *routing.Table
+	claims claimer
+
+	bodyLimit int64
+	// calls bounds the requests in flight, bodies the bytes of their bodies.
+	calls, bodies *semaphore.Weighted
+	// background are completions and releases of claims that outlive their request.
+	background sync.WaitGroup
+}
+
+// claimer claims idempotency keys; *claim.Client is one.
+type claimer interface {
+	Claim(ctx context.Context, key string, digest claim.Digest, route model.RouteName, lifetime time.Duration) (claim.Grant, error)
+	Complete(ctx context.Context, g claim.Grant, a claim.Answer) error
+	Release(ctx context.Context, g claim.Grant, reason string) error
+}
+
+// bodyMemory bounds the request bodies held at a time. It is a quarter of the
+// memory that a node may use.
+const bodyMemory = 16 << 20
+
+// Reasons of refusals by the entry side; no byte of the request has left the node.
+const (
+	reasonNoConfig = "no configuration in force yet"
+	reasonBusy     = "too many requests in flight"
+	reasonBodies   = "too many request bodies in flight"
+	reasonBodyRead = "request body not received"
+	reasonNoKey    = "a write needs an Idempotency-Key"
+	reasonNoClaim  = "claim service unavailable"
+)
+
+// ServeHTTP serves one request from its route to its answer.
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	table := e.table()
+	if table == nil {
+		notRun(w, http.StatusServiceUnavailable, reasonNoConfig)
+		return
+	}
+	if !e.calls.TryAcquire(1) {
+		telemetry.Counter("entry.refused").Inc(1)
+		notRun(w, http.StatusServiceUnavailable, reasonBusy)
+		return
+	}
+	defer e.calls.Release(1)
+	route, err := table.Match(r.Method, r.URL.Path)
+	if err != nil {
+		notRun(w, routeStatus(err), err.Error())
+		return
+	}
+	body, free, err := e.readBody(w, r)
+	if err != nil {
+		notRun(w, bodyStatus(err), err.Error())
+		return
+	}
+	defer free()
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r, route))
+	defer cancel()
+	e.serve(ctx, w, newCall(r, route, body))
+}
+
+func routeStatus(err error) int {
+	if errors.Is(err, routing.ErrMethodNotAllowed) {
+		return http.StatusMethodNotAllowed
+	}
+	return http.StatusNotFound
+}
+
+func bodyStatus(err error) int {
+	switch {
+	case errors.Is(err, ErrBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBodyMemory):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+var (
+	errBodyMemory = errors.New(reasonBodies)
+	errBodyRead   = errors.New(reasonBodyRead)
+)
+
+// readBody reads the whole body, so that a call can be tried again. A body
+// without a length counts as one of the greatest size.
+func (e *entry) readBody(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, func() {}, nil
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = e.bodyLimit
+	}
+	if size > e.bodyLimit {
+		return nil, nil, ErrBodyTooLarge
+	}
+	if !e.bodies.TryAcquire(size) {
+		return nil, nil, errBodyMemory
+	}
+	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.bodyLimit))
+	if err != nil {
+		e.bodies.Release(size)
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, nil, ErrBodyTooLarge
+		}
+		return nil, nil, errBodyRead
+	}
+	return body, func() { e.bodies.Release(size) }, nil
+}
+
+func (e *entry) serve(ctx context.Context, w http.ResponseWriter, c *call) {
+	started := time.Now()
+	var t *try
+	if c.route.Kind == model.KindWrite {
+		t = e.write(ctx, w, c)
+	} else {
+		t = e.dispatcher.dispatch(ctx, c)
+		e.respond(ctx, w, c, t)
+	}
+	e.record(c, t, time.Since(started))
+}
+
+// respond sends the answer of an idempotent request or says why there is none.
+func (e *entry) respond(ctx context.Context, w http.ResponseWriter, c *call, t *try) {
+	switch {
+	case t.answered():
+		sendAnswer(w, t.resp)
+	case t.notRun():
+		refuseCall(w, c, t.reason)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		noAnswer(w, http.StatusGatewayTimeout, t)
+	default:
+		noAnswer(w, http.StatusBadGateway, t)
+	}
+}
+
+// record writes the log line of a routing decision and counts its outcome.
+func (e *entry) record(c *call, t *try, took time.Duration) {
+	if t == nil {
+		return
+	}
+	status := 0
+	if t.answered() {
+		status = t.resp.Status
+		telemetry.Counter("entry.answered." + c.route.Kind.String()).Inc(1)
+	} else {
+		telemetry.Counter("entry.unanswered." + c.route.Kind.String()).Inc(1)
+	}
+	e.log.Info("request routed", "route", string(c.route.Name), "kind", c.route.Kind.String(),
+		"service", string(c.route.Service), "version", string(t.server.Version), "host", string(t.server.Host),
+		"data_centre", string(t.server.DataCentre), "tries", len(c.tried), "status", status,
+		"not_run", t.notRun(), "reason", t.reason, "ms", float64(took.Microseconds())/1000)
+}
--- /dev/null
+++ b/mesh/node/http.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// httpServer is one HTTP listener of a node, on kratos's HTTP transport.
+type httpServer struct {
+	name string
+	srv  *khttp.Server
+}
+
+// httpServers returns the servers for callers, for the own backend server and
+// for administration.
+func (n *Node) httpServers() []*httpServer {
+	return []*httpServer{
+		n.newHTTPServer("caller", n.cfg.Listen.Caller, n.entry),
+		n.newHTTPServer("outgoing", n.cfg.Listen.Outgoing, n.entry),
+		n.newHTTPServer("admin", n.cfg.Listen.Admin, n.adminHandler()),
+	}
+}
+
+func (n *Node) newHTTPServer(name, address string, h http.Handler) *httpServer {
+	// The timeout of kratos is off: the deadline of a call is that of its caller
+	// and its route.
+	srv := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	srv.HandlePrefix("/", h)
+	srv.ReadHeaderTimeout = n.cfg.Timeouts.HeaderRead
+	srv.MaxHeaderBytes = n.cfg.Limits.HeaderBytes
+	return &httpServer{name: name, srv: srv}
+}
+
+func (s *httpServer) serve(ctx context.Context) error {
+	if err := s.srv.Start(ctx); err != nil && ctx.Err() == nil {
+		return eris.Wrapf(ErrStart, "listen.%s: %v", s.name, err)
+	}
+	return nil
+}
+
+// stop refuses new connections and waits for running requests.
+func (s *httpServer) stop(ctx context.Context) { _ = s.srv.Stop(ctx) }
+
+// adminHandler serves status, metrics and drain.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.HandleFunc("GET /healthz", n.serveHealth)
+	mux.HandleFunc("GET /status", n.serveStatus)
+	mux.HandleFunc("POST /drain", n.serveDrain)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	return mux
+}
+
+// statusView is the JSON form of a node's state.
+type statusView struct {
+	Host       model.HostID         `json:"host"`
+	DataCentre model.DataCentre     `json:"data_centre"`
+	Service    model.ServiceName    `json:"service"`
+	Version    model.ServiceVersion `json:"version"`
+	Position   model.Position       `json:"position"`
+	Routable   bool                 `json:"routable"`
+	State      string               `json:"state"`
+	Limit      int                  `json:"limit"`
+	InFlight   int                  `json:"in_flight"`
+	Queued     int                  `json:"queued"`
+	Children   int                  `json:"children"`
+	// SourceAgeMs is the age of the source's last word in milliseconds.
+	SourceAgeMs   int64 `json:"source_age_ms"`
+	Violations    int64 `json:"invariant_violations"`
+	BytesSent     int64 `json:"control_bytes_sent"`
+	BytesReceived int64 `json:"control_bytes_received"`
+	UptimeMs      int64 `json:"uptime_ms"`
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	inFlight, queued := n.gate.Load()
+	sent, received := peer.Traffic()
+	now := time.Now()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(statusView{
+		Host: n.cfg.Host, DataCentre: n.cfg.DataCentre, Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version,
+		Position: n.acceptor.Position(), Routable: n.view.current() != nil, State: n.publisher.Current().State.String(),
+		Limit: n.gate.Limit(), InFlight: inFlight, Queued: queued, Children: n.children.Children(),
+		SourceAgeMs: n.freshness.Age(now).Milliseconds(), Violations: invariant.Violations(),
+		BytesSent: sent, BytesReceived: received, UptimeMs: now.Sub(n.started).Milliseconds(),
+	})
+}
+
+// serveHealth answers 200 once the node routes.
+func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if n.view.current() == nil {
+		http.Error(w, reasonNoConfig, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveDrain takes the backend server out of work for good; running requests finish.
+func (n *Node) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	n.publisher.Drain()
+	go func() {
+		time.Sleep(leaveSpread)
+		n.gate.Drain()
+	}()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// watchBackend announces the backend server once it accepts connections and
+// notices that it was restarted. Its health answer itself decides nothing: it
+// lags and misleads.
+func (n *Node) watchBackend(ctx context.Context) error {
+	up := false
+	announcing := false
+	failures := 0
+	for {
+		reachable := n.probe(ctx)
+		switch {
+		case reachable && !announcing:
+			announcing = true
+			go func() { _ = n.announce(ctx) }()
+		case reachable && !up:
+			n.gate.Restarted()
+			n.publisher.Serve()
+			n.log.Info("backend server is reachable again")
+		}
+		if reachable {
+			up, failures = true, 0
+		} else if failures++; failures == unreachableProbes && up {
+			up = false
+			n.publisher.Drain()
+			n.log.Warn("backend server unreachable", "probes", failures)
+		}
+		wait(ctx, n.cfg.Timeouts.Health)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// unreachableProbes is the number of failed connections in a row after which the
+// backend server counts as gone.
+const unreachableProbes = 2
+
+// probe reports whether the backend server accepts a connection and answers at all.
+func (n *Node) probe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timeouts.Health)
+	defer cancel()
+	u, err := n.backend.base.Parse(n.cfg.Backend.HealthPath)
+	if err != nil {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := n.backend.transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
--- /dev/null
+++ b/mesh/node/node.go
@@ -0,0 +1,243 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
+
+	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/rollout"
+	"balsamtrail.org/mesh/routing"
+	"balsamtrail.org/mesh/settings"
+)
+
+// Node is the process beside one backend server.
+type Node struct {
+	cfg settings.Node
+	log *slog.Logger
+	ep  *peer.Endpoint
+
+	acceptor  *distribute.Acceptor
+	endpoints *membership.Table
+	publisher *membership.Publisher
+	contact   *membership.Contact
+	subtree   *distribute.Subtree
+	freshness *distribute.Freshness
+	children  *distribute.Admission
+	newer     chan newerPeer
+	// floor is the least position by which the node may route; nil until known.
+	floor atomic.Pointer[model.Position]
+
+	view     *view
+	picker   *routing.Picker
+	recorder *rollout.Recorder
+	claims   *claim.Client
+	entry    *entry
+
+	gate         *admission.Gate
+	backend      *backend
+	serving      *serving
+	calls        *callmux.Client
+	callServer   *callmux.Server
+	callListener net.Listener
+	started      time.Time
+}
+
+// New opens the sockets of a node; Run serves.
+func New(ctx context.Context, cfg settings.Node, log *slog.Logger) (*Node, error) {
+	creds, err := peer.LoadCredentials(cfg.Credentials)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
+	}
+	want := peer.Identity{Role: peer.RoleNode, DataCentre: cfg.DataCentre, Host: cfg.Host}
+	if id := creds.Identity(); id != want {
+		return nil, eris.Wrapf(ErrStart, "certificate is for %s, settings say %s", id, want)
+	}
+	base, err := url.Parse(cfg.Backend.URL)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "backend.url: %v", err)
+	}
+	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Log: log})
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "listen.peer: %v", err)
+	}
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", cfg.Listen.Call)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "listen.call: %v", err)
+	}
+	n := &Node{
+		cfg: cfg, log: log, ep: ep, callListener: listener, started: time.Now(),
+		endpoints: membership.NewTable(), contact: &membership.Contact{},
+		freshness: &distribute.Freshness{}, children: distribute.NewAdmission(childAdmission(cfg.FanOut)),
+		newer: make(chan newerPeer, 1),
+	}
+	n.backend = newBackend(backendConfig{base: base, connections: cfg.Backend.Connections, dialTimeout: cfg.Timeouts.Connect})
+	n.buildControlSide()
+	n.buildCallSide(creds, want)
+	n.register()
+	return n, nil
+}
+
+func childAdmission(f settings.FanOut) distribute.AdmissionConfig {
+	a := distribute.NodeAdmission()
+	a.Children, a.Snapshots = f.Children, f.Snapshots
+	return a
+}
+
+// buildControlSide makes the parts that follow the control hosts.
+func (n *Node) buildControlSide() {
+	n.acceptor = distribute.NewAcceptor(n.cfg.Host, distribute.NewStore(), n.endpoints, n.log)
+	n.subtree = distribute.NewSubtree(n.acceptor.Report)
+	n.publisher = membership.NewPublisher(membership.Announcement{
+		Host: n.cfg.Host, Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version, DataCentre: n.cfg.DataCentre,
+		CallAddress: n.cfg.Advertise.Call, PeerAddress: n.cfg.Advertise.Peer, Slots: n.cfg.Backend.Slots,
+		State: membership.StateServing,
+	}, n.started)
+	n.recorder = rollout.NewRecorder(n.cfg.Host, n.publisher.Current().Incarnation)
+}
+
+// buildCallSide makes the parts that carry requests.
+func (n *Node) buildCallSide(creds *peer.Credentials, self peer.Identity) {
+	n.gate = admission.NewGate(admission.Config{Service: n.initialLimits(), Log: n.log})
+	n.picker = routing.NewPicker(routing.PickerConfig{DataCentre: n.cfg.DataCentre, Log: n.log})
+	n.view = &view{
+		log: n.log, dc: n.cfg.DataCentre, service: n.cfg.Backend.Service, slots: n.cfg.Backend.Slots,
+		acceptor: n.acceptor, endpoints: n.endpoints, picker: n.picker, gate: n.gate, routable: n.routable,
+	}
+	n.serving = &serving{
+		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service, version: n.cfg.Backend.Version,
+		position: n.acceptor.Position, behind: n.noteNewer,
+	}
+	mux := callmux.Config{Credentials: creds, DrainLimit: n.cfg.Timeouts.Drain, Log: n.log}
+	n.calls, n.callServer = callmux.NewClient(mux), callmux.NewServer(mux)
+	n.claims = claim.NewClient(claim.ClientConfig{
+		Caller: n.ep, Hosts: n.claimHosts, Groups: uint32(n.cfg.ClaimGroups), Log: n.log,
+		Incarnation: func() uint64 { return n.publisher.Current().Incarnation },
+	})
+	d := &dispatcher{
+		log: n.log, self: self, picker: n.picker, hedger: routing.NewHedger(), retries: routing.NewRetryBucket(),
+		calls: n.calls, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, behind: n.noteNewer,
+	}
+	n.entry = &entry{
+		log: n.log, dispatcher: d, table: n.view.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
+		calls:  semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
+		bodies: semaphore.NewWeighted(max(bodyMemory, n.cfg.Limits.BodyBytes)),
+	}
+}
+
+// initialLimits hold until the first configuration.
+func (n *Node) initialLimits() note.Service {
+	return note.Service{
+		Name: n.cfg.Backend.Service, Slots: n.cfg.Backend.Slots, Connections: n.cfg.Backend.Connections,
+		QueueLimit: n.cfg.Backend.Slots, QueueTimeout: time.Second,
+	}
+}
+
+// routable reports whether the node knows that its configuration is not older
+// than what it served before.
+func (n *Node) routable() bool {
+	floor := n.floor.Load()
+	return floor != nil && !n.acceptor.Position().Less(*floor)
+}
+
+var anyRole = []peer.Role{peer.RoleNode, peer.RoleControl}
+
+// register adds the peer methods of a node.
+func (n *Node) register() {
+	options := distribute.ServeOptions{Subtree: n.subtree, Freshness: n.freshness, Admission: n.children, Log: n.log}
+	n.ep.Handle(distribute.MethodWatch, []peer.Role{peer.RoleNode}, func(ctx context.Context, st peer.Stream) error {
+		return distribute.Serve(ctx, n.acceptor.Store(), n.endpoints, st, options)
+	})
+	n.ep.Handle(distribute.MethodExchange, anyRole, func(ctx context.Context, st peer.Stream) error {
+		return distribute.ServeExchange(ctx, n.acceptor.Store(), n.endpoints, st, options)
+	})
+}
+
+// Run serves until ctx ends, then stops gracefully: it announces that it
+// leaves, goes on serving while that spreads, finishes running requests and
+// hands over its children.
+func (n *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, life := errgroup.WithContext(life)
+	calls, stopCalls := context.WithCancel(life)
+	defer stopCalls()
+	g.Go(func() error { return ignoreEnd(life, n.ep.Serve(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.learnFloor(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.attach(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.repair(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.catchUp(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.reportEvidence(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.claims.Run(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.view.run(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.watchBackend(life)) })
+	callsDone := make(chan struct{})
+	g.Go(func() error { defer close(callsDone); return n.listenCalls(calls) })
+	servers := n.httpServers()
+	for _, s := range servers {
+		g.Go(func() error { return s.serve(life) })
+	}
+	n.log.Info("node started", "service", string(n.cfg.Backend.Service), "version", string(n.cfg.Backend.Version),
+		"caller", n.cfg.Listen.Caller, "call", n.cfg.Advertise.Call, "peer", n.cfg.Advertise.Peer)
+	select {
+	case <-ctx.Done():
+		n.stop(servers, stopCalls, callsDone)
+	case <-life.Done():
+	}
+	end()
+	err := g.Wait()
+	n.calls.Close()
+	n.backend.close()
+	n.log.Info("node stopped")
+	return err
+}
+
+// ignoreEnd hides the error of a task that ended because the node stops.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// leaveSpread is how long a leaving node goes on serving: within it every
+// entry node has learned of the departure.
+const leaveSpread = 1500 * time.Millisecond
+
+// stop ends the node without cutting a request.
+func (n *Node) stop(servers []*httpServer, stopCalls context.CancelFunc, callsDone <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Timeouts.Drain)
+	defer cancel()
+	n.log.Info("planned stop begun", "drain_limit", n.cfg.Timeouts.Drain.String())
+	n.publisher.Leave()
+	n.children.Drain(leaveSpread / 2)
+	wait(ctx, leaveSpread)
+	n.gate.Drain()
+	for _, s := range servers {
+		s.stop(ctx)
+	}
+	if err := n.gate.WaitIdle(ctx); err != nil {
+		n.log.Warn("planned stop cut requests", "reason", err.Error())
+	}
+	stopCalls()
+	select {
+	case <-callsDone:
+	case <-ctx.Done():
+	}
+	n.entry.background.Wait()
+}
--- /dev/null
+++ b/mesh/node/serving.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// Reasons of refusals by the serving side.
+const (
+	reasonWrongServer = "another service or version runs here"
+	reasonShed        = "shed by the backend server"
+	reasonUnreachable = "backend server unreachable"
+	reasonLost        = "no answer from the backend server"
+	reasonUnframed    = "answer of the backend server has no length"
+)
+
+// serving answers calls of other nodes, and of the own entry side, by the own
+// backend server.
+type serving struct {
+	log      *slog.Logger
+	gate     *admission.Gate
+	backend  *backend
+	service  model.ServiceName
+	version  model.ServiceVersion
+	position func() model.Position
+	// behind is told of a peer that knows a newer position; it does not block.
+	behind func(from peer.Identity, pos model.Position)
+}
+
+// handle serves one call. It implements callmux.Handler.
+func (s *serving) handle(ctx context.Context, from peer.Identity, req *callmux.Request) (*callmux.Response, error) {
+	if s.position().Less(req.Position) {
+		s.behind(from, req.Position)
+	}
+	if req.Service != s.service || req.Version != s.version {
+		return s.refuse(req, reasonWrongServer, true), nil
+	}
+	deadline, _ := ctx.Deadline()
+	release, err := s.gate.Acquire(ctx, admission.Ticket{Kind: req.Kind, Route: req.Route, Deadline: deadline})
+	if err != nil {
+		return s.refuse(req, refusalReason(err), true), nil
+	}
+	return s.forward(ctx, req, release), nil
+}
+
+func refusalReason(err error) string {
+	var n *admission.NotRun
+	if errors.As(err, &n) {
+		return string(n.Reason)
+	}
+	return err.Error()
+}
+
+// refuse logs and counts a refusal and builds its response.
+func (s *serving) refuse(req *callmux.Request, reason string, notRun bool) *callmux.Response {
+	telemetry.Counter("serving.refused").Inc(1)
+	s.log.Info("request refused", "route", string(req.Route), "kind", req.Kind.String(), "reason", reason, "not_run", notRun)
+	return &callmux.Response{
+		Position: s.position(), Limit: s.gate.Limit(),
+		Refusal: &callmux.Refusal{Reason: reason, NotRun: notRun},
+	}
+}
+
+// forward sends an admitted request to the backend server, exactly once.
+func (s *serving) forward(ctx context.Context, req *callmux.Request, release func(admission.Outcome)) *callmux.Response {
+	started := time.Now()
+	resp, err := s.backend.do(ctx, backendRequest{
+		method: req.Method, path: req.Path, header: forwardable(req.Header),
+		body: req.Body, length: requestLength(req), timeout: remaining(ctx), budget: req.RetryBudget,
+	})
+	latency := time.Since(started)
+	switch {
+	case errors.Is(err, ErrNotRun):
+		release(admission.Outcome{Result: admission.ResultLost, Latency: latency})
+		return s.refuse(req, reasonUnreachable, true)
+	case err != nil:
+		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
+		return s.refuse(req, reasonLost, false)
+	case resp.Header.Get(HeaderNotRun) != "" && resp.StatusCode == http.StatusServiceUnavailable:
+		_ = resp.Body.Close()
+		release(admission.Outcome{Result: admission.ResultRefused, Latency: latency})
+		return s.refuse(req, reasonShed, true)
+	case unframed(resp):
+		_ = resp.Body.Close()
+		release(admission.Outcome{Result: admission.ResultError, Latency: latency})
+		return s.refuse(req, reasonUnframed, false)
+	}
+	return s.answer(resp, release, admission.Outcome{Result: answerResult(resp.StatusCode), Latency: latency})
+}
+
+// unframed reports whether the end of the body is only the end of the
+// connection, so that a body cut short could not be told from a whole one.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+func (s *serving) answer(resp *http.Response, release func(admission.Outcome), o admission.Outcome) *callmux.Response {
+	telemetry.Counter("serving.answered").Inc(1)
+	return &callmux.Response{
+		Status: resp.StatusCode, Header: forwardable(resp.Header),
+		Position: s.position(), Limit: s.gate.Limit(),
+		BodyLength: max(resp.ContentLength, 0),
+		Body:       &slotBody{ReadCloser: resp.Body, release: func() { release(o) }},
+	}
+}
+
+// slotBody holds the slot of a request until its answer has been read.
+type slotBody struct {
+	io.ReadCloser
+	once    sync.Once
+	release func()
+}
+
+// Close ends the answer and returns the slot.
+func (b *slotBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.release)
+	return err
+}
+
+func answerResult(status int) admission.Result {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return admission.ResultRefused
+	case status >= http.StatusInternalServerError:
+		return admission.ResultError
+	default:
+		return admission.ResultOK
+	}
+}
+
+func lostResult(ctx context.Context) admission.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return admission.ResultTimeout
+	case ctx.Err() != nil:
+		return admission.ResultCancelled
+	default:
+		return admission.ResultLost
+	}
+}
+
+// requestLength is the content length to state; -1 if it is not known.
+func requestLength(req *callmux.Request) int64 {
+	switch {
+	case req.Body == nil:
+		return 0
+	case req.BodyLength > 0:
+		return req.BodyLength
+	default:
+		return -1
+	}
+}
+
+// remaining returns the time until the deadline of ctx.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxCallTime
+	}
+	return time.Until(deadline)
+}
+
+// maxCallTime bounds a call that brings no deadline.
+const maxCallTime = time.Minute
+
+// listenCalls serves the calls of other nodes until ctx ends.
+func (n *Node) listenCalls(ctx context.Context) error {
+	if err := n.callServer.Serve(ctx, n.callListener, n.serving.handle); err != nil && ctx.Err() == nil {
+		return eris.Wrapf(ErrStart, "calls: %v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/node/tries.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/rollout"
+	"balsamtrail.org/mesh/routing"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// caller sends a call to another node; *callmux.Client is one.
+type caller interface {
+	Do(ctx context.Context, addr string, want peer.Identity, req *callmux.Request) (*callmux.Response, error)
+}
+
+// dispatcher sends calls to backend servers: it chooses, tries, retries and hedges.
+type dispatcher struct {
+	log      *slog.Logger
+	self     peer.Identity
+	picker   *routing.Picker
+	hedger   *routing.Hedger
+	retries  *routing.Bucket
+	calls    caller
+	local    *serving
+	recorder *rollout.Recorder
+	position func() model.Position
+	behind   func(from peer.Identity, pos model.Position)
+}
+
+// dispatch tries a call until it has an answer or no try is left. The result is
+// the last try.
+func (d *dispatcher) dispatch(ctx context.Context, c *call) *try {
+	d.retries.Call()
+	for {
+		t := d.next(ctx, c)
+		if t.answered() && t.result != routing.ResultRefused {
+			return t
+		}
+		if !d.mayRetry(ctx, c, t) {
+			return c.settled(t)
+		}
+		c.mayHaveRun = c.mayHaveRun || !t.notRun()
+		c.retries++
+		telemetry.Counter("entry.retries").Inc(1)
+		t.close()
+	}
+}
+
+// mayRetry decides on a further try and takes it from the budgets.
+func (d *dispatcher) mayRetry(ctx context.Context, c *call, t *try) bool {
+	if ctx.Err() != nil || errors.Is(t.err, errNoServer) {
+		return false
+	}
+	if !routing.Retryable(c.route.Kind, t.result, t.notRun()) || c.retries >= c.route.MaxRetries {
+		return false
+	}
+	if t.notRun() {
+		c.budget.Return(t.lent)
+	}
+	return routing.TakeRetry(d.retries, c.budget)
+}
+
+// next makes one try, hedged if the route allows it.
+func (d *dispatcher) next(ctx context.Context, c *call) *try {
+	server, err := d.choose(c)
+	if err != nil {
+		return noServer(err)
+	}
+	if c.route.Hedge {
+		return d.hedged(ctx, c, server)
+	}
+	return d.send(ctx, c, server)
+}
+
+// errNoServer marks a try that found no backend server; another try would not either.
+var errNoServer = errors.New("no backend server")
+
+func noServer(err error) *try {
+	return &try{err: errors.Join(ErrNotRun, errNoServer), result: routing.ResultRefused, reason: err.Error()}
+}
+
+// choose picks version and backend server of the next try.
+func (d *dispatcher) choose(c *call) (membership.Announcement, error) {
+	now := time.Now()
+	service := c.route.Service
+	v, err := d.picker.Version(service)
+	if err == nil && d.recorder.Stopped(now, service, v) {
+		// This node has strong evidence against the version; the uplink lifts the
+		// block when that ends.
+		if err = d.picker.Block(service, v, true); err == nil {
+			v, err = d.picker.Version(service)
+		}
+	}
+	if err != nil {
+		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
+	}
+	server, err := d.picker.BackendServer(now, service, v, c.tried)
+	if err != nil {
+		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
+	}
+	c.tried = append(c.tried, server.Host)
+	return server, nil
+}
+
+// send makes one try at a backend server.
+func (d *dispatcher) send(ctx context.Context, c *call, server membership.Announcement) *try {
+	t := &try{server: server, lent: c.budget.Lend()}
+	req := d.request(c, server, t.lent)
+	started := time.Now()
+	resp, err := d.do(ctx, server, req)
+	t.latency = time.Since(started)
+	t.judge(ctx, resp, err)
+	d.observe(c, t)
+	return t
+}
+
+func (d *dispatcher) request(c *call, server membership.Announcement, lent int) *callmux.Request {
+	req := &callmux.Request{
+		Route: c.route.Name, Service: server.Service, Version: server.Version,
+		Method: c.method, Path: c.path, Header: c.header, Kind: c.route.Kind,
+		RetryBudget: lent, Position: d.position(), BodyLength: int64(len(c.body)),
+	}
+	if len(c.body) > 0 {
+		req.Body = bytes.NewReader(c.body)
+	}
+	return req
+}
+
+func (d *dispatcher) do(ctx context.Context, server membership.Announcement, req *callmux.Request) (*callmux.Response, error) {
+	if server.Host == d.self.Host {
+		return d.local.handle(ctx, d.self, req)
+	}
+	want := peer.Identity{Role: peer.RoleNode, DataCentre: server.DataCentre, Host: server.Host}
+	return d.calls.Do(ctx, server.CallAddress, want, req)
+}
+
+// observe teaches the picker, the hedger and the evidence what the try showed.
+func (d *dispatcher) observe(c *call, t *try) {
+	now := time.Now()
+	d.picker.Observe(now, t.server.Host, routing.Outcome{Result: t.result, Latency: t.latency, Limit: t.limit()})
+	if t.resp != nil && d.position().Less(t.resp.Position) {
+		d.behind(peer.Identity{Role: peer.RoleNode, DataCentre: t.server.DataCentre, Host: t.server.Host}, t.resp.Position)
+	}
+	if t.result == routing.ResultCancelled {
+		return
+	}
+	if t.answered() && c.route.Hedge {
+		d.hedger.Observe(c.route.Name, t.latency)
+	}
+	d.recorder.Record(now, rollout.Observation{
+		Service: t.server.Service, Version: t.server.Version, Route: c.route.Name, Kind: c.route.Kind,
+		DataCentre: t.server.DataCentre, ServerAge: now.Sub(time.UnixMilli(int64(t.server.Incarnation))),
+		Outcome: t.outcome(), Latency: t.latency,
+	})
+}
+
+// hedged sends a second try if the first one is slower than most; the first
+// answer wins and the other try is cancelled.
+func (d *dispatcher) hedged(ctx context.Context, c *call, first membership.Announcement) *try {
+	delay, known := d.hedger.Delay(c.route.Name)
+	if !known {
+		return d.send(ctx, c, first)
+	}
+	results := make(chan *hedge, 2)
+	one := d.startHedge(ctx, c, first, results)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case h := <-results:
+		return h.try
+	case <-timer.C:
+	}
+	second, ok := d.secondServer(c)
+	if !ok {
+		return (<-results).try
+	}
+	telemetry.Counter("entry.hedges").Inc(1)
+	two := d.startHedge(ctx, c, second, results)
+	winner := <-results
+	if winner.try.answered() {
+		loser := one
+		if winner == one {
+			loser = two
+		}
+		loser.cancel()
+		go func() { (<-results).try.close() }()
+		return winner.try
+	}
+	c.mayHaveRun = c.mayHaveRun || !winner.try.notRun()
+	winner.try.close()
+	return (<-results).try
+}
+
+// hedge is one of two concurrent tries.
+type hedge struct {
+	try    *try
+	cancel context.CancelFunc
+}
+
+func (d *dispatcher) startHedge(ctx context.Context, c *call, server membership.Announcement, results chan<- *hedge) *hedge {
+	// The context of the winner lives on with its body; it ends with the call.
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hedge{cancel: cancel}
+	go func() {
+		h.try = d.send(ctx, c, server)
+		results <- h
+	}()
+	return h
+}
+
+// secondServer takes a hedge from its budgets and chooses another backend server.
+func (d *dispatcher) secondServer(c *call) (membership.Announcement, bool) {
+	if !d.hedger.Take() || !c.budget.Take() {
+		return membership.Announcement{}, false
+	}
+	server, err := d.choose(c)
+	return server, err == nil
+}
+
+// digestOf identifies a write: the same key with another method, path or body is refused.
+func digestOf(c *call) claim.Digest {
+	return claim.DigestOf(bytes.Join([][]byte{[]byte(c.method), []byte(c.path), c.body}, []byte{0}))
+}
--- /dev/null
+++ b/mesh/node/uplink.go
@@ -0,0 +1,346 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/control"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/rollout"
+)
+
+const (
+	uplinkOpenTimeout = time.Second
+	uplinkFirstDelay  = 50 * time.Millisecond
+	uplinkMaxDelay    = 2 * time.Second
+	// uplinkSettled is how long a stream lives before the back-off starts anew.
+	uplinkSettled = 2 * time.Second
+)
+
+// controlHosts returns the control hosts in this node's order of preference:
+// those of its data centre first, then by rendezvous hash, so that the nodes
+// spread evenly.
+func (n *Node) controlHosts() []distribute.Parent {
+	var out []distribute.Parent
+	for _, h := range n.cfg.ControlHosts {
+		out = append(out, distribute.Parent{Host: h.Host, Role: peer.RoleControl, DataCentre: h.DataCentre, Address: h.Peer})
+	}
+	weight := func(p distribute.Parent) uint64 {
+		return xxhash.Sum64String(string(n.cfg.Host) + "\x00" + string(p.Host))
+	}
+	away := func(p distribute.Parent) int {
+		if p.DataCentre == n.cfg.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(out, func(a, b distribute.Parent) int {
+		return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(weight(a), weight(b)))
+	})
+	return out
+}
+
+// claimHosts returns the control hosts for the claim client.
+func (n *Node) claimHosts() []claim.ControlHost {
+	var out []claim.ControlHost
+	for _, h := range n.controlHosts() {
+		out = append(out, claim.ControlHost{Host: h.Host, Address: h.Address})
+	}
+	return out
+}
+
+// open opens a stream to another process.
+func (n *Node) open(ctx context.Context, p distribute.Parent, method string) (peer.Stream, error) {
+	return n.ep.Open(ctx, p.Address, p.Identity(), method)
+}
+
+// keepStream keeps one stream to a control host: it serves it until it ends and
+// then goes to the next host after a jittered delay.
+func (n *Node) keepStream(ctx context.Context, method string, serve func(context.Context, peer.Stream) error) error {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = uplinkFirstDelay, uplinkMaxDelay
+	for i := 0; ctx.Err() == nil; i++ {
+		hosts := n.controlHosts()
+		host := hosts[i%len(hosts)]
+		started := time.Now()
+		err := n.streamOnce(ctx, host, method, serve)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		n.log.Info("stream to control host ended", "method", method, "peer", string(host.Host), "reason", err.Error())
+		if time.Since(started) > uplinkSettled {
+			delays.Reset()
+			i = -1 // the preferred host is tried first again
+		}
+		wait(ctx, delays.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+func (n *Node) streamOnce(ctx context.Context, host distribute.Parent, method string, serve func(context.Context, peer.Stream) error) error {
+	openCtx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
+	st, err := n.open(openCtx, host, method)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer st.Abort()
+	return serve(ctx, st)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// announce renews the lease of the backend server until it has left.
+func (n *Node) announce(ctx context.Context) error {
+	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
+		return membership.Announce(ctx, n.publisher, n.contact, st)
+	})
+}
+
+// evidenceInterval is how often the outcomes of calls are reported while a
+// service is in a move.
+const evidenceInterval = 500 * time.Millisecond
+
+// reportEvidence learns the active moves and reports the outcomes of calls.
+func (n *Node) reportEvidence(ctx context.Context) error {
+	return n.keepStream(ctx, control.MethodEvidence, n.evidenceStream)
+}
+
+func (n *Node) evidenceStream(ctx context.Context, st peer.Stream) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, st.Abort)()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	moves := &watchedMoves{}
+	wg.Go(func() {
+		if err := n.sendEvidence(ctx, st, moves); err != nil {
+			st.Abort()
+		}
+	})
+	defer cancel()
+	for {
+		var down control.EvidenceDown
+		if err := st.Recv(&down); err != nil {
+			return eris.Wrapf(ErrUplink, "evidence stream: %v", err)
+		}
+		n.recorder.Watch(down.Moves)
+		moves.set(down.Moves)
+	}
+}
+
+// watchedMoves are the active moves. One mutex guards them.
+type watchedMoves struct {
+	mu    sync.Mutex
+	moves []rollout.Status
+}
+
+func (w *watchedMoves) set(moves []rollout.Status) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moves = moves
+}
+
+func (w *watchedMoves) get() []rollout.Status {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moves
+}
+
+// sendEvidence reports while there are active moves, and lifts the blocks of
+// versions that this node had stopped.
+func (n *Node) sendEvidence(ctx context.Context, st peer.Stream, moves *watchedMoves) error {
+	tick := time.NewTicker(evidenceInterval)
+	defer tick.Stop()
+	blocked := map[model.ServiceName]model.ServiceVersion{}
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		active := moves.get()
+		n.followStops(active, blocked)
+		if len(active) == 0 {
+			continue
+		}
+		b, err := rollout.EncodeReport(n.recorder.Flush())
+		if err != nil {
+			return err
+		}
+		if err := st.Send(control.EvidenceUp{Report: b}); err != nil {
+			return err
+		}
+	}
+}
+
+// followStops blocks the versions that this node has strong evidence against
+// and lifts the block afterwards.
+func (n *Node) followStops(active []rollout.Status, blocked map[model.ServiceName]model.ServiceVersion) {
+	now := time.Now()
+	stopped := map[model.ServiceName]model.ServiceVersion{}
+	for _, m := range active {
+		if n.recorder.Stopped(now, m.Move.ID.Service, m.Move.To) {
+			stopped[m.Move.ID.Service] = m.Move.To
+		}
+	}
+	for service, version := range stopped {
+		if blocked[service] != version {
+			blocked[service] = version
+			_ = n.picker.Block(service, version, true)
+		}
+	}
+	for service, version := range blocked {
+		if stopped[service] != version {
+			delete(blocked, service)
+			_ = n.picker.Block(service, version, false)
+		}
+	}
+}
+
+// attach keeps the parent stream by which versions and endpoints arrive.
+func (n *Node) attach(ctx context.Context) error {
+	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
+		Self: n.cfg.Host,
+		Follow: distribute.FollowOptions{
+			Subtree: n.subtree, Freshness: n.freshness, Progress: &distribute.Progress{}, Log: n.log,
+		},
+		Candidates: func() []distribute.Parent {
+			nodes := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
+			return distribute.Parents(n.cfg.Host, n.cfg.DataCentre, nodes, n.controlHosts())
+		},
+		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
+			return n.open(ctx, p, distribute.MethodWatch)
+		},
+		Log: n.log,
+	})
+}
+
+// repair compares positions with random peers.
+func (n *Node) repair(ctx context.Context) error {
+	nodes := func() []distribute.Parent {
+		return distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
+	}
+	open := func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
+		return n.open(ctx, p, distribute.MethodExchange)
+	}
+	return distribute.Repair(ctx, n.cfg.Host, n.acceptor, n.endpoints, nodes, open, n.log)
+}
+
+// newerPeer is a peer that is known to have a newer position.
+type newerPeer struct {
+	host model.HostID
+	pos  model.Position
+}
+
+// noteNewer remembers a peer with a newer position; it does not block.
+func (n *Node) noteNewer(from peer.Identity, pos model.Position) {
+	select {
+	case n.newer <- newerPeer{host: from.Host, pos: pos}:
+	default:
+	}
+}
+
+const catchUpTimeout = 2 * time.Second
+
+// catchUp fetches the missing versions from a peer whose call or answer showed
+// a newer position. A node that is cut off from the source learns that way that
+// a data centre is out.
+func (n *Node) catchUp(ctx context.Context) error {
+	for {
+		select {
+		case p := <-n.newer:
+			if n.acceptor.Position().Less(p.pos) {
+				n.catchUpFrom(ctx, p)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) catchUpFrom(ctx context.Context, p newerPeer) {
+	a, ok := n.endpoints.Get(p.host)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	from := distribute.Parent{Host: a.Host, Role: peer.RoleNode, DataCentre: a.DataCentre, Address: a.PeerAddress}
+	st, err := n.open(ctx, from, distribute.MethodExchange)
+	if err == nil {
+		defer st.Abort()
+		_, err = distribute.Exchange(ctx, n.acceptor, n.endpoints, st, true, n.log)
+	}
+	if err != nil {
+		n.log.Info("catch-up from peer failed", "peer", string(p.host), "reason", err.Error())
+		return
+	}
+	n.log.Info("caught up from peer", "peer", string(p.host), "position", n.acceptor.Position().String())
+}
+
+const floorRetry = 300 * time.Millisecond
+
+// learnFloor asks control hosts and known peers until it knows the least
+// position by which this node may route, then returns.
+func (n *Node) learnFloor(ctx context.Context) error {
+	for ctx.Err() == nil {
+		peers := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
+		peers = slices.DeleteFunc(peers, func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
+		answers := n.askPositions(ctx, append(n.controlHosts(), peers[:min(len(peers), floorPeers)]...))
+		if floor, ok := distribute.Floor(answers, len(n.cfg.ControlHosts), len(peers)); ok {
+			n.acceptor.SetFloor(floor)
+			n.floor.Store(&floor)
+			n.log.Info("floor learned", "position", floor.String(), "answers", len(answers))
+			return nil
+		}
+		wait(ctx, floorRetry)
+	}
+	return ctx.Err()
+}
+
+// floorPeers bounds the peers asked for a floor.
+const floorPeers = 5
+
+func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
+	ctx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var answers []distribute.FloorAnswer
+	var wg sync.WaitGroup
+	for _, p := range from {
+		wg.Go(func() {
+			st, err := n.open(ctx, p, distribute.MethodExchange)
+			if err != nil {
+				return
+			}
+			a, err := distribute.AskPosition(ctx, st)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+		})
+	}
+	wg.Wait()
+	return answers
+}
--- /dev/null
+++ b/mesh/node/view.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/routing"
+)
+
+// rebuildGap is the least time between two routing tables. A lone change is in
+// force at once; a burst costs at most twenty tables a second.
+const rebuildGap = 50 * time.Millisecond
+
+// view turns the configuration in force and the endpoint table into a routing
+// table, and tells the gate of the state of the own data centre and service.
+type view struct {
+	log       *slog.Logger
+	dc        model.DataCentre
+	service   model.ServiceName
+	slots     int
+	acceptor  *distribute.Acceptor
+	endpoints *membership.Table
+	picker    *routing.Picker
+	gate      *admission.Gate
+	// routable reports whether the position in force is known not to be older
+	// than what this node served before.
+	routable func() bool
+
+	table atomic.Pointer[routing.Table]
+	// dcState and limits belong to the goroutine of run.
+	dcState note.DataCentreState
+	limits  note.Service
+}
+
+// current returns the table in force, or nil while the node must not route.
+func (v *view) current() *routing.Table {
+	if !v.routable() {
+		return nil
+	}
+	return v.table.Load()
+}
+
+// run rebuilds the table at each change until ctx ends.
+func (v *view) run(ctx context.Context) error {
+	for {
+		v.acceptor.Refresh()
+		inForce, seq := v.acceptor.InForce(), v.endpoints.Sequence()
+		if inForce != nil {
+			v.rebuild(inForce.Config)
+		}
+		select {
+		case <-v.acceptor.Changed(inForce):
+		case <-v.endpoints.Changed(seq):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(rebuildGap):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (v *view) rebuild(cfg note.Config) {
+	t := routing.NewTable(cfg, v.endpoints.All())
+	v.picker.SetTable(time.Now(), t)
+	v.table.Store(t)
+	if s := dataCentreState(cfg, v.dc); s != v.dcState {
+		v.dcState = s
+		v.gate.SetDataCentre(s)
+	}
+	if s, ok := cfg.Services[v.service]; ok {
+		s.Slots = min(s.Slots, v.slots)
+		if s != v.limits {
+			v.limits = s
+			v.gate.SetService(s)
+		}
+	}
+}
+
+func dataCentreState(cfg note.Config, dc model.DataCentre) note.DataCentreState {
+	if s, ok := cfg.DataCentres[dc]; ok {
+		return s
+	}
+	return note.DataCentreIn
+}
--- /dev/null
+++ b/mesh/node/write.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// settleTimeout bounds how long a completion or release is tried.
+const settleTimeout = 30 * time.Second
+
+// write serves a request that runs at most once: its key is claimed before the
+// first byte goes to a backend server.
+func (e *entry) write(ctx context.Context, w http.ResponseWriter, c *call) *try {
+	key := c.header.Get(HeaderIdempotencyKey)
+	if key == "" {
+		notRun(w, http.StatusBadRequest, reasonNoKey)
+		return nil
+	}
+	deadline, _ := ctx.Deadline()
+	grant, err := e.claims.Claim(ctx, key, digestOf(c), c.route.Name, time.Until(deadline))
+	if err != nil {
+		e.refuseClaim(w, c, err)
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, grant.Deadline)
+	defer cancel()
+	t := e.dispatcher.dispatch(ctx, c)
+	switch {
+	case t.answered():
+		e.finishWrite(w, grant, t)
+	case t.notRun():
+		e.settle(func(ctx context.Context) error { return e.claims.Release(ctx, grant, t.reason) })
+		refuseCall(w, c, t.reason)
+	default:
+		// The claim stays in progress until its run deadline and is then marked as
+		// unknown, so that no resend runs it again.
+		refuse(w, http.StatusGatewayTimeout, outcomeUnknown, t.reason)
+	}
+	return t
+}
+
+// finishWrite reads the whole answer, records it and sends it.
+func (e *entry) finishWrite(w http.ResponseWriter, grant claim.Grant, t *try) {
+	body, err := io.ReadAll(io.LimitReader(t.resp.Body, e.bodyLimit+1))
+	_ = t.resp.Body.Close()
+	if err != nil || int64(len(body)) > e.bodyLimit {
+		t.err, t.reason = ErrOutcomeUnknown, "answer was cut short or too large"
+		refuse(w, http.StatusBadGateway, outcomeUnknown, t.reason)
+		return
+	}
+	answer := claim.NewAnswer(t.resp.Status, answerHeaders(t.resp), body)
+	e.settle(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
+	for name, values := range t.resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(t.resp.Status)
+	_, _ = w.Write(body)
+}
+
+// settle runs a completion or release beside the answer to the caller. It adds
+// no latency; a resend that comes before its end sees the write in progress.
+func (e *entry) settle(f func(context.Context) error) {
+	e.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := f(ctx); err != nil {
+			telemetry.Counter("entry.claim-not-settled").Inc(1)
+			e.log.Warn("claim not settled", "reason", err.Error())
+		}
+	})
+}
+
+func answerHeaders(resp *callmux.Response) []claim.Header {
+	var out []claim.Header
+	for name, values := range resp.Header {
+		if name == "Content-Length" || name == "Date" {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, claim.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// refuseClaim answers a write that got no grant.
+func (e *entry) refuseClaim(w http.ResponseWriter, c *call, err error) {
+	telemetry.Counter("entry.claim-refused").Inc(1)
+	e.log.Info("write not granted", "route", string(c.route.Name), "service", string(c.route.Service), "reason", err.Error())
+	var answered *claim.AnsweredError
+	switch {
+	case errors.As(err, &answered):
+		replay(w, answered.Answer)
+	case errors.Is(err, claim.ErrInProgress):
+		w.Header().Set("Retry-After", "1")
+		refuse(w, http.StatusConflict, outcomeInProgress, err.Error())
+	case errors.Is(err, claim.ErrOutcomeUnknown):
+		refuse(w, http.StatusConflict, outcomeUnknown, err.Error())
+	case errors.Is(err, claim.ErrBodyMismatch):
+		refuse(w, http.StatusUnprocessableEntity, outcomeMismatch, err.Error())
+	case errors.Is(err, claim.ErrKeyExpired):
+		refuse(w, http.StatusGone, outcomeExpired, err.Error())
+	case errors.Is(err, claim.ErrBadKey), errors.Is(err, claim.ErrKeyAhead):
+		notRun(w, http.StatusBadRequest, err.Error())
+	case claim.NotRun(err):
+		notRun(w, http.StatusServiceUnavailable, reasonNoClaim+": "+err.Error())
+	default:
+		refuse(w, http.StatusServiceUnavailable, outcomeUnknown, err.Error())
+	}
+}
+
+// replay sends a recorded answer.
+func replay(w http.ResponseWriter, a claim.Answer) {
+	if a.NotKept {
+		refuse(w, http.StatusConflict, outcomeAnswered, "the write has run; its answer was too large to keep")
+		return
+	}
+	for _, h := range a.Headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	w.Header().Set(HeaderOutcome, outcomeAnswered)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
