--- a/mesh/note/strictjson/decode.go
+++ b/mesh/note/strictjson/decode.go
@@ -51,8 +51,14 @@
 
 // Unmarshal decodes data into the value that v points to. Fields that the
 // input does not name keep their value, so v may hold defaults.
-func Unmarshal(data []byte, v any) error {
-	d := decoder{json.NewDecoder(bytes.NewReader(data))}
+func Unmarshal(data []byte, v any) error { return unmarshal(data, v, false) }
+
+// UnmarshalKnown is Unmarshal that skips unknown keys. Clients use it, so that
+// a newer server may add fields.
+func UnmarshalKnown(data []byte, v any) error { return unmarshal(data, v, true) }
+
+func unmarshal(data []byte, v any, skip bool) error {
+	d := decoder{json.NewDecoder(bytes.NewReader(data)), skip}
 	d.UseNumber()
 	if err := d.value("", reflect.ValueOf(v).Elem()); err != nil {
 		return err
@@ -63,7 +69,11 @@
 	return nil
 }
 
-type decoder struct{ *json.Decoder }
+type decoder struct {
+	*json.Decoder
+	// skip leaves unknown keys out in place of refusing them.
+	skip bool
+}
 
 func (d decoder) token(path string) (json.Token, error) {
 	t, err := d.Token()
@@ -147,6 +157,13 @@
 			return err
 		}
 		index, ok := fields.index[key]
+		if !ok && d.skip {
+			var ignored json.RawMessage
+			if err := d.raw(join(path, key), reflect.ValueOf(&ignored).Elem()); err != nil {
+				return err
+			}
+			continue
+		}
 		if !ok {
 			return fail(join(path, key), "unknown key")
 		}
--- /dev/null
+++ b/mesh/operator/handlers.go
@@ -0,0 +1,294 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/note/strictjson"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// The headers of the interface.
+const (
+	// HeaderOperation carries the operation id of a write.
+	HeaderOperation = "Operation-Id"
+	// HeaderRevision carries the expected revision of a note.
+	HeaderRevision = "If-Match"
+)
+
+// Bounds of one page.
+const (
+	defaultPage = 100
+	maxPage     = 1_000
+)
+
+// request is one decoded request of an authenticated operator.
+type request struct {
+	khttp.Context
+	ctx    context.Context
+	caller Caller
+}
+
+// handler answers a request with a status and a body.
+type handler func(r request) (status int, body any, err error)
+
+func (s *Server) routes() {
+	r := s.http.Route("/")
+	r.GET("/healthz", s.health)
+	s.http.Handle("/metrics", telemetry.MetricsHandler())
+	r.GET("/v1/notes", s.limited(s.notes))
+	r.POST("/v1/notes", s.limited(s.publish))
+	r.GET("/v1/notes/{number}", s.limited(s.note))
+	r.PUT("/v1/notes/{number}", s.limited(s.amend))
+	r.DELETE("/v1/notes/{number}", s.limited(s.withdraw))
+	r.GET("/v1/moves", s.limited(s.moves))
+	r.GET("/v1/moves/{service}", s.handle(s.move))
+	r.GET("/v1/data-centres", s.limited(s.dataCentres))
+	r.POST("/v1/data-centres/{name}/out", s.limited(s.takeOut))
+	r.POST("/v1/data-centres/{name}/return", s.limited(s.giveBack))
+	r.GET("/v1/control-hosts", s.limited(s.controlHosts))
+	r.POST("/v1/control-hosts", s.limited(s.addControlHost))
+	r.DELETE("/v1/control-hosts/{host}", s.limited(s.removeControlHost))
+	r.GET("/v1/audit", s.limited(s.audit))
+	r.GET("/v1/status", s.limited(s.status))
+	r.GET("/v1/nodes", s.limited(s.nodes))
+	r.GET("/v1/config", s.limited(s.config))
+}
+
+// limited is handle with the time limit of requests that do not wait.
+func (s *Server) limited(h handler) khttp.HandlerFunc {
+	return s.handle(func(r request) (int, any, error) {
+		ctx, cancel := context.WithTimeout(r.ctx, s.cfg.Request)
+		defer cancel()
+		r.ctx = ctx
+		return h(r)
+	})
+}
+
+// handle authenticates a request, runs it and writes its answer.
+func (s *Server) handle(h handler) khttp.HandlerFunc {
+	return func(c khttp.Context) error {
+		name, err := s.tokens.operator(c.Request())
+		if err != nil {
+			return err
+		}
+		r := request{Context: c, ctx: c.Request().Context(), caller: Caller{
+			Operator: name, Operation: model.OperationID(c.Header().Get(HeaderOperation)),
+		}}
+		status, body, err := h(r)
+		s.logWrite(r, err)
+		if err != nil {
+			return err
+		}
+		return writeJSON(c.Response(), status, body)
+	}
+}
+
+func (s *Server) logWrite(r request, err error) {
+	req := r.Request()
+	if req.Method == http.MethodGet {
+		return
+	}
+	outcome := "accepted"
+	if err != nil {
+		outcome = err.Error()
+	}
+	s.cfg.Log.Info("operator request", "operator", string(r.caller.Operator), "operation", string(r.caller.Operation),
+		"method", req.Method, "path", req.URL.Path, "outcome", outcome)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) error {
+	raw, err := strictjson.Marshal(body)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n'))
+	return nil
+}
+
+func (s *Server) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	body := bodyOf(err)
+	status := statusOf(body.Code)
+	switch status {
+	case http.StatusServiceUnavailable:
+		w.Header().Set("Retry-After", "1")
+	case http.StatusUnauthorized:
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		s.cfg.Log.Warn("operator request refused", "path", r.URL.Path, "remote", r.RemoteAddr, "reason", body.Message)
+	case http.StatusInternalServerError:
+		s.cfg.Log.Error("operator request failed", "path", r.URL.Path, "reason", body.Message)
+	}
+	_ = writeJSON(w, status, body)
+}
+
+func (s *Server) fixedError(code ErrorCode, message string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.writeError(w, r, &Error{Code: code, Message: message})
+	})
+}
+
+// health needs no token: load balancers and supervisors ask it.
+func (s *Server) health(c khttp.Context) error {
+	if err := s.ready(); err != nil {
+		return &Error{Code: CodeUnavailable, Message: err.Error()}
+	}
+	return writeJSON(c.Response(), http.StatusOK, struct {
+		State string `json:"state"`
+	}{"ok"})
+}
+
+func (r request) body() ([]byte, error) {
+	data, err := io.ReadAll(r.Request().Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, &Error{Code: CodeTooLarge, Message: "the body has more than " + strconv.FormatInt(large.Limit, 10) + " bytes"}
+	case err != nil:
+		return nil, &Error{Code: CodeInvalid, Message: "body: " + err.Error()}
+	}
+	return data, nil
+}
+
+func (r request) number() (uint64, error) {
+	n, err := strconv.ParseUint(r.Vars().Get("number"), 10, 64)
+	if err != nil {
+		return 0, &Error{Code: CodeInvalid, Field: "number", Message: "is not a note number"}
+	}
+	return n, nil
+}
+
+func (r request) expected() (uint64, error) {
+	text := r.Header().Get(HeaderRevision)
+	if text == "" {
+		return 0, &Error{Code: CodePrecondition, Field: HeaderRevision, Message: "the expected revision is required"}
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, &Error{Code: CodeInvalid, Field: HeaderRevision, Message: "is not a revision number"}
+	}
+	return n, nil
+}
+
+func (r request) query(name string, fallback, most uint64) (uint64, error) {
+	text := r.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n > most {
+		return 0, &Error{Code: CodeInvalid, Field: name, Message: "want a whole number up to " + strconv.FormatUint(most, 10)}
+	}
+	return n, nil
+}
+
+func (s *Server) publish(r request) (int, any, error) {
+	data, err := r.body()
+	if err != nil {
+		return 0, nil, err
+	}
+	n, err := note.ParseNote(data)
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := s.service.Publish(r.ctx, r.caller, n)
+	return http.StatusCreated, res, err
+}
+
+func (s *Server) amend(r request) (int, any, error) {
+	number, err := r.number()
+	if err != nil {
+		return 0, nil, err
+	}
+	expected, err := r.expected()
+	if err != nil {
+		return 0, nil, err
+	}
+	data, err := r.body()
+	if err != nil {
+		return 0, nil, err
+	}
+	n, err := note.ParseNote(data)
+	if err != nil {
+		return 0, nil, err
+	}
+	if n.Number != number {
+		return 0, nil, &Error{Code: CodeInvalid, Field: "number", Message: "differs from the number in the path"}
+	}
+	res, err := s.service.Amend(r.ctx, r.caller, n, expected)
+	return http.StatusOK, res, err
+}
+
+func (s *Server) withdraw(r request) (int, any, error) {
+	number, err := r.number()
+	if err != nil {
+		return 0, nil, err
+	}
+	expected, err := r.expected()
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := s.service.Withdraw(r.ctx, r.caller, number, expected)
+	return http.StatusOK, res, err
+}
+
+func (s *Server) takeOut(r request) (int, any, error) {
+	res, err := s.service.TakeOut(r.ctx, r.caller, model.DataCentre(r.Vars().Get("name")))
+	return http.StatusOK, res, err
+}
+
+func (s *Server) giveBack(r request) (int, any, error) {
+	res, err := s.service.Return(r.ctx, r.caller, model.DataCentre(r.Vars().Get("name")))
+	return http.StatusOK, res, err
+}
+
+func (s *Server) addControlHost(r request) (int, any, error) {
+	data, err := r.body()
+	if err != nil {
+		return 0, nil, err
+	}
+	var h ControlHostChange
+	if err := strictjson.Unmarshal(data, &h); err != nil {
+		return 0, nil, jsonError(err)
+	}
+	return http.StatusOK, h, s.service.AddControlHost(r.ctx, r.caller, h)
+}
+
+func jsonError(err error) error {
+	var f *strictjson.FieldError
+	if errors.As(err, &f) {
+		return &Error{Code: CodeInvalid, Field: f.Path, Message: f.Message}
+	}
+	return &Error{Code: CodeInvalid, Message: err.Error()}
+}
+
+func (s *Server) removeControlHost(r request) (int, any, error) {
+	host := model.HostID(r.Vars().Get("host"))
+	return http.StatusOK, ControlHostChange{Host: host}, s.service.RemoveControlHost(r.ctx, r.caller, host)
+}
+
+// configView puts a configuration in order of name.
+func configView(c note.Config) ConfigView {
+	var v ConfigView
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		v.Services = append(v.Services, c.Services[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
+		v.Routes = append(v.Routes, c.Routes[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Shares)) {
+		v.Shares = append(v.Shares, note.ServiceShares{Service: name, Shares: c.Shares[name]})
+	}
+	return v
+}
--- /dev/null
+++ b/mesh/operator/reads.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"math"
+	"net/http"
+
+	"balsamtrail.org/mesh/model"
+)
+
+func (s *Server) notes(r request) (int, any, error) {
+	before, err := r.query("before", 0, math.MaxUint64)
+	if err != nil {
+		return 0, nil, err
+	}
+	limit, err := r.query("limit", defaultPage, maxPage)
+	if err != nil {
+		return 0, nil, err
+	}
+	list, read, err := s.service.backend.Notes(r.ctx, before, int(limit))
+	return http.StatusOK, NotesAnswer{Read: read, Notes: list}, err
+}
+
+func (s *Server) note(r request) (int, any, error) {
+	number, err := r.number()
+	if err != nil {
+		return 0, nil, err
+	}
+	n, read, err := s.service.backend.Note(r.ctx, number)
+	return http.StatusOK, NoteAnswer{Read: read, Note: n}, err
+}
+
+func (s *Server) moves(r request) (int, any, error) {
+	list, read, err := s.service.backend.Moves(r.ctx)
+	return http.StatusOK, MovesAnswer{Read: read, Moves: list}, err
+}
+
+// move answers at once, or with watch=1 when the move's sequence differs from
+// seen, which stands for the present one if it is left out.
+func (s *Server) move(r request) (int, any, error) {
+	service := model.ServiceName(r.Vars().Get("service"))
+	watch, err := r.query("watch", 0, 1)
+	if err != nil {
+		return 0, nil, err
+	}
+	m, read, err := s.service.backend.Move(r.ctx, service)
+	if watch == 0 || err != nil {
+		return http.StatusOK, MoveAnswer{Read: read, Move: m}, err
+	}
+	seen, err := r.query("seen", m.Sequence, math.MaxUint64)
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err := s.service.WatchMove(r.ctx, service, seen)
+	return http.StatusOK, answer, err
+}
+
+func (s *Server) dataCentres(r request) (int, any, error) {
+	list, read, err := s.service.backend.DataCentres(r.ctx)
+	return http.StatusOK, DataCentresAnswer{Read: read, DataCentres: list}, err
+}
+
+func (s *Server) controlHosts(r request) (int, any, error) {
+	list, read, err := s.service.backend.ControlHosts(r.ctx)
+	return http.StatusOK, ControlHostsAnswer{Read: read, ControlHosts: list}, err
+}
+
+func (s *Server) audit(r request) (int, any, error) {
+	after, err := r.query("after", 0, math.MaxUint64)
+	if err != nil {
+		return 0, nil, err
+	}
+	limit, err := r.query("limit", defaultPage, maxPage)
+	if err != nil {
+		return 0, nil, err
+	}
+	list, read, err := s.service.backend.Audit(r.ctx, after, int(limit))
+	return http.StatusOK, AuditAnswer{Read: read, Records: list}, err
+}
+
+func (s *Server) status(r request) (int, any, error) {
+	v, read, err := s.service.backend.Status(r.ctx)
+	return http.StatusOK, StatusAnswer{Read: read, Status: v}, err
+}
+
+func (s *Server) nodes(r request) (int, any, error) {
+	list, read, err := s.service.backend.Nodes(r.ctx, model.ServiceName(r.Query().Get("service")))
+	return http.StatusOK, NodesAnswer{Read: read, Nodes: list}, err
+}
+
+func (s *Server) config(r request) (int, any, error) {
+	c, read, err := s.service.backend.Config(r.ctx)
+	return http.StatusOK, ConfigAnswer{Read: read, Config: configView(c)}, err
+}
