Add rollouts: replicated moves, evidence, judge, plan and local stop

A move takes a service's traffic to a new version by a stated time. Its steps are entries of group 0, so that a new leader continues where the old one stopped; the evidence is gathered on nodes, merged, and judged against the replaced version at the same time in the same data centre by a sequential test. After completion a version that looks worse is compared by giving the old one calls again.

--- /dev/null
+++ b/mesh/rollout/decide_test.go
@@ -0,0 +1,177 @@
+package rollout
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/ginkgo/v2/dsl/table"
+	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/model"
+)
+
+var warm = Capacity{NewServers: 7, OldServers: 7, NewLimit: 140, OldLimit: 140, Concurrency: 10, CallsPerSecond: 1000}
+
+// moving drives one move through Leader and State second by second.
+type moving struct {
+	*machine
+	leader   *Leader
+	capacity Capacity
+	second   int
+	sequence uint64
+	nodes    uint32
+	silent   bool // no report arrives
+}
+
+func newMoving() *moving {
+	m := &moving{machine: newMachine(), leader: NewLeader(nil), capacity: warm, nodes: 1}
+	m.do(startOf(moveTo(1, 1, "v2")))
+	return m
+}
+
+// run plays seconds with calls split by the share in force and the given
+// errors of each 100 calls, and returns the status.
+func (m *moving) run(seconds int, calls, oldErrors, newErrors uint64) Status {
+	for range seconds {
+		m.second++
+		m.sequence++
+		st := m.status(1)
+		r := Report{Host: "n1", Sequence: m.sequence, Nodes: 1}
+		after := calls * uint64(st.Share) / uint64(model.ShareAll)
+		for _, f := range []feed{
+			{version: "v1", calls: calls - after, errors: (calls - after) * oldErrors / 100},
+			{version: "v2", calls: after, errors: after * newErrors / 100},
+		} {
+			f.route, f.dc, f.latency = "lookup", "thun", fast
+			if f.calls > 0 {
+				r.Cells = append(r.Cells, f.cell())
+			}
+		}
+		now := at(time.Duration(m.second) * time.Second)
+		if !m.silent {
+			m.leader.Report(now, r)
+		}
+		for _, c := range m.leader.Tick(now, m.Active(), m.nodes, func(model.ServiceName) Capacity { return m.capacity }) {
+			Expect(m.do(c).Outcome).To(Equal(OutcomeApplied))
+		}
+	}
+	return m.status(1)
+}
+
+func (m *moving) untilDone(calls uint64) {
+	for range 300 {
+		if m.run(1, calls, 0, 0).Phase == PhaseDone {
+			return
+		}
+	}
+	Fail("the move does not complete")
+}
+
+var _ = Describe("Decide", func() {
+	var m *moving
+	BeforeEach(func() { m = newMoving() })
+
+	It("starts at 1%, completes in time, watches and ends the watch", func() {
+		Expect(m.run(2, 1000, 0, 0).Share).To(Equal(StartShare))
+		st := m.run(100, 1000, 0, 0)
+		Expect(st.Phase).To(Equal(PhaseDone))
+		Expect(st.InTime()).To(BeTrue())
+		Expect(m.run(70, 1000, 0, 0).WatchEnded).To(BeTrue())
+	})
+
+	It("waits for backend servers of the new version and reports the risk early", func() {
+		m.capacity.NewServers, m.capacity.CallsPerSecond = 0, 0
+		st := m.run(65, 1000, 0, 0)
+		Expect(st.Phase).To(Equal(PhaseWaiting))
+		Expect(st.AtRisk).To(BeTrue())
+	})
+
+	// Guards against a share that the new version's cold backend servers cannot bear.
+	It("takes no more than the advertised limits bear", func() {
+		m.capacity.NewLimit, m.capacity.Concurrency = 7, 40
+		Expect(m.run(110, 1000, 0, 0).Share).To(BeNumerically("<=", 1346))
+		m.capacity.NewLimit = 140
+		Expect(m.run(60, 1000, 0, 0).Phase).To(Equal(PhaseDone))
+	})
+
+	DescribeTable("holds the share",
+		func(disturb func(), calls, errors uint64) {
+			held := m.run(9, 1000, 0, 0).Share
+			Expect(held).To(And(BeNumerically(">=", 500), BeNumerically("<", model.ShareAll)))
+			disturb()
+			Expect(m.run(15, calls, errors, errors).Share).To(Equal(held))
+			m.nodes, m.silent, m.capacity = 1, false, warm
+			Expect(m.run(60, 1000, 0, 0).Phase).To(Equal(PhaseDone), "and goes on afterwards")
+		},
+		Entry("without reports", func() { m.silent = true }, uint64(1000), uint64(0)),
+		Entry("with reports of a small part of the nodes", func() { m.nodes = 10 }, uint64(1000), uint64(0)),
+		Entry("in a storm", func() {}, uint64(1000), uint64(30)),
+		Entry("after a data centre change", func() { m.capacity.Disturbed = at(25 * time.Second) }, uint64(1000), uint64(0)),
+		Entry("with too little capacity", func() { m.capacity.NewLimit = 1 }, uint64(1000), uint64(0)),
+	)
+
+	It("holds for a new leader until it has its own evidence", func() {
+		held := m.run(9, 1000, 0, 0).Share
+		m.leader = NewLeader(nil)
+		Expect(m.run(2, 1000, 0, 0).Share).To(Equal(held))
+	})
+
+	// Guards against refused calls when the new version's backend servers leave in the middle of a move.
+	It("steps back to what the new version bears when it refuses calls", func() {
+		held := m.run(9, 1000, 0, 0).Share
+		m.capacity.NewLimit, m.capacity.Concurrency = 5, 100
+		for i := range 6 {
+			m.leader.Report(at(time.Duration(m.second)*time.Second), Report{Host: "n2", Sequence: uint64(i + 1), Cells: []Cell{
+				feed{version: "v2", route: "lookup", dc: "thun", refused: 500}.cell()}})
+			m.run(1, 1000, 0, 0)
+		}
+		Expect(m.status(1).Share).To(And(BeNumerically("<", held), BeNumerically("<=", m.capacity.bearable())))
+	})
+
+	It("advances without evidence only if nearly all nodes report and none sees a call", func() {
+		m.nodes = 2
+		Expect(m.run(100, 0, 0, 0).Share).To(Equal(StartShare))
+		m.nodes = 1
+		st := m.run(60, 0, 0, 0)
+		Expect(st.Share).To(BeNumerically(">", StartShare))
+		Expect(st.Steps[len(st.Steps)-1].Reason).To(ContainSubstring("without evidence"))
+		Expect(m.run(200, 0, 0, 0).Phase).To(Equal(PhaseDone))
+	})
+
+	// Guards against a version that nobody has tried getting all calls at once.
+	It("takes a version that completed without traffic back on its first calls", func() {
+		m.untilDone(0)
+		Expect(m.run(3, 1000, 0, 0).Share).To(Equal(graveShare))
+		Expect(m.run(20, 1000, 0, 0).Share).To(Equal(model.ShareAll))
+	})
+
+	It("reverses a version that turns bad while moving and after completion", func() {
+		Expect(m.run(9, 1000, 0, 0).Share).To(And(BeNumerically(">=", 500), BeNumerically("<", model.ShareAll)))
+		Expect(m.run(4, 1000, 0, 50).Phase).To(Equal(PhaseReversed))
+		m = newMoving()
+		m.untilDone(1000)
+		m.run(10, 1000, 0, 0)
+		st := m.run(6, 1000, 0, 50)
+		Expect(st.Phase).To(Equal(PhaseReversed))
+		Expect(st.Verdict.Test).To(Equal(TestErrors))
+		Expect(st.Reason).To(ContainSubstring("errors on route lookup (lookup)"))
+	})
+
+	It("compares and keeps a version when both fail after completion", func() {
+		m.untilDone(1000)
+		Expect(m.run(10, 1000, 50, 50).Share).To(BeNumerically("<", model.ShareAll))
+		st := m.run(50, 1000, 0, 0)
+		Expect(st.Phase).To(Equal(PhaseDone))
+		Expect(st.Share).To(Equal(model.ShareAll))
+	})
+
+	It("counts a repeated or late report once", func() {
+		r := Report{Host: "n1", Incarnation: 2, Sequence: 5, Nodes: 1}
+		Expect(m.leader.Report(t0, r)).To(BeTrue())
+		Expect(m.leader.Report(t0, r)).To(BeFalse())
+		r.Sequence = 4
+		Expect(m.leader.Report(t0, r)).To(BeFalse())
+		r.Incarnation, r.Sequence = 3, 1
+		Expect(m.leader.Report(t0, r)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/mesh/rollout/internal/sim/sim_test.go
@@ -0,0 +1,43 @@
+package sim
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"balsamtrail.org/mesh/invariant"
+)
+
+var runs = flag.Int("runs", 4, "runs of each scenario")
+
+// TestTables prints the measured tables and holds the plan to its bounds.
+// Guards against a change of a constant that reverses good versions or lets
+// bad ones pass.
+func TestTables(t *testing.T) {
+	invariant.SetFatal(true)
+	both := func(s Scenario) [2]Sum {
+		return [2]Sum{Measure(s, *runs, NewLeaderPlan), Measure(s, *runs, NewNaivePlan)}
+	}
+	var good, bad [][2]Sum
+	for _, s := range Good(Base) {
+		sums := both(s)
+		good = append(good, sums)
+		if n := sums[0].Reversed; n > 0 {
+			t.Errorf("%s: %d of %d good versions reversed: %v", s.Name, n, *runs, sums[0].Reasons)
+		}
+	}
+	for _, s := range BadOnes(Base) {
+		sums := both(s)
+		bad = append(bad, sums)
+		if n := sums[0].Passed; n > 0 {
+			t.Errorf("%s: %d of %d bad versions completed and were kept", s.Name, n, *runs)
+		}
+		if n := sums[0].Reversed; n < *runs && !s.Scarce {
+			t.Errorf("%s: only %d of %d bad versions taken back", s.Name, n, *runs)
+		}
+	}
+	if testing.Verbose() {
+		WriteGood(os.Stdout, good)
+		WriteBad(os.Stdout, bad)
+	}
+}
--- /dev/null
+++ b/mesh/rollout/judge.go
@@ -0,0 +1,255 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// TestName names a test of the judge.
+type TestName uint8
+
+// The tests.
+const (
+	// TestErrors compares error rates on warm backend servers.
+	TestErrors TestName = iota + 1
+	// TestColdErrors compares error rates on cold ones, with a wider margin.
+	TestColdErrors
+	// TestSlow compares the shares of calls slower than the old version's p95.
+	TestSlow
+	// TestUnavailable finds a version that answers next to nothing where the old one answers.
+	TestUnavailable
+)
+
+var testNames = map[TestName]string{TestErrors: "errors", TestColdErrors: "errors-cold", TestSlow: "slow", TestUnavailable: "unavailable"}
+
+// String returns the name used in reasons.
+func (t TestName) String() string { return testNames[t] }
+
+// The rules of conviction.
+const (
+	// Threshold is what a test must reach. With T informative windows and K
+	// tests, a version that is no worse than tolerance is convicted with a
+	// probability of at most T*K/Threshold: 0.07% for an hour and 20 tests.
+	Threshold = 1e8
+	// suspicion is where the share is held.
+	suspicion = 100
+	// tolerance is the ratio of rates up to which a version counts as equal.
+	tolerance = 1.5
+	// The least excess over the old version's rate that convicts.
+	errorExcess = 0.01
+	coldExcess  = 0.25
+	slowExcess  = 0.10
+	// badWindows are the windows that must show the excess; lostWindows where
+	// the versions share no data centre, because the loss of one ends its errors
+	// within a few seconds.
+	badWindows  = 2
+	lostWindows = 6
+	// A version is unavailable if it answers less than unavailableRate of its
+	// tries where the old one answers more than availableRate, for unavailableFor.
+	unavailableRate  = 0.10
+	availableRate    = 0.80
+	unavailableFor   = 30 * time.Second
+	unavailableTries = 50
+)
+
+// errorRatios and slowRatios are the alternatives of the mixtures: how many
+// times the old version's rate a bad version has.
+var (
+	errorRatios = [mixture]float64{3, 8, 30, 120}
+	slowRatios  = [mixture]float64{2.5, 4, 8, 20}
+)
+
+const mixture = 4
+
+// logRatios are the logarithms of the likelihood ratios of the alternatives.
+type logRatios [mixture]float64
+
+func (l *logRatios) add(o logRatios) {
+	for i, v := range o {
+		l[i] += v
+	}
+}
+
+// conditional compares k0 events in n0 calls of the old version with k1 in n1
+// of the new one. Given the number of events, the part that falls to the new
+// version depends only on the ratio of the rates; a failure that both share
+// cancels out. Calls that are not rare make the true distribution narrower
+// (hypergeometric), which keeps the test on the safe side.
+func conditional(k0, n0, k1, n1 uint64, alternatives [mixture]float64) (lr logRatios, informative bool) {
+	if n0 == 0 || n1 == 0 || k0+k1 == 0 {
+		return lr, false
+	}
+	part := func(r float64) float64 { return r * float64(n1) / (r*float64(n1) + float64(n0)) }
+	q0 := part(tolerance)
+	for i, r := range alternatives {
+		q := part(r)
+		lr[i] = float64(k1)*math.Log(q/q0) + float64(k0)*math.Log((1-q)/(1-q0))
+	}
+	return lr, true
+}
+
+// detector is a Shiryaev-Roberts statistic for each alternative. It adds a new
+// possible start of the badness with each window, so that a version that was
+// good for long is still convicted soon after it turns bad.
+type detector struct{ r [mixture]float64 }
+
+func (d *detector) update(lr logRatios) {
+	for i, l := range lr {
+		d.r[i] = math.Min((1+d.r[i])*math.Exp(math.Min(l, 600)), 1e300)
+	}
+}
+
+// value is the mean over the alternatives, which keeps the stated error rate.
+func (d *detector) value() (sum float64) {
+	for _, r := range d.r {
+		sum += r / mixture
+	}
+	return sum
+}
+
+// Verdict is the judgement of one move's evidence.
+type Verdict struct {
+	Bad bool `cbor:"1,keyasint"`
+	// Suspicious holds the share without a conviction.
+	Suspicious bool `cbor:"2,keyasint,omitempty"`
+	// Test, Route and Kind tell what is worst; an empty route stands for all.
+	Test  TestName        `cbor:"3,keyasint,omitempty"`
+	Route model.RouteName `cbor:"4,keyasint,omitempty"`
+	Kind  model.Kind      `cbor:"5,keyasint,omitempty"`
+	Old   Tally           `cbor:"6,keyasint"`
+	New   Tally           `cbor:"7,keyasint"`
+	// Statistic is the test's value, to be compared with Threshold.
+	Statistic float64 `cbor:"8,keyasint,omitempty"`
+}
+
+// String gives the verdict as the reason of a step.
+func (v Verdict) String() string {
+	where := "all routes"
+	if v.Route != "" {
+		where = fmt.Sprintf("route %s (%s)", v.Route, v.Kind)
+	}
+	switch v.Test {
+	case TestSlow:
+		return fmt.Sprintf("slow on %s: %.1f%% of %d calls above the old version's p95, %.1f%% of %d of the old version",
+			where, 100*v.New.SlowRate(), v.New.Timed, 100*v.Old.SlowRate(), v.Old.Timed)
+	case TestUnavailable:
+		return fmt.Sprintf("unavailable: %d calls answered, %d not run", v.New.Calls, v.New.Refused)
+	case 0:
+		return "no finding"
+	default:
+		return fmt.Sprintf("%s on %s: %.1f%% of %d calls, %.1f%% of %d of the old version",
+			v.Test, where, 100*v.New.ErrorRate(), v.New.Calls, 100*v.Old.ErrorRate(), v.Old.Calls)
+	}
+}
+
+// Judge returns the gravest finding.
+func Judge(e *Evidence) Verdict {
+	if v, bad := e.judgeAvailability(); bad {
+		return v
+	}
+	var worst Verdict
+	for k, d := range e.tests {
+		value := d.value()
+		if value < suspicion {
+			continue
+		}
+		v := e.finding(k, value)
+		if v.graver(worst) {
+			worst = v
+		}
+	}
+	return worst
+}
+
+// graver orders findings; ties are broken by name so that the result does not
+// depend on the order of a map.
+func (v Verdict) graver(o Verdict) bool {
+	switch {
+	case v.Bad != o.Bad:
+		return v.Bad
+	case v.Suspicious != o.Suspicious:
+		return v.Suspicious
+	case v.Statistic != o.Statistic:
+		return v.Statistic > o.Statistic
+	case v.Route != o.Route:
+		return v.Route > o.Route
+	case v.Kind != o.Kind:
+		return v.Kind < o.Kind
+	}
+	return v.Test < o.Test
+}
+
+// finding decides a test that is at least suspicious: the excess must also be
+// large enough, lately, and in several windows.
+func (e *Evidence) finding(k testKey, value float64) Verdict {
+	rk := routeKey{k.Route, k.Kind}
+	v := Verdict{Test: k.Test, Route: k.Route, Kind: k.Kind, Statistic: value}
+	least := leastExcess(k.Test)
+	for _, span := range []int{3, 10, keptWindows} {
+		before, after := sides(e.recent(span, rk), k.Test)
+		if excessOf(k.Test, before, after) < least {
+			continue
+		}
+		v.Old, v.New, v.Suspicious = before, after, true
+		bad, need := 0, badWindows
+		if !e.sharedCalls {
+			need = lostWindows
+		}
+		for _, w := range e.windows {
+			before, after := sides(w.of(rk), k.Test)
+			if excessOf(k.Test, before, after) >= least {
+				bad++
+			}
+		}
+		v.Bad = value >= Threshold && bad >= need
+		return v
+	}
+	return v
+}
+
+func (w window) of(k routeKey) versions {
+	if k == (routeKey{}) {
+		return w.total
+	}
+	return w.routes[k]
+}
+
+func leastExcess(t TestName) float64 {
+	switch t {
+	case TestSlow:
+		return slowExcess
+	case TestColdErrors:
+		return coldExcess
+	default:
+		return errorExcess
+	}
+}
+
+func sides(v versions, t TestName) (before, after Tally) {
+	if t == TestColdErrors {
+		return v.old, v.newCold
+	}
+	return v.old, v.new
+}
+
+func excessOf(t TestName, before, after Tally) float64 {
+	if t == TestSlow {
+		return after.SlowRate() - before.SlowRate()
+	}
+	return after.ErrorRate() - before.ErrorRate()
+}
+
+func (e *Evidence) judgeAvailability() (Verdict, bool) {
+	if e.unavailable == 0 || e.unavailableTries < unavailableTries || len(e.windows) == 0 {
+		return Verdict{}, false
+	}
+	if e.windows[len(e.windows)-1].closed.Time().Sub(e.unavailable.Time()) < unavailableFor {
+		return Verdict{}, false
+	}
+	v := e.recent(keptWindows, routeKey{})
+	v.new.add(v.newCold)
+	return Verdict{Bad: true, Test: TestUnavailable, Old: v.old, New: v.new}, true
+}
--- /dev/null
+++ b/mesh/rollout/recorder.go
@@ -0,0 +1,120 @@
+package rollout
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// Observation is one try of a call to a backend server.
+type Observation struct {
+	Service    model.ServiceName
+	Version    model.ServiceVersion
+	Route      model.RouteName
+	Kind       model.Kind
+	DataCentre model.DataCentre // of the backend server
+	// ServerAge is the time since the backend server's incarnation was first seen.
+	ServerAge time.Duration
+	Outcome   CallOutcome
+	Latency   time.Duration
+}
+
+// maxRecorderCells bounds a recorder's memory to about 2.5 MB.
+const maxRecorderCells = 8192
+
+// Recorder counts the calls that a node sends. Only services with an active
+// move are counted, so that other calls cost one map lookup. One mutex guards it.
+type Recorder struct {
+	mu          sync.Mutex
+	host        model.HostID
+	incarnation uint64
+	sequence    uint64
+	watched     map[model.ServiceName]bool
+	cells       map[Key]*Counts
+	// stop sees every recorded call.
+	stop *LocalStop
+}
+
+// NewRecorder returns the recorder of a node's incarnation.
+func NewRecorder(host model.HostID, incarnation uint64) *Recorder {
+	return &Recorder{host: host, incarnation: incarnation, watched: map[model.ServiceName]bool{}, cells: map[Key]*Counts{}, stop: newLocalStop()}
+}
+
+// Watch sets the active moves. Counters of other services are dropped, and the
+// local stop of a version ends with its move.
+func (r *Recorder) Watch(moves []Status) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.watched)
+	targets := map[model.ServiceName]Status{}
+	for _, st := range moves {
+		r.watched[st.Move.ID.Service] = true
+		targets[st.Move.ID.Service] = st
+	}
+	for k := range r.cells {
+		if !r.watched[k.Service] {
+			delete(r.cells, k)
+		}
+	}
+	r.stop.watch(targets)
+}
+
+// Record counts one try.
+func (r *Recorder) Record(now time.Time, o Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.watched[o.Service] {
+		return
+	}
+	k := Key{Service: o.Service, Version: o.Version, Route: o.Route, Kind: o.Kind, DataCentre: o.DataCentre, Cold: o.ServerAge < ColdFor}
+	c, ok := r.cells[k]
+	if !ok {
+		if len(r.cells) >= maxRecorderCells {
+			telemetry.Counter("rollout.recorder-full").Inc(1)
+			return
+		}
+		c = &Counts{}
+		r.cells[k] = c
+	}
+	c.count(o)
+	r.stop.observe(now, o)
+}
+
+func (c *Counts) count(o Observation) {
+	switch o.Outcome {
+	case CallRefused:
+		c.Refused++
+		return
+	case CallUnreachable:
+		c.Unreachable++
+		return
+	case CallError:
+		c.Errors++
+	}
+	c.Calls++
+	c.Latency[BucketOf(o.Latency)]++
+}
+
+// Flush returns the counters since the last call and starts new ones.
+func (r *Recorder) Flush() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	out := Report{Host: r.host, Incarnation: r.incarnation, Sequence: r.sequence, Nodes: 1}
+	for k, c := range r.cells {
+		out.Cells = append(out.Cells, Cell{Key: k, Counts: *c})
+	}
+	slices.SortFunc(out.Cells, func(a, b Cell) int { return a.Key.compare(b.Key) })
+	clear(r.cells)
+	return out
+}
+
+// Stopped reports whether this node sends no calls to the version for now.
+func (r *Recorder) Stopped(now time.Time, service model.ServiceName, version model.ServiceVersion) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stop.stopped(now, service, version)
+}
--- /dev/null
+++ b/mesh/rollout/report.go
@@ -0,0 +1,169 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+)
+
+// CallOutcome is how one try of a call ended, as the entry node saw it.
+type CallOutcome uint8
+
+// The outcomes of a try.
+const (
+	CallOK CallOutcome = iota + 1
+	// CallError is an answer that says failure, a timeout or a connection that broke after the request was sent.
+	CallError
+	// CallRefused is a typed "not run": a full queue, a cold-start limit, a drain. It is no error of the version.
+	CallRefused
+	// CallUnreachable is a try that could not connect, as with a lost host or data centre. It is no error of the version.
+	CallUnreachable
+)
+
+// Buckets is the number of latency buckets; the last one is open.
+const Buckets = 24
+
+// ColdFor is the age below which a backend server counts as cold. Its errors
+// are judged apart with a wider margin, its latency is not judged.
+const ColdFor = 10 * time.Second
+
+// bucketBounds are the upper bounds of the latency buckets: from 0.25 ms in
+// steps of 1.5, so that the last bound is 1.9 s.
+var bucketBounds = func() (b [Buckets - 1]time.Duration) {
+	d := 250 * time.Microsecond
+	for i := range b {
+		b[i] = d
+		d = d * 3 / 2
+	}
+	return b
+}()
+
+// BucketOf returns the latency bucket of d.
+func BucketOf(d time.Duration) int {
+	i, _ := slices.BinarySearch(bucketBounds[:], d)
+	return i
+}
+
+// Key identifies one counter cell. The data centre is the backend server's, so
+// that its loss does not look like a fault of the version that has more there.
+type Key struct {
+	Service    model.ServiceName    `cbor:"1,keyasint"`
+	Version    model.ServiceVersion `cbor:"2,keyasint"`
+	Route      model.RouteName      `cbor:"3,keyasint"`
+	Kind       model.Kind           `cbor:"4,keyasint"`
+	DataCentre model.DataCentre     `cbor:"5,keyasint"`
+	Cold       bool                 `cbor:"6,keyasint,omitempty"`
+}
+
+func (k Key) compare(o Key) int {
+	cold := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(k.Service, o.Service), cmp.Compare(k.Version, o.Version), cmp.Compare(k.Route, o.Route),
+		cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.DataCentre, o.DataCentre), cmp.Compare(cold(k.Cold), cold(o.Cold)))
+}
+
+// Counts are the counters of one cell over one interval.
+type Counts struct {
+	// Calls are the answered tries, good or failed; Errors are the failed ones.
+	Calls       uint64          `cbor:"1,keyasint"`
+	Errors      uint64          `cbor:"2,keyasint,omitempty"`
+	Refused     uint64          `cbor:"3,keyasint,omitempty"`
+	Unreachable uint64          `cbor:"4,keyasint,omitempty"`
+	Latency     [Buckets]uint64 `cbor:"5,keyasint"`
+}
+
+// Add adds o to c.
+func (c *Counts) Add(o Counts) {
+	c.Calls += o.Calls
+	c.Errors += o.Errors
+	c.Refused += o.Refused
+	c.Unreachable += o.Unreachable
+	for i, n := range o.Latency {
+		c.Latency[i] += n
+	}
+}
+
+// slowerThan returns the calls in the buckets above the given one.
+func (c *Counts) slowerThan(bucket int) (n uint64) {
+	for _, v := range c.Latency[bucket+1:] {
+		n += v
+	}
+	return n
+}
+
+// Cell is a key with its counters.
+type Cell struct {
+	Key    Key    `cbor:"1,keyasint"`
+	Counts Counts `cbor:"2,keyasint"`
+}
+
+// Report carries the counters of one node, or of several after Merge, over one
+// interval. The sender numbers its reports so that a repeat counts once.
+type Report struct {
+	Host        model.HostID `cbor:"1,keyasint"`
+	Incarnation uint64       `cbor:"2,keyasint"`
+	Sequence    uint64       `cbor:"3,keyasint"`
+	// Nodes is the number of nodes whose counters are in the report.
+	Nodes uint32 `cbor:"4,keyasint"`
+	Cells []Cell `cbor:"5,keyasint,omitempty"`
+}
+
+// maxCells bounds the cells of a report; the frame bound of peer allows about as many.
+const maxCells = 20_000
+
+// Merge adds the counters of o to r, which keeps its own host and sequence.
+func (r *Report) Merge(o Report) {
+	sum := make(map[Key]*Counts, len(r.Cells))
+	for i := range r.Cells {
+		sum[r.Cells[i].Key] = &r.Cells[i].Counts
+	}
+	var added []Cell
+	for _, c := range o.Cells {
+		if have, ok := sum[c.Key]; ok {
+			have.Add(c.Counts)
+			continue
+		}
+		added = append(added, c)
+	}
+	r.Cells = append(r.Cells, added...)
+	slices.SortFunc(r.Cells, func(a, b Cell) int { return a.Key.compare(b.Key) })
+	r.Nodes += o.Nodes
+}
+
+// EncodeReport encodes r.
+func EncodeReport(r Report) ([]byte, error) { return encode(r) }
+
+// DecodeReport decodes a report and checks that its counters fit together.
+func DecodeReport(b []byte) (Report, error) {
+	var r Report
+	if err := decMode.Unmarshal(b, &r); err != nil {
+		return Report{}, eris.Wrapf(ErrCorrupt, "decode report: %v", err)
+	}
+	return r, r.check()
+}
+
+func (r Report) check() error {
+	if len(r.Cells) > maxCells {
+		return eris.Wrapf(ErrCorrupt, "report of %d cells, at most %d", len(r.Cells), maxCells)
+	}
+	const most = 1 << 40 // keeps every sum far from overflow
+	for i, c := range r.Cells {
+		n := c.Counts
+		var timed uint64
+		for _, v := range n.Latency {
+			timed += min(v, most)
+		}
+		if n.Calls > most || n.Errors > n.Calls || n.Refused > most || n.Unreachable > most || timed > n.Calls {
+			return eris.Wrapf(ErrCorrupt, "report cell %d: counters do not fit", i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/rollout/report_test.go
@@ -0,0 +1,188 @@
+package rollout
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"balsamtrail.org/mesh/model"
+)
+
+func seen(version model.ServiceVersion, o CallOutcome) Observation {
+	return Observation{Service: "ledger", Version: version, Route: "lookup", Kind: model.KindLookup, DataCentre: "thun",
+		ServerAge: time.Hour, Outcome: o, Latency: fast}
+}
+
+var _ = Describe("Recorder", func() {
+	var r *Recorder
+	BeforeEach(func() {
+		r = NewRecorder("n1", 1)
+		r.Watch([]Status{{Move: moveTo(1, 1, "v2"), From: "v1"}})
+	})
+	record := func(now time.Time, n int, version model.ServiceVersion, o CallOutcome) {
+		for range n {
+			r.Record(now, seen(version, o))
+		}
+	}
+
+	It("counts by outcome, apart for cold backend servers, and starts anew after a flush", func() {
+		record(t0, 3, "v1", CallOK)
+		record(t0, 2, "v1", CallError)
+		record(t0, 4, "v1", CallRefused)
+		record(t0, 5, "v1", CallUnreachable)
+		cold := seen("v1", CallOK)
+		cold.ServerAge = time.Second
+		r.Record(t0, cold)
+		other := cold
+		other.Service = "unwatched"
+		r.Record(t0, other)
+		out := r.Flush()
+		Expect(out.Cells).To(HaveLen(2))
+		n := out.Cells[0].Counts
+		Expect([]uint64{n.Calls, n.Errors, n.Refused, n.Unreachable}).To(Equal([]uint64{5, 2, 4, 5}))
+		Expect(n.Latency[BucketOf(fast)]).To(BeEquivalentTo(5))
+		Expect(out.Cells[1].Key.Cold).To(BeTrue())
+		Expect(r.Flush().Cells).To(BeEmpty())
+	})
+
+	It("stops a version locally on strong evidence, for a while", func() {
+		record(t0, 20, "v1", CallOK)
+		record(t0, 7, "v2", CallError)
+		Expect(r.Stopped(t0, "ledger", "v2")).To(BeFalse())
+		record(t0, 1, "v2", CallError)
+		Expect(r.Stopped(t0, "ledger", "v2")).To(BeTrue())
+		Expect(r.Stopped(t0, "ledger", "v1")).To(BeFalse())
+		Expect(r.Stopped(at(stopFor), "ledger", "v2")).To(BeFalse())
+	})
+
+	It("does not stop on a common failure, on refusals or on scattered errors", func() {
+		record(t0, 20, "v1", CallError)
+		record(t0, 20, "v2", CallError)
+		Expect(r.Stopped(t0, "ledger", "v2")).To(BeFalse())
+		record(at(time.Minute), 50, "v1", CallOK)
+		record(at(time.Minute), 50, "v2", CallRefused)
+		for i := range 40 {
+			record(at(time.Minute+time.Duration(i)*3*time.Second), 1, "v2", CallError)
+		}
+		Expect(r.Stopped(at(3*time.Minute), "ledger", "v2")).To(BeFalse())
+	})
+
+	It("ends a local stop with its move", func() {
+		record(t0, 20, "v1", CallOK)
+		record(t0, 8, "v2", CallError)
+		r.Watch([]Status{{Move: moveTo(1, 2, "v3"), From: "v1"}})
+		Expect(r.Stopped(t0, "ledger", "v2")).To(BeFalse())
+	})
+
+	It("orders latencies into buckets", func() {
+		Expect(BucketOf(0)).To(BeZero())
+		Expect(BucketOf(time.Hour)).To(Equal(Buckets - 1))
+		Expect(BucketOf(bucketBounds[3])).To(Equal(3))
+		Expect(BucketOf(bucketBounds[3] + 1)).To(Equal(4))
+	})
+})
+
+// Guards against counts that depend on the tree by which reports were merged.
+func TestMergeAgainstMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var merged Report
+		want := map[Key]uint64{}
+		for range rapid.IntRange(1, 6).Draw(t, "reports") {
+			one := Report{Nodes: 1}
+			for _, v := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 5, rapid.ID).Draw(t, "cells") {
+				k := Key{Service: "ledger", Route: model.RouteName(rune('a' + v)), Cold: v%2 == 0}
+				n := rapid.Uint64Range(1, 100).Draw(t, "calls")
+				one.Cells = append(one.Cells, Cell{Key: k, Counts: Counts{Calls: n}})
+				want[k] += n
+			}
+			if rapid.Bool().Draw(t, "side") {
+				merged, one = one, merged
+			}
+			merged.Merge(one)
+		}
+		got := map[Key]uint64{}
+		for _, c := range merged.Cells {
+			got[c.Key] += c.Counts.Calls
+		}
+		if len(got) != len(merged.Cells) || len(got) != len(want) {
+			t.Fatalf("%d cells for %d keys, want %d", len(merged.Cells), len(got), len(want))
+		}
+		for k, n := range want {
+			if got[k] != n {
+				t.Fatalf("%+v: %d, want %d", k, got[k], n)
+			}
+		}
+	})
+}
+
+// Guards against a panic of the apply loop on a malformed entry.
+func FuzzCommand(f *testing.F) {
+	b, _ := EncodeCommand(startOf(moveTo(2, 1, "v3")))
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := newMachine()
+		m.do(startOf(moveTo(1, 1, "v2")))
+		m.raise(500)
+		c, err := DecodeCommand(b)
+		if err != nil || c.Op == OpStep && c.Share > Bound(m.status(1), c.Summary) {
+			return // a step above its bound fires the assertion on purpose
+		}
+		m.do(c)
+		snap, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := NewState().Restore(snap); err != nil {
+			t.Fatalf("state after %+v does not restore: %v", c, err)
+		}
+	})
+}
+
+// Guards against a damaged snapshot that panics or restores to another state.
+func FuzzSnapshot(f *testing.F) {
+	m := newMachine()
+	m.do(startOf(moveTo(1, 1, "v2")))
+	m.raise(500)
+	m.do(startOf(moveTo(2, 1, "v3")))
+	b, _ := m.Snapshot()
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, r := NewState(), NewState()
+		if s.Restore(b) != nil {
+			return
+		}
+		first, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Restore(first); err != nil {
+			t.Fatal(err)
+		}
+		if second, _ := r.Snapshot(); !bytes.Equal(first, second) {
+			t.Fatal("snapshot changes when it is restored")
+		}
+	})
+}
+
+// Guards against counters from the network that overflow or do not fit together.
+func FuzzReport(f *testing.F) {
+	b, _ := EncodeReport(Report{Host: "n1", Sequence: 1, Nodes: 1, Cells: []Cell{feed{version: "v2", route: "lookup", calls: 5, errors: 2}.cell()}})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeReport(b)
+		if err != nil {
+			return
+		}
+		l := NewLeader(nil)
+		m := newMachine()
+		m.do(startOf(moveTo(1, 1, "v2")))
+		capacity := func(model.ServiceName) Capacity { return warm }
+		l.Tick(t0, m.Active(), 1, capacity)
+		l.Report(t0, r)
+		l.Tick(at(windowMax), m.Active(), 1, capacity)
+	})
+}
--- /dev/null
+++ b/mesh/rollout/state.go
@@ -0,0 +1,258 @@
+// Package rollout moves the traffic of a service to a new version by a stated
+// time and takes it back if the version is bad. State holds the replicated
+// moves; Decide and Judge are the leader's decisions on evidence that
+// Recorders on the nodes gather; LocalStop is a node's own reaction.
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	// maxStatuses bounds the kept moves. At 500 moves a day it covers a season
+	// of 100 days, for the partners that check only then.
+	maxStatuses = 50_000
+	// keptSteps bounds the history of a move that another one has replaced.
+	keptSteps = 6
+	maxName   = 64
+	maxReason = 512
+)
+
+// State holds the moves of all services. It is deterministic: it depends only
+// on the applied commands and their log indexes. One mutex guards it.
+type State struct {
+	mu    sync.Mutex
+	moves map[MoveID]*Status
+	// current is the newest move of each service, which decides its shares.
+	current map[model.ServiceName]MoveID
+	// order lists the moves by acceptance; ended ones at its head are dropped first.
+	order []MoveID
+}
+
+// NewState returns a state without moves.
+func NewState() *State {
+	return &State{moves: map[MoveID]*Status{}, current: map[model.ServiceName]MoveID{}}
+}
+
+// Status returns the status of a move.
+func (s *State) Status(id MoveID) (Status, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.moves[id]
+	if !ok {
+		return Status{}, false
+	}
+	return st.clone(), true
+}
+
+// Current returns the newest move of a service.
+func (s *State) Current(service model.ServiceName) (Status, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok := s.current[service]
+	if !ok {
+		return Status{}, false
+	}
+	return s.moves[id].clone(), true
+}
+
+// All returns every kept status in order of acceptance.
+func (s *State) All() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Status, 0, len(s.order))
+	for _, id := range s.order {
+		out = append(out, s.moves[id].clone())
+	}
+	return out
+}
+
+// Active returns the moves that need decisions, by service.
+func (s *State) Active() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Status
+	for _, id := range s.current {
+		if st := s.moves[id]; st.Active() {
+			out = append(out, st.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.Move.ID.Service, b.Move.ID.Service) })
+	return out
+}
+
+// Apply applies the command of the log entry at index.
+func (s *State) Apply(c Command, index uint64) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(c.Reason) > maxReason {
+		c.Reason = c.Reason[:maxReason]
+	}
+	if c.Op == OpStart {
+		return s.start(c, index)
+	}
+	st, ok := s.moves[c.Move.ID]
+	if !ok || s.current[c.Move.ID.Service] != c.Move.ID {
+		return Result{Outcome: OutcomeUnknownMove}
+	}
+	if c.Op != OpWithdraw && c.Expect != st.Sequence {
+		return Result{Outcome: OutcomeStale, Status: st.clone()}
+	}
+	if !st.Active() {
+		return Result{Outcome: OutcomeClosed, Status: st.clone()}
+	}
+	outcome := change(st, c, index)
+	return Result{Outcome: outcome, Status: st.clone()}
+}
+
+// change applies a command to an active move.
+func change(st *Status, c Command, index uint64) Outcome {
+	switch c.Op {
+	case OpStep:
+		return step(st, c, index)
+	case OpVerdict:
+		st.Forecast, st.AtRisk = c.Forecast, c.AtRisk
+	case OpComplete:
+		if st.Phase != PhaseMoving || st.Share != model.ShareAll {
+			return OutcomeRefused
+		}
+		st.Phase, st.Completed, st.AtRisk = PhaseDone, c.Time, c.Time > st.Move.By
+	case OpReverse:
+		st.Phase, st.Ended, st.Verdict = PhaseReversed, c.Time, c.Verdict
+		setShare(st, 0, c.Time)
+	case OpWithdraw:
+		st.Phase, st.Ended = PhaseWithdrawn, c.Time
+		setShare(st, 0, c.Time)
+	case OpEndWatch:
+		if st.Phase != PhaseDone || st.Share != model.ShareAll {
+			return OutcomeRefused
+		}
+		st.WatchEnded, st.Ended = true, c.Time
+	default:
+		return OutcomeRefused
+	}
+	accept(st, c, index)
+	return OutcomeApplied
+}
+
+func step(st *Status, c Command, index uint64) Outcome {
+	if c.Share > model.ShareAll || c.Share == 0 {
+		return OutcomeRefused
+	}
+	if c.Share > st.Share {
+		bound := Bound(*st, c.Summary)
+		invariant.Check(c.Share <= bound, invariant.BadVersionShare, "share above the evidence bound",
+			"service", st.Move.ID.Service, "version", st.Move.To, "share", c.Share, "bound", bound)
+		if c.Share > bound {
+			return OutcomeRefused
+		}
+	}
+	if st.Phase == PhaseWaiting {
+		st.Phase = PhaseMoving
+	}
+	st.Forecast, st.AtRisk = c.Forecast, c.AtRisk
+	setShare(st, c.Share, c.Time)
+	accept(st, c, index)
+	return OutcomeApplied
+}
+
+// setShare is the only place that changes a share.
+func setShare(st *Status, share model.Share, now Instant) {
+	invariant.Check(st.Phase != PhaseReversed || share == 0, invariant.BadVersionShare, "share not zero after conviction",
+		"service", st.Move.ID.Service, "version", st.Move.To, "share", share)
+	if st.Share != share {
+		st.Share, st.Changed = share, now
+	}
+}
+
+func accept(st *Status, c Command, index uint64) {
+	st.Sequence++
+	st.Reason = c.Reason
+	st.record(StepRecord{Op: c.Op, Time: c.Time, Index: index, Share: st.Share, Reason: c.Reason, Summary: c.Summary})
+}
+
+// start accepts a move. A resend changes nothing, a newer revision with the
+// same version and a running move changes only its deadline, anything else
+// replaces the service's former move.
+func (s *State) start(c Command, index uint64) Result {
+	id := c.Move.ID
+	if id.Service == "" || len(id.Service) > maxName || c.Move.To == "" || len(c.Move.To) > maxName || len(c.From) > maxName {
+		return Result{Outcome: OutcomeRefused}
+	}
+	if old, ok := s.moves[id]; ok && c.Move.Revision <= old.Move.Revision {
+		return Result{Outcome: OutcomeUnchanged, Status: old.clone()}
+	}
+	former, ok := s.moves[s.current[id.Service]]
+	if ok && former.Move.ID.Note > id.Note {
+		return Result{Outcome: OutcomeStale, Status: former.clone()}
+	}
+	if ok && former.Active() && former.Move.ID == id && former.Move.To == c.Move.To {
+		former.Move = c.Move
+		former.AtRisk, former.Forecast = false, 0
+		accept(former, c, index)
+		return Result{Outcome: OutcomeApplied, Status: former.clone()}
+	}
+	from := c.From
+	if ok {
+		from = s.supersede(former, c, index)
+		if n := len(former.Steps); n > keptSteps {
+			former.Steps = slices.Delete(slices.Clone(former.Steps), 1, n-keptSteps+1)
+		}
+	}
+	st := &Status{Move: c.Move, From: from, Phase: PhaseWaiting, Accepted: c.Time, Changed: c.Time}
+	if from == c.Move.To {
+		c.Reason = "the version already has all traffic"
+		st.Phase, st.Share, st.Completed, st.WatchEnded = PhaseDone, model.ShareAll, c.Time, true
+	}
+	accept(st, c, index)
+	s.put(st)
+	return Result{Outcome: OutcomeApplied, Status: st.clone()}
+}
+
+// supersede ends a former move that still runs and returns the version that
+// the next move replaces: the former target once it was done, else the version
+// before it. A version that was still being proved loses its share at once.
+func (s *State) supersede(former *Status, c Command, index uint64) model.ServiceVersion {
+	switch former.Phase {
+	case PhaseDone:
+		if former.Active() {
+			former.WatchEnded, former.Ended = true, c.Time
+			c.Reason = "replaced by another move during the watch"
+			c.Op = OpEndWatch
+			accept(former, c, index)
+		}
+		return former.Move.To
+	case PhaseWaiting, PhaseMoving:
+		former.Phase, former.Ended = PhaseWithdrawn, c.Time
+		setShare(former, 0, c.Time)
+		c.Reason = "replaced by another move"
+		c.Op = OpWithdraw
+		accept(former, c, index)
+	}
+	return former.From
+}
+
+// put makes a move the current one of its service and drops the oldest ended
+// moves above the bound.
+func (s *State) put(st *Status) {
+	id := st.Move.ID
+	if _, ok := s.moves[id]; ok {
+		s.order = slices.DeleteFunc(s.order, func(o MoveID) bool { return o == id })
+	}
+	s.moves[id] = st
+	s.current[id.Service] = id
+	s.order = append(s.order, id)
+	for i := 0; len(s.order) > maxStatuses && i < len(s.order); {
+		if old := s.order[i]; s.current[old.Service] != old {
+			delete(s.moves, old)
+			s.order = slices.Delete(s.order, i, i+1)
+			continue
+		}
+		i++
+	}
+}
