Add the operators' tool balsamtrail

Operators and partners need a command for each resource, exit codes that scripts can tell apart and a check of files before they are sent. The certificate of the operator interface carries no process identity, so its key cannot act as a control host.

Tested through run() against an HTTPS server with certificates of dev-ca: exit codes of a conflict, a reversal, a time limit, wrong usage, unreachable hosts and an unknown outcome; settings from the environment; an example in the help of each command.

--- /dev/null
+++ b/mesh/cmd/balsamtrail/check.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/settings"
+)
+
+type checkCmd struct {
+	Files []string `arg:"" help:"Notes and settings in JSON." type:"existingfile"`
+	Kind  string   `help:"What the files are: ${enum}. With auto, each file's keys tell." enum:"auto,note,control,node" default:"auto"`
+}
+
+// Help implements kong.HelpProvider.
+func (checkCmd) Help() string {
+	return `Names the first bad field of each file and ends with code 1 if there is one. What depends on the accepted
+configuration is not checked; diff does that.
+
+Example:
+  balsamtrail check examples/aare/*.json`
+}
+
+// checkResult is the outcome for one file.
+type checkResult struct {
+	File  string `json:"file"`
+	Kind  string `json:"kind"`
+	Error string `json:"error,omitempty"`
+}
+
+var errCheck = errors.New("check failed")
+
+// Run checks the files.
+func (c *checkCmd) Run(e *env) error {
+	var results []checkResult
+	bad := 0
+	for _, f := range c.Files {
+		kind, err := checkFile(f, c.Kind)
+		r := checkResult{File: f, Kind: kind}
+		if err != nil {
+			bad++
+			r.Error = err.Error()
+		}
+		results = append(results, r)
+	}
+	err := e.print(results, func(t *table) {
+		for _, r := range results {
+			outcome := "ok"
+			if r.Error != "" {
+				outcome = r.Error
+			}
+			t.row(r.File, r.Kind, outcome)
+		}
+	})
+	if err == nil && bad > 0 {
+		err = eris.Wrapf(errCheck, "%d of %d files", bad, len(results))
+	}
+	return err
+}
+
+func checkFile(path, kind string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return kind, err
+	}
+	if kind == "auto" {
+		kind = guessKind(data)
+	}
+	switch kind {
+	case "control":
+		_, err = settings.ParseControl(data)
+	case "node":
+		_, err = settings.ParseNode(data)
+	default:
+		_, err = note.ParseNote(data)
+	}
+	return kind, err
+}
+
+// guessKind tells settings from notes by keys that only one of them has.
+func guessKind(data []byte) string {
+	var keys map[string]json.RawMessage
+	if json.Unmarshal(data, &keys) != nil {
+		return "note"
+	}
+	has := func(key string) bool { _, ok := keys[key]; return ok }
+	switch {
+	case has("backend"):
+		return "node"
+	case has("host") || has("control_hosts"):
+		return "control"
+	default:
+		return "note"
+	}
+}
+
+type versionCmd struct{}
+
+// Help implements kong.HelpProvider.
+func (versionCmd) Help() string {
+	return `Example:
+  balsamtrail version`
+}
+
+// versionAnswer is the JSON output of version.
+type versionAnswer struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// Run prints the version of the build.
+func (versionCmd) Run(e *env) error {
+	v := versionAnswer{Version: "unknown"}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		v = versionAnswer{Version: info.Main.Version, Go: info.GoVersion}
+	}
+	return e.print(v, func(t *table) { t.row(fmt.Sprintf("balsamtrail %s %s", v.Version, v.Go)) })
+}
--- /dev/null
+++ b/mesh/cmd/balsamtrail/devca.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+type devCACmd struct {
+	Dir      string   `arg:"" help:"Folder of the authority; it is made if it does not exist."`
+	Control  []string `help:"Issue a certificate for a control host." placeholder:"DATA-CENTRE/HOST"`
+	Node     []string `help:"Issue a certificate for a node." placeholder:"DATA-CENTRE/HOST"`
+	Operator []string `help:"Issue operator.pem, the certificate of the operator interface, for these names and IP addresses." placeholder:"NAME"`
+}
+
+// Help implements kong.HelpProvider.
+func (devCACmd) Help() string {
+	return `Makes a certificate authority for development and issues certificates. Its key is not encrypted, so it must
+not sign the certificates of a mesh in production. Certificates that exist already are issued anew.
+
+Example:
+  balsamtrail dev-ca examples/aare/certs --control thun/c1 --node thun/ledger-1 --operator 127.0.0.1`
+}
+
+// Run issues the certificates.
+func (c *devCACmd) Run(e *env) error {
+	ca, err := peer.OpenDevCA(c.Dir)
+	if err != nil {
+		return err
+	}
+	issued := []string{filepath.Join(c.Dir, "ca.pem")}
+	for role, hosts := range map[peer.Role][]string{peer.RoleControl: c.Control, peer.RoleNode: c.Node} {
+		for _, h := range hosts {
+			file, err := issue(ca, role, h)
+			if err != nil {
+				return err
+			}
+			issued = append(issued, file)
+		}
+	}
+	if len(c.Operator) > 0 {
+		file, err := issueServer(c.Dir, c.Operator)
+		if err != nil {
+			return err
+		}
+		issued = append(issued, file)
+	}
+	return e.print(issued, func(t *table) {
+		for _, f := range issued {
+			t.row(f)
+		}
+	})
+}
+
+func issue(ca *peer.DevCA, role peer.Role, text string) (string, error) {
+	dc, host, ok := strings.Cut(text, "/")
+	if !ok || dc == "" || host == "" || strings.ContainsAny(host, `/\`) {
+		return "", eris.Wrapf(errUsage, "%q is not data-centre/host", text)
+	}
+	files, err := ca.Issue(peer.Identity{Role: role, DataCentre: model.DataCentre(dc), Host: model.HostID(host)})
+	return files.Certificate, err
+}
+
+const serverLifetime = 365 * 24 * time.Hour
+
+// issueServer signs a certificate without a process identity: with one, the
+// operator interface's key could act as a control host.
+func issueServer(dir string, names []string) (string, error) {
+	ca, err := tls.LoadX509KeyPair(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca-key.pem"))
+	if err != nil {
+		return "", err
+	}
+	parent, err := x509.ParseCertificate(ca.Certificate[0])
+	if err != nil {
+		return "", err
+	}
+	number, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return "", err
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: number,
+		Subject:      pkix.Name{CommonName: "balsamtrail operator interface"},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(serverLifetime),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
+	for _, n := range names {
+		if ip := net.ParseIP(n); ip != nil {
+			tmpl.IPAddresses = append(tmpl.IPAddresses, ip)
+			continue
+		}
+		tmpl.DNSNames = append(tmpl.DNSNames, n)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return "", err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, ca.PrivateKey)
+	if err != nil {
+		return "", err
+	}
+	return writeServer(dir, der, key)
+}
+
+func writeServer(dir string, der []byte, key *ecdsa.PrivateKey) (string, error) {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, "operator.pem")
+	for _, f := range []struct {
+		path, kind string
+		der        []byte
+		mode       os.FileMode
+	}{
+		{filepath.Join(dir, "operator-key.pem"), "EC PRIVATE KEY", keyDER, 0o600},
+		{file, "CERTIFICATE", der, 0o644},
+	} {
+		data := pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der})
+		if err := renameio.WriteFile(f.path, data, f.mode); err != nil {
+			return "", err
+		}
+	}
+	return file, nil
+}
--- /dev/null
+++ b/mesh/cmd/balsamtrail/diff.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/note/strictjson"
+	"balsamtrail.org/mesh/operator"
+)
+
+type diffCmd struct {
+	File string `arg:"" help:"Note in JSON." type:"existingfile"`
+}
+
+// Help implements kong.HelpProvider.
+func (diffCmd) Help() string {
+	return `Compares the configuration in force with the one that publishing the file would result in. If the number is
+published already, compares the published note with the file. Lines with - go, lines with + come.
+
+Example:
+  balsamtrail diff ledger-v2.json`
+}
+
+// diffAnswer is the JSON output of diff.
+type diffAnswer struct {
+	Removed []string `json:"removed"`
+	Added   []string `json:"added"`
+}
+
+// Run compares a note file with what is accepted.
+func (c *diffCmd) Run(ctx context.Context, e *env) error {
+	n, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	from, to, err := sides(ctx, e, cl, n)
+	if err != nil {
+		return err
+	}
+	d := diffAnswer{Removed: missing(from, to), Added: missing(to, from)}
+	return e.print(d, func(t *table) {
+		for _, line := range d.Removed {
+			t.row("- " + line)
+		}
+		for _, line := range d.Added {
+			t.row("+ " + line)
+		}
+		if len(d.Removed)+len(d.Added) == 0 {
+			t.row("no difference")
+		}
+	})
+}
+
+// sides returns the lines to compare.
+func sides(ctx context.Context, e *env, cl *operator.Client, n note.Note) (from, to []string, err error) {
+	accepted, err := cl.Note(ctx, n.Number)
+	if err == nil {
+		e.freshness(accepted.Read)
+		return noteLines(accepted.Note.Note), noteLines(n), nil
+	}
+	if !errors.Is(err, operator.ErrNotFound) {
+		return nil, nil, err
+	}
+	a, err := cl.Config(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	e.freshness(a.Read)
+	before := configOf(a.Config)
+	after, err := note.Preview(before, n)
+	if err != nil {
+		return nil, nil, err
+	}
+	to = configLines(after)
+	for _, m := range n.Moves {
+		to = append(to, line("move", m))
+	}
+	return configLines(before), to, nil
+}
+
+func configOf(v operator.ConfigView) note.Config {
+	c := note.NewConfig()
+	for _, s := range v.Services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range v.Routes {
+		c.Routes[r.Name] = r
+	}
+	for _, s := range v.Shares {
+		c.Shares[s.Service] = s.Shares
+	}
+	return c
+}
+
+func configLines(c note.Config) []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		out = append(out, line("service", c.Services[name]))
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
+		out = append(out, line("route", c.Routes[name]))
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Shares)) {
+		out = append(out, line("shares", note.ServiceShares{Service: name, Shares: c.Shares[name]}))
+	}
+	return out
+}
+
+func noteLines(n note.Note) []string {
+	out := []string{"title " + n.Title}
+	out = append(out, changeLines("service", n.Services)...)
+	out = append(out, changeLines("route", n.Routes)...)
+	for _, s := range n.Shares {
+		out = append(out, line("shares", s))
+	}
+	for _, m := range n.Moves {
+		out = append(out, line("move", m))
+	}
+	return out
+}
+
+func changeLines[T any](kind string, c note.Changes[T]) []string {
+	var out []string
+	for _, v := range c.Added {
+		out = append(out, line(kind+" added", v))
+	}
+	for _, v := range c.Changed {
+		out = append(out, line(kind+" changed", v))
+	}
+	for _, w := range c.Withdrawn {
+		out = append(out, kind+" withdrawn "+w)
+	}
+	return out
+}
+
+func line(kind string, v any) string {
+	raw, err := strictjson.Marshal(v)
+	if err != nil {
+		return kind + " " + err.Error()
+	}
+	return kind + " " + string(raw)
+}
+
+// missing returns the lines of a that b lacks.
+func missing(a, b []string) []string {
+	var out []string
+	for _, line := range a {
+		if !slices.Contains(b, line) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
--- a/mesh/cmd/balsamtrail/main.go
+++ b/mesh/cmd/balsamtrail/main.go
@@ -1,6 +1,124 @@
-// Command balsamtrail is a program of balsamtrail.
+// Command balsamtrail is the tool of operators and partners: it publishes
+// release notes, takes data centres out and back, and shows the state of moves.
 package main
 
-import "fmt"
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { fmt.Println("balsamtrail: no command given") }
+	"github.com/alecthomas/kong"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/operator"
+)
+
+// The exit codes of the tool.
+const (
+	exitOK          = 0
+	exitFailure     = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitReversed    = 4
+	exitUnreachable = 5
+)
+
+// errReversed is returned when a watched move was rolled back.
+var errReversed = errors.New("the move was reversed")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// exited carries the code of kong's exit, which must not return, to run.
+type exited int
+
+// run runs the tool and returns its exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			e, ok := r.(exited)
+			if !ok {
+				panic(r)
+			}
+			code = int(e)
+		}
+	}()
+	var c cli
+	parser, err := kong.New(&c,
+		kong.Name("balsamtrail"),
+		kong.Description("Publishes release notes to a balsamtrail mesh and shows what became of them."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { panic(exited(code)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		say(stderr, "balsamtrail: %v", err)
+		return exitFailure
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		say(stderr, "balsamtrail: %v\nRun \"balsamtrail --help\" for the commands.", err)
+		return exitUsage
+	}
+	e := &env{globals: &c.globals, stdout: stdout, stderr: stderr}
+	defer e.close()
+	err = k.Run(e)
+	if err != nil {
+		report(stderr, err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errReversed):
+		return exitReversed
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, operator.ErrConflict):
+		return exitConflict
+	case errors.Is(err, operator.ErrUnreachable), errors.Is(err, operator.ErrUnavailable),
+		errors.Is(err, operator.ErrOverloaded), errors.Is(err, operator.ErrOutcomeUnknown):
+		return exitUnreachable
+	default:
+		return exitFailure
+	}
+}
+
+// operationError adds the operation id to an error of a write, so that the
+// operator can repeat exactly this one.
+type operationError struct {
+	err error
+	id  model.OperationID
+}
+
+func (e *operationError) Error() string { return e.err.Error() }
+func (e *operationError) Unwrap() error { return e.err }
+
+func report(w io.Writer, err error) {
+	say(w, "balsamtrail: %v", err)
+	var body *operator.Error
+	if errors.As(err, &body) && body.Winner != nil {
+		win := body.Winner
+		say(w, "accepted instead: note %d revision %d %q by %s at %s",
+			win.Number, win.Revision, win.Title, win.Operator, stamp(win.Accepted))
+	}
+	var op *operationError
+	if errors.As(err, &op) && errors.Is(err, operator.ErrOutcomeUnknown) {
+		say(w, "The change may have been accepted. Repeat the command with --operation-id %s to learn its result.", op.id)
+	}
+}
+
+// say writes a line to the operator; there is nowhere to report a failure of that.
+func say(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
--- /dev/null
+++ b/mesh/cmd/balsamtrail/notes.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/note"
+)
+
+type publishCmd struct {
+	write
+	File string `arg:"" help:"Note in JSON." type:"existingfile"`
+}
+
+// Help implements kong.HelpProvider.
+func (publishCmd) Help() string {
+	return `The number in the file must be one more than that of the newest note. If another operator was first, the
+command ends with code 3 and shows that note.
+
+Example:
+  balsamtrail publish ledger-v2.json`
+}
+
+// Run publishes the note.
+func (c *publishCmd) Run(ctx context.Context, e *env) error {
+	n, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	r, err := cl.Publish(ctx, c.operation(), n)
+	return e.accepted(c.failed(err), r)
+}
+
+type amendCmd struct {
+	write
+	File     string `arg:"" help:"Note in JSON." type:"existingfile"`
+	Revision uint64 `help:"Revision that is replaced." required:""`
+}
+
+// Help implements kong.HelpProvider.
+func (amendCmd) Help() string {
+	return `The note of the number in the file is replaced if it still has the given revision. A move that keeps its
+version keeps the share it has reached.
+
+Example:
+  balsamtrail amend ledger-v2.json --revision 1`
+}
+
+// Run amends the note.
+func (c *amendCmd) Run(ctx context.Context, e *env) error {
+	n, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	r, err := cl.Amend(ctx, c.operation(), n, c.Revision)
+	return e.accepted(c.failed(err), r)
+}
+
+type withdrawCmd struct {
+	write
+	Number   uint64 `arg:"" help:"Number of the note."`
+	Revision uint64 `help:"Revision that is withdrawn." required:""`
+}
+
+// Help implements kong.HelpProvider.
+func (withdrawCmd) Help() string {
+	return `The note is taken out of the configuration if it still has the given revision. Traffic that its moves have
+shifted goes back.
+
+Example:
+  balsamtrail withdraw 7 --revision 1`
+}
+
+// Run withdraws the note.
+func (c *withdrawCmd) Run(ctx context.Context, e *env) error {
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	r, err := cl.Withdraw(ctx, c.operation(), c.Number, c.Revision)
+	return e.accepted(c.failed(err), r)
+}
+
+// accepted prints the result of a write.
+func (e *env) accepted(err error, r note.Result) error {
+	if err != nil {
+		return err
+	}
+	return e.print(r, func(t *table) {
+		switch {
+		case r.Number != 0:
+			t.row(fmt.Sprintf("accepted note %d revision %d at position %s", r.Number, r.Revision, r.Position))
+		case r.Changed:
+			t.row(fmt.Sprintf("accepted at position %s", r.Position))
+		default:
+			t.row("nothing to change")
+		}
+	})
+}
+
+func readNote(path string) (note.Note, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return note.Note{}, err
+	}
+	n, err := note.ParseNote(data)
+	if err != nil {
+		return note.Note{}, eris.Wrap(err, path)
+	}
+	return n, nil
+}
+
+type listCmd struct {
+	Before uint64 `help:"Greatest number to list; 0 begins with the newest." default:"0"`
+	Limit  int    `help:"Greatest number of notes to list." default:"20"`
+}
+
+// Help implements kong.HelpProvider.
+func (listCmd) Help() string {
+	return `Example:
+  balsamtrail list --limit 5`
+}
+
+// Run lists notes.
+func (c *listCmd) Run(ctx context.Context, e *env) error {
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	a, err := cl.Notes(ctx, c.Before, c.Limit)
+	if err != nil {
+		return err
+	}
+	e.freshness(a.Read)
+	return e.print(a, func(t *table) {
+		t.row("NOTE", "REV", "STATE", "OPERATOR", "ACCEPTED", "IN FORCE", "TITLE")
+		for _, r := range a.Notes {
+			t.row(r.Note.Number, r.Note.Revision, noteState(r), r.Operator, stamp(r.Accepted), stamp(r.InForce), r.Note.Title)
+		}
+	})
+}
+
+// noteState sums up the times of a note.
+func noteState(r note.Record) string {
+	switch {
+	case r.Withdrawn:
+		return "withdrawn"
+	case !r.Reversed.IsZero():
+		return "reversed"
+	case !r.Done.IsZero():
+		return "done"
+	case !r.InForce.IsZero():
+		return "in force"
+	default:
+		return "accepted"
+	}
+}
+
+type showCmd struct {
+	Number uint64 `arg:"" help:"Number of the note."`
+}
+
+// Help implements kong.HelpProvider.
+func (showCmd) Help() string {
+	return `Prints the note as JSON, after its state and times. With --output json the record holds all of it.
+
+Example:
+  balsamtrail show 7`
+}
+
+// Run shows a note.
+func (c *showCmd) Run(ctx context.Context, e *env) error {
+	cl, err := e.client()
+	if err != nil {
+		return err
+	}
+	a, err := cl.Note(ctx, c.Number)
+	if err != nil {
+		return err
+	}
+	e.freshness(a.Read)
+	if e.Output == "json" {
+		return e.print(a, nil)
+	}
+	err = e.print(a, func(t *table) { noteRows(t, a.Note) })
+	if err != nil {
+		return err
+	}
+	return (&env{globals: &globals{Output: "json"}, stdout: e.stdout}).print(a.Note.Note, nil)
+}
+
+func noteRows(t *table, r note.Record) {
+	t.row("note", r.Note.Number)
+	t.row("revision", r.Note.Revision)
+	t.row("state", noteState(r))
+	t.row("operator", r.Operator)
+	t.row("position", r.Position)
+	for _, line := range []struct {
+		name string
+		at   time.Time
+	}{{"accepted", r.Accepted}, {"in force", r.InForce}, {"done", r.Done}, {"reversed", r.Reversed}} {
+		t.row(line.name, stamp(line.at))
+	}
+}
--- /dev/null
+++ b/mesh/cmd/balsamtrail/output.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note/strictjson"
+)
+
+// print writes v as JSON, or the table that rows make.
+func (e *env) print(v any, rows func(t *table)) error {
+	if e.Output == "json" {
+		raw, err := strictjson.MarshalIndent(v)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(e.stdout, "%s\n", raw)
+		return err
+	}
+	t := &table{w: tabwriter.NewWriter(e.stdout, 0, 4, 2, ' ', 0)}
+	rows(t)
+	return t.w.Flush()
+}
+
+// table writes aligned columns.
+type table struct{ w *tabwriter.Writer }
+
+func (t *table) row(cells ...any) {
+	for i, c := range cells {
+		if i > 0 {
+			_, _ = io.WriteString(t.w, "\t")
+		}
+		_, _ = fmt.Fprint(t.w, c)
+	}
+	_, _ = io.WriteString(t.w, "\n")
+}
+
+// stamp formats a time, or a dash for one that has not come.
+func stamp(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+// percent formats a share.
+func percent(s model.Share) string {
+	text := strconv.FormatFloat(float64(s)/float64(model.ShareAll)*100, 'f', 2, 64)
+	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + "%"
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- a/mesh/note/fold.go
+++ b/mesh/note/fold.go
@@ -180,3 +180,19 @@
 func (m Move) equal(o Move) bool {
 	return m.Service == o.Service && m.To == o.To && m.By.Equal(o.By) && m.WatchFor == o.WatchFor
 }
+
+// Preview returns the configuration that publishing n over c results in. It
+// checks all but the note's number and the deadlines.
+func Preview(c Config, n Note) (Config, error) {
+	if err := n.Check(); err != nil {
+		return Config{}, err
+	}
+	if err := checkMoves(n, c); err != nil {
+		return Config{}, err
+	}
+	b := newBuilder(c)
+	if err := b.fold(n, nil); err != nil {
+		return Config{}, err
+	}
+	return b.cfg, Validate(b.cfg)
+}
