--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -73,7 +73,8 @@
 	// is merely slow. It must be the same on all control hosts.
 	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=500ms,max=1m"`
 	// Propose is how long an operator's write waits for a quorum; default 3s.
-	// A longer one hides an election, a shorter one reports it to the operator.
+	// A longer one hides an election, a shorter one reports it to the operator. It must be
+	// at most Request.
 	Propose time.Duration `json:"propose" validate:"min=100ms,max=30s"`
 	// Watch is the longest wait of one long poll; default 25s. A longer one
 	// costs fewer requests and may be cut by middleboxes.
@@ -142,6 +143,8 @@
 		return invalid("control_hosts", "no host is a voter")
 	case c.Timeouts.Heartbeat*3 > c.Timeouts.Election:
 		return invalid("timeouts.heartbeat", "%s is more than a third of election %s", c.Timeouts.Heartbeat, c.Timeouts.Election)
+	case c.Timeouts.Propose > c.Timeouts.Request:
+		return invalid("timeouts.propose", "%s is more than request %s", c.Timeouts.Propose, c.Timeouts.Request)
 	}
 	return c.checkDataCentres()
 }
--- a/mesh/settings/settings_test.go
+++ b/mesh/settings/settings_test.go
@@ -78,6 +78,7 @@
 		Entry("unit misspelt", `"1s"`, `"1 sec"`, "timeouts.election"),
 		Entry("too short", `"1s"`, `"1ms"`, "timeouts.election"),
 		Entry("heartbeat against election", `"1s"`, `"300ms"`, "timeouts.heartbeat"),
+		Entry("propose against request", `"1s"`, `"1s", "propose": "11s"`, "timeouts.propose"),
 		Entry("no host", `"host": "c1",`, ``, "host"),
 		Entry("bad name", `"region": "aare"`, `"region": "a b"`, "region"),
 		Entry("address without port", `127.0.0.1:7001", "voter"`, `127.0.0.1", "voter"`, "control_hosts[0].peer"),
--- a/mesh/settings/shared.go
+++ b/mesh/settings/shared.go
@@ -19,13 +19,14 @@
 	DataCentre model.DataCentre `json:"data_centre" validate:"required,name"`
 	// Region groups data centres that lose contact with the others together.
 	Region string `json:"region" validate:"required,name"`
-	// Cluster is the id of the mesh. Processes of another mesh are refused.
+	// Cluster is the id of the mesh, for logs and status. What keeps two meshes
+	// apart is that each has its own certificate authority.
 	Cluster string `json:"cluster" validate:"required,name"`
 	// Credentials names the PEM files of the process; relative paths start at
 	// the folder of the settings file.
 	Credentials peer.CredentialFiles `json:"credentials"`
-	// ControlHosts lists the control hosts to begin with. A node learns later
-	// ones from these; naming all of them helps while some are down.
+	// ControlHosts lists the control hosts to begin with. Naming all of them
+	// helps while some are down.
 	ControlHosts []ControlHost `json:"control_hosts" validate:"required,min=1,max=42,unique=Host,dive"`
 	// LogLevel is debug, info, warn or error; default info. A lower level
 	// shows each decision and costs disk and processor time.
