routing, admission: build tables from changes; benchmarks

Cause: a whole table for 13,000 announcements costs several milliseconds, too much for each of hundreds of changes a second. Change: Builder shares what did not change with the table before.

--- a/mesh/admission/gate_test.go
+++ b/mesh/admission/gate_test.go
@@ -114,3 +114,31 @@
 		}
 	})
 }
+
+// BenchmarkAcquire is the cost of a request that gets a slot at once.
+func BenchmarkAcquire(b *testing.B) {
+	g := warmGate()
+	for b.Loop() {
+		release, err := g.Acquire(b.Context(), Ticket{Kind: model.KindLookup, Route: "r"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		release(Outcome{Result: ResultOK, Latency: time.Millisecond})
+	}
+}
+
+// BenchmarkQueue is one push and one pop at a queue of 40 waiters.
+func BenchmarkQueue(b *testing.B) {
+	q := NewQueue(41, DefaultOverloadAfter)
+	now := time.Unix(1000, 0)
+	push := func(i int) {
+		q.Push(now, &Waiter{Ticket: Ticket{Kind: model.Kinds[i%3]}, GiveUp: now.Add(time.Duration(i%97) * time.Millisecond)})
+	}
+	for i := range 40 {
+		push(i)
+	}
+	for i := 0; b.Loop(); i++ {
+		push(i)
+		q.Pop(now)
+	}
+}
--- /dev/null
+++ b/mesh/routing/builder.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// Builder makes tables from a sequence of changes. Each table shares with its
+// predecessor what did not change, so the cost of a change does not grow with
+// the number of backend servers. It is not safe for concurrent use; the tables
+// are immutable.
+type Builder struct {
+	cfg note.Config
+	// hosts and services hold the newest announcement of each host.
+	hosts    map[model.HostID]membership.Announcement
+	services map[model.ServiceName]map[model.HostID]membership.Announcement
+	last     *Table
+	// changed has the services to build again; all of them if everything is set.
+	changed    map[model.ServiceName]bool
+	everything bool
+	routes     bool
+}
+
+// NewBuilder returns a builder without announcements.
+func NewBuilder(cfg note.Config) *Builder {
+	return &Builder{
+		cfg:        cfg,
+		hosts:      map[model.HostID]membership.Announcement{},
+		services:   map[model.ServiceName]map[model.HostID]membership.Announcement{},
+		last:       &Table{},
+		changed:    map[model.ServiceName]bool{},
+		everything: true,
+		routes:     true,
+	}
+}
+
+// SetConfig takes a new configuration and its difference from the former one.
+func (b *Builder) SetConfig(cfg note.Config, d note.Delta) {
+	b.cfg = cfg
+	for _, s := range d.Services {
+		b.changed[s.Name] = true
+	}
+	for _, s := range d.RemovedServices {
+		b.changed[s] = true
+	}
+	for s := range d.Shares {
+		b.changed[s] = true
+	}
+	for _, s := range d.RemovedShares {
+		b.changed[s] = true
+	}
+	b.routes = b.routes || len(d.Routes)+len(d.RemovedRoutes) > 0
+	b.everything = b.everything || len(d.DataCentres) > 0
+}
+
+// Announce takes changed announcements; older ones than those known are ignored.
+func (b *Builder) Announce(changed ...membership.Announcement) {
+	for _, a := range changed {
+		old, known := b.hosts[a.Host]
+		if known && a.Compare(old) < 0 {
+			continue
+		}
+		if known && old.Service != a.Service {
+			delete(b.services[old.Service], a.Host)
+			b.changed[old.Service] = true
+		}
+		b.hosts[a.Host] = a
+		if b.services[a.Service] == nil {
+			b.services[a.Service] = map[model.HostID]membership.Announcement{}
+		}
+		b.services[a.Service][a.Host] = a
+		b.changed[a.Service] = true
+	}
+}
+
+// Forget drops hosts that membership does not list any more.
+func (b *Builder) Forget(ids ...model.HostID) {
+	for _, id := range ids {
+		if old, known := b.hosts[id]; known {
+			delete(b.hosts, id)
+			delete(b.services[old.Service], id)
+			b.changed[old.Service] = true
+		}
+	}
+}
+
+// Table returns the table of the present state.
+func (b *Builder) Table() *Table {
+	t := *b.last
+	t.dataCentres = b.cfg.DataCentres
+	if b.routes {
+		t.routes, t.longest = buildRoutes(b.cfg.Routes)
+	}
+	if b.everything {
+		t.services = make(map[model.ServiceName]*serviceTable, len(b.cfg.Services))
+		for name := range b.cfg.Services {
+			t.services[name] = b.buildService(name)
+		}
+	} else if len(b.changed) > 0 {
+		t.services = maps.Clone(t.services)
+		for name := range b.changed {
+			delete(t.services, name)
+			if _, ok := b.cfg.Services[name]; ok {
+				t.services[name] = b.buildService(name)
+			}
+		}
+	}
+	b.everything, b.routes = false, false
+	clear(b.changed)
+	b.last = &t
+	return &t
+}
+
+func (b *Builder) buildService(name model.ServiceName) *serviceTable {
+	s := &serviceTable{shares: b.cfg.Shares[name], pools: map[model.ServiceVersion][]membership.Announcement{}}
+	for _, a := range b.services[name] {
+		if a.State == membership.StateServing && b.cfg.DataCentres[a.DataCentre] != note.DataCentreOut {
+			s.pools[a.Version] = append(s.pools[a.Version], a)
+		}
+	}
+	// The order must not depend on that of a map, or choices with a fixed seed
+	// could not be repeated.
+	for _, pool := range s.pools {
+		slices.SortFunc(pool, func(a, b membership.Announcement) int { return cmp.Compare(a.Host, b.Host) })
+	}
+	return s
+}
+
+func buildRoutes(all map[model.RouteName]note.Route) (routes map[string][]note.Route, longest int) {
+	routes = make(map[string][]note.Route, len(all))
+	for _, r := range all {
+		prefix := strings.TrimRight(r.PathPrefix, "/")
+		routes[prefix] = append(routes[prefix], r)
+		longest = max(longest, len(prefix))
+	}
+	for _, same := range routes {
+		slices.SortFunc(same, func(a, b note.Route) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return routes, longest
+}
--- a/mesh/routing/table.go
+++ b/mesh/routing/table.go
@@ -4,7 +4,6 @@
 package routing
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 
@@ -33,35 +32,12 @@
 }
 
 // NewTable builds a table. Backend servers that are not serving and those in
-// data centres that are out are left out.
+// data centres that are out are left out. Builder does the same at a lower cost
+// for a sequence of changes.
 func NewTable(cfg note.Config, announcements []membership.Announcement) *Table {
-	t := &Table{
-		routes:      make(map[string][]note.Route, len(cfg.Routes)),
-		services:    make(map[model.ServiceName]*serviceTable, len(cfg.Services)),
-		dataCentres: cfg.DataCentres,
-	}
-	for name := range cfg.Services {
-		t.services[name] = &serviceTable{shares: cfg.Shares[name], pools: map[model.ServiceVersion][]membership.Announcement{}}
-	}
-	for _, r := range cfg.Routes {
-		t.addRoute(r)
-	}
-	for _, a := range announcements {
-		s := t.services[a.Service]
-		if s == nil || a.State != membership.StateServing || t.dataCentres[a.DataCentre] == note.DataCentreOut {
-			continue
-		}
-		s.pools[a.Version] = append(s.pools[a.Version], a)
-	}
-	return t
-}
-
-func (t *Table) addRoute(r note.Route) {
-	prefix := strings.TrimRight(r.PathPrefix, "/")
-	routes := append(t.routes[prefix], r)
-	slices.SortFunc(routes, func(a, b note.Route) int { return cmp.Compare(a.Name, b.Name) })
-	t.routes[prefix] = routes
-	t.longest = max(t.longest, len(prefix))
+	b := NewBuilder(cfg)
+	b.Announce(announcements...)
+	return b.Table()
 }
 
 // Match returns the route of the method with the longest path prefix. A prefix
--- a/mesh/routing/table_test.go
+++ b/mesh/routing/table_test.go
@@ -1,6 +1,11 @@
 package routing
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -101,3 +106,46 @@
 		Expect(last.Left()).To(Equal(1))
 	})
 })
+
+var _ = Describe("Builder", func() {
+	It("builds the same tables as NewTable in 800 random changes", func() {
+		r := rand.New(rand.NewPCG(4, 4))
+		cfg := note.NewConfig()
+		b := NewBuilder(cfg)
+		known := map[model.HostID]membership.Announcement{}
+		for i := range 800 {
+			next := cfg.Clone()
+			s := model.ServiceName(fmt.Sprint("s", r.IntN(5)))
+			switch r.IntN(8) {
+			case 0:
+				next.Services[s] = note.Service{Name: s, Slots: 1 + r.IntN(9)}
+				next.Shares[s] = note.Shares{"v1": model.ShareAll - model.Share(i), "v2": model.Share(i)}
+			case 1:
+				delete(next.Services, s)
+				delete(next.Shares, s)
+			case 2:
+				next.Routes[model.RouteName(s)] = note.Route{Name: model.RouteName(s), PathPrefix: "/" + string(s), Service: s}
+			case 3:
+				delete(next.Routes, model.RouteName(s))
+			case 4:
+				next.DataCentres[model.DataCentre(s)] = note.DataCentreState(1 + r.IntN(3))
+			case 5:
+				id := model.HostID(fmt.Sprint("h", r.IntN(30)))
+				delete(known, id)
+				b.Forget(id)
+			default:
+				a := membership.Announcement{Host: model.HostID(fmt.Sprint("h", r.IntN(30))), Incarnation: uint64(i), Service: s}
+				a.Version, a.State = model.ServiceVersion(fmt.Sprint("v", 1+r.IntN(2))), membership.State(1+r.IntN(4))
+				a.DataCentre = model.DataCentre(fmt.Sprint("s", r.IntN(5)))
+				known[a.Host] = a
+				b.Announce(a, membership.Announcement{Host: a.Host, Service: "s0", State: membership.StateServing})
+			}
+			b.SetConfig(next, note.Diff(cfg, next))
+			cfg = next
+			got, want := b.Table(), NewTable(cfg, slices.Collect(maps.Values(known)))
+			Expect(got.routes).To(Equal(want.routes))
+			Expect(got.services).To(Equal(want.services))
+			Expect(got.dataCentres).To(Equal(want.dataCentres))
+		}
+	})
+})
