--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Config is the configuration of a Gate.
@@ -27,7 +30,8 @@
 
 // Gate admits requests to one backend server.
 type Gate struct {
-	log *slog.Logger
+	log   *slog.Logger
+	limit metrics.Gauge
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -47,6 +51,7 @@
 	}
 	return &Gate{
 		log:     cfg.Log.With("service", string(cfg.Service.Name)),
+		limit:   telemetry.Gauge(MetricLimit),
 		sched:   newScheduler(cfg.Service, cfg.OverloadAfter),
 		waiting: map[*Waiter]chan decision{},
 	}
@@ -61,6 +66,7 @@
 		d = g.wait(ctx, w, wait)
 	}
 	if d.refused != "" {
+		telemetry.Counter(MetricRefused + metricNames[d.refused]).Inc(1)
 		g.log.Debug("request refused", "route", string(t.Route), "kind", t.Kind.String(), "reason", string(d.refused))
 		return nil, &NotRun{Reason: d.refused}
 	}
@@ -161,7 +167,9 @@
 	defer g.mu.Unlock()
 	before := g.sched.limiter.Limit()
 	g.deliver(g.sched.finish(now, s)...)
-	if after := g.sched.limiter.Limit(); after < before {
+	after := g.sched.limiter.Limit()
+	g.limit.Update(int64(after))
+	if after < before {
 		g.log.Info("concurrency limit lowered", "from", before, "to", after, "result", int(s.Result), "latency", s.Latency.String())
 	}
 }
--- a/mesh/admission/message.go
+++ b/mesh/admission/message.go
@@ -57,6 +57,22 @@
 	ReasonCancelled     Reason = "cancelled by the caller"
 )
 
+// Names of metrics.
+const (
+	// MetricRefused is the prefix of the counters of refusals by reason.
+	MetricRefused = "admission.refused."
+	// MetricLimit is the gauge of the concurrency limit.
+	MetricLimit = "admission.limit"
+)
+
+var metricNames = map[Reason]string{
+	ReasonDraining:      "draining",
+	ReasonDataCentreOut: "data_centre_out",
+	ReasonQueueFull:     "queue_full",
+	ReasonStale:         "stale",
+	ReasonCancelled:     "cancelled",
+}
+
 // NotRun is the error of a request that was refused before any byte of it
 // reached the backend server.
 type NotRun struct{ Reason Reason }
--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -1,15 +1,23 @@
 package admission
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 )
 
+func TestAdmission(t *testing.T) {
+	invariant.SetFatal(true)
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
 func waiter(k model.Kind) *Waiter { return &Waiter{Ticket: Ticket{Kind: k}} }
 
 var _ = Describe("scheduler", func() {
--- a/mesh/callmux/client.go
+++ b/mesh/callmux/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // dialFunc connects to addr and verifies that the peer is want. raw is the
@@ -75,7 +76,8 @@
 // returns when the head of the response has arrived; the caller must close the
 // body. The context covers the body too. The error is an ErrNotSent if the
 // request certainly has not run, otherwise an ErrOutcomeUnknown. A body of
-// known length up to 16 KiB is read before anything is sent.
+// known length up to 16 KiB is read before anything is sent. A streamed body
+// may have been read in part even if nothing was sent.
 func (c *Client) Do(ctx context.Context, addr string, want peer.Identity, req *Request) (*Response, error) {
 	ctx, stop := callContext(ctx, req.Timeout)
 	resp, err := c.do(ctx, stop, addr, want, req)
@@ -222,9 +224,11 @@
 	l.cn, l.err = c.open(l)
 	close(l.ready)
 	if l.err == nil {
+		telemetry.Counter(MetricConnections).Inc(1)
 		c.cfg.Log.Info("call connection made", "address", l.key.addr, "peer", l.cn.peer.String())
 		c.wg.Go(func() { l.cn.writeLoop() })
 		l.cn.fail(readResponses(l.cn))
+		telemetry.Counter(MetricEnded).Inc(1)
 		c.cfg.Log.Info("call connection ended", "address", l.key.addr, "peer", l.cn.peer.String(), "reason", l.cn.failure().Error())
 	} else {
 		c.cfg.Log.Warn("call connection not made", "address", l.key.addr, "reason", l.err.Error())
--- a/mesh/callmux/config.go
+++ b/mesh/callmux/config.go
@@ -14,6 +14,17 @@
 // Protocol is the ALPN name of this protocol.
 const Protocol = "balsamtrail-call/1"
 
+// Names of metrics; all are counters.
+const (
+	// MetricConnections counts connections that clients of this process made.
+	MetricConnections = "callmux.connections"
+	// MetricEnded counts those that ended, for whatever reason.
+	MetricEnded = "callmux.connections_ended"
+	// MetricRefused counts calls and connections that servers of this process
+	// refused before their handler ran.
+	MetricRefused = "callmux.refused"
+)
+
 // Config is the configuration of a Client or Server.
 type Config struct {
 	// Credentials are the certificate and the CA of this process.
@@ -39,6 +50,10 @@
 	Window int
 	// MaxCalls bounds the calls in progress that a server accepts on one connection.
 	MaxCalls int
+	// MaxConnections bounds the connections of a server, handshakes included;
+	// more are closed at once. It must exceed the number of nodes that call this
+	// one; a lower bound saves memory in a storm of reconnects.
+	MaxConnections int
 	// QueueLimit bounds the bytes that wait for the writer; above it new calls
 	// fail with ErrNotSent. A larger one lets a slow connection delay more calls.
 	QueueLimit int
@@ -55,6 +70,7 @@
 	DefaultDrainLimit        = 30 * time.Second
 	DefaultWindow            = 64 << 10
 	DefaultMaxCalls          = 1024
+	DefaultMaxConnections    = 16 << 10
 	DefaultQueueLimit        = 1 << 20
 )
 
@@ -72,6 +88,7 @@
 	setDefault(&c.DrainLimit, DefaultDrainLimit)
 	setDefault(&c.Window, DefaultWindow)
 	setDefault(&c.MaxCalls, DefaultMaxCalls)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
 	setDefault(&c.QueueLimit, DefaultQueueLimit)
 	c.Window = min(max(c.Window, minWindow), maxWindow)
 	if c.Log == nil {
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -40,6 +40,8 @@
 	Position model.Position `cbor:"3,keyasint"`
 	// Limit is the concurrency limit that the serving node advertises.
 	Limit int `cbor:"4,keyasint,omitempty"`
+	// RetryBudget is the part of the request's budget that was not used.
+	RetryBudget int `cbor:"6,keyasint,omitempty"`
 	// Refusal is set if the serving node or the backend server refused the request.
 	Refusal *Refusal `cbor:"5,keyasint,omitempty"`
 	// BodyLength is the exact length of Body where it is known; see Request.
--- a/mesh/callmux/queue.go
+++ b/mesh/callmux/queue.go
@@ -128,11 +128,16 @@
 		n++
 	}
 	q.frames = slices.Delete(q.frames, 0, n)
+	q.wakeBodies()
+	return b
+}
+
+// wakeBodies lets the bodies that wait for room try again.
+func (q *outQueue) wakeBodies() {
 	if q.room != nil && q.data < dataQueueLimit {
 		close(q.room)
 		q.room = nil
 	}
-	return b
 }
 
 func (q *outQueue) drop(f outFrame) {
@@ -155,6 +160,7 @@
 		q.drop(f)
 		return true
 	})
+	q.wakeBodies()
 	return c.sent
 }
 
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Handler serves one call of another node. Its context ends at the deadline of
@@ -25,6 +26,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	conns    map[*connection]struct{}
+	accepted int
 	draining bool
 }
 
@@ -51,8 +53,34 @@
 			s.closeAll()
 			return eris.Wrapf(ErrListen, "accept: %v", err)
 		}
-		s.wg.Go(func() { s.serveTLS(raw, tlsConfig, h) })
+		if !s.admit() {
+			_ = raw.Close()
+			telemetry.Counter(MetricRefused).Inc(1)
+			s.cfg.Log.Warn("call connection refused", "address", raw.RemoteAddr().String(), "reason", "too many connections")
+			continue
+		}
+		s.wg.Go(func() {
+			defer s.leave()
+			s.serveTLS(raw, tlsConfig, h)
+		})
+	}
+}
+
+// admit counts a connection; it reports false above MaxConnections.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.accepted >= s.cfg.MaxConnections {
+		return false
 	}
+	s.accepted++
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted--
 }
 
 func (s *Server) serveTLS(raw net.Conn, cfg *tls.Config, h Handler) {
@@ -65,6 +93,7 @@
 	}
 	if err != nil {
 		_ = raw.Close()
+		telemetry.Counter(MetricRefused).Inc(1)
 		s.cfg.Log.Warn("call connection refused", "address", raw.RemoteAddr().String(), "reason", err.Error())
 		return
 	}
@@ -161,6 +190,7 @@
 // refuse answers a call that was not started. The answer counts as queued
 // control traffic: one that cannot be queued ends the connection.
 func refuse(cn *connection, c *call, reason string) error {
+	telemetry.Counter(MetricRefused).Inc(1)
 	payload, err := encodeHead(&Response{Refusal: &Refusal{Reason: reason, NotRun: true}}, nil)
 	if err != nil {
 		return err
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -14,6 +14,7 @@
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // PickerConfig is the configuration of a Picker.
@@ -34,6 +35,14 @@
 // DefaultRamp is the default of PickerConfig.Ramp.
 const DefaultRamp = 30 * time.Second
 
+// Names of metrics; both are counters.
+const (
+	// MetricEjections counts ejections of backend servers.
+	MetricEjections = "routing.ejections"
+	// MetricSkipped counts versions that lost their last backend server while they had a share.
+	MetricSkipped = "routing.versions_skipped"
+)
+
 const (
 	// maxIdleHosts is the number of backend servers above which those not used
 	// for hostLifetime are forgotten at a change of table.
@@ -181,6 +190,7 @@
 	for version, s := range v.source.shares {
 		skip := s > 0 && v.versions[version] == nil
 		if skip && !v.skipped[version] {
+			telemetry.Counter(MetricSkipped).Inc(1)
 			p.cfg.Log.Warn("version skipped", "service", string(name), "version", string(version),
 				"share", int(s), "reason", "no live backend server")
 		}
@@ -292,6 +302,7 @@
 	view.groupOf(h, p.cfg.DataCentre).observe(o.Result)
 	if due && view.mayEject(now) {
 		length := h.eject(now)
+		telemetry.Counter(MetricEjections).Inc(1)
 		p.cfg.Log.Warn("backend server ejected", "service", string(h.Service), "version", string(h.Version),
 			"host", string(h.Host), "for", length.String(), "reason", "failures or refusals in a row")
 	}
