--- a/mesh/admission/gate_test.go
+++ b/mesh/admission/gate_test.go
@@ -114,3 +114,15 @@
 		}
 	})
 }
+
+// BenchmarkAcquire is the cost of a request that gets a slot at once.
+func BenchmarkAcquire(b *testing.B) {
+	g := warmGate()
+	for b.Loop() {
+		release, err := g.Acquire(b.Context(), Ticket{Kind: model.KindLookup, Route: "r"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		release(Outcome{Result: ResultOK, Latency: time.Millisecond})
+	}
+}
