Keep the source's places for the first level; measure and fuzz

With the first version of the admission, 21 of 50 nodes got no version within 20 s in a run over real sockets: the first nodes to arrive took the source's places, and the nodes of the first level, whose only other parents are the source, stayed outside. Planned children have places of their own now, the source asks children that do not belong to it to move, and a stale parent is passed over for longer.

Reports go up 150 ms after a change instead of once a second only. An exchange keeps one partner connection instead of three. Incarnation and sequence are bounded, so that a greater one always exists.

Tested with go test -race ./mesh/membership ./mesh/distribute and five fuzz targets for 5 to 9 s each without a finding.

--- a/mesh/distribute/admission.go
+++ b/mesh/distribute/admission.go
@@ -13,11 +13,12 @@
 	// Children bounds the streams. More children make the tree flatter and cost
 	// the parent more bytes.
 	Children int
-	// PerDataCentre bounds the streams to one data centre; 0 means no bound.
-	// The source uses it to keep its cost independent of the fleet.
+	// PerDataCentre bounds the streams to planned children of one data centre; 0
+	// means no bound. The source uses it to keep its cost independent of the fleet.
 	PerDataCentre int
-	// Reserve is the part of PerDataCentre that only planned children may use.
-	Reserve int
+	// Spare bounds the streams to other children of one data centre where
+	// PerDataCentre is set. They are for nodes that find no parent elsewhere.
+	Spare int
 	// Snapshots bounds the concurrent transfers. More finish a herd sooner and
 	// delay the deltas of the other children.
 	Snapshots int
@@ -30,8 +31,8 @@
 const (
 	MaxChildren         = 8
 	SourceChildren      = 96
-	SourcePerDataCentre = 6
-	sourceReserve       = 2
+	SourcePerDataCentre = 2 * firstLevel
+	SourceSpare         = 2
 	maxSnapshots        = 4
 	defaultRetryAfter   = 500 * time.Millisecond
 )
@@ -43,7 +44,7 @@
 
 // SourceAdmission is the configuration of a control host.
 func SourceAdmission() AdmissionConfig {
-	return AdmissionConfig{Children: SourceChildren, PerDataCentre: SourcePerDataCentre, Reserve: sourceReserve,
+	return AdmissionConfig{Children: SourceChildren, PerDataCentre: SourcePerDataCentre, Spare: SourceSpare,
 		Snapshots: maxSnapshots, RetryAfter: defaultRetryAfter}
 }
 
@@ -54,7 +55,7 @@
 
 	mu        sync.Mutex
 	children  int
-	perCentre map[model.DataCentre]int
+	perCentre map[class]int
 	snapshots int
 	refused   uint64
 	within    time.Duration
@@ -62,30 +63,38 @@
 	drained   bool
 }
 
+// class is a group of children with a bound of its own.
+type class struct {
+	dc      model.DataCentre
+	planned bool
+}
+
 // NewAdmission returns an admission without children.
 func NewAdmission(cfg AdmissionConfig) *Admission {
-	return &Admission{cfg: cfg, perCentre: map[model.DataCentre]int{}, draining: make(chan struct{})}
+	return &Admission{cfg: cfg, perCentre: map[class]int{}, draining: make(chan struct{})}
 }
 
 // Admit takes a child or says why not. planned marks a child that the tree
-// gives to this parent. The caller calls Release when the stream ends.
+// gives to this parent. The caller calls Release with the same arguments when
+// the stream ends.
 func (a *Admission) Admit(dc model.DataCentre, planned bool) (reason string, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limit := a.cfg.PerDataCentre
 	if !planned {
-		limit -= a.cfg.Reserve
+		limit = a.cfg.Spare
 	}
+	c := class{dc, planned}
 	switch {
 	case a.drained:
 		reason = "stopping"
 	case a.children >= a.cfg.Children:
 		reason = "all children slots taken"
-	case a.cfg.PerDataCentre > 0 && a.perCentre[dc] >= limit:
+	case a.cfg.PerDataCentre > 0 && a.perCentre[c] >= limit:
 		reason = "all children slots of the data centre taken"
 	default:
 		a.children++
-		a.perCentre[dc]++
+		a.perCentre[c]++
 		return "", true
 	}
 	a.refused++
@@ -93,12 +102,13 @@
 }
 
 // Release ends the admission of a child.
-func (a *Admission) Release(dc model.DataCentre) {
+func (a *Admission) Release(dc model.DataCentre, planned bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.children--
-	if a.perCentre[dc]--; a.perCentre[dc] == 0 {
-		delete(a.perCentre, dc)
+	c := class{dc, planned}
+	if a.perCentre[c]--; a.perCentre[c] == 0 {
+		delete(a.perCentre, c)
 	}
 }
 
--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -25,6 +25,9 @@
 	maxBackoff   = 3 * time.Second
 	// failurePenalty is how long a candidate that failed is passed over.
 	failurePenalty = 2 * time.Second
+	// stalePenalty is longer, so that a node tries all its candidates before it
+	// returns to a parent that was stale.
+	stalePenalty = 10 * time.Second
 	// settled is how long a stream lives before the back-off starts anew.
 	settled = 2 * time.Second
 	// firstPatience and maxPatience bound how long a stale parent is kept. The
@@ -97,15 +100,16 @@
 			c.alternatives, c.altUntil = busy.Alternatives, now.Add(alternativesLife)
 		}
 	}
-	c.until[p.Host] = now.Add(penalty)
 	if lived >= settled {
 		c.delays.Reset()
 	}
 	if errors.Is(err, ErrStale) {
+		penalty = stalePenalty
 		c.patience = min(2*c.patience, maxPatience)
 	} else if lived > 2*c.patience {
 		c.patience = firstPatience
 	}
+	c.until[p.Host] = now.Add(penalty)
 	return c.delays.NextBackOff()
 }
 
--- a/mesh/distribute/exchange.go
+++ b/mesh/distribute/exchange.go
@@ -19,9 +19,11 @@
 	ExchangeInterval = 2 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
-	// exchangePartners bounds the peers in use at a time: each one costs a kept
-	// connection, and a new connection costs a handshake of several kilobytes.
-	exchangePartners = 3
+	// freshPartners and stalePartners are the peers in use at a time, while the
+	// source is heard and while it is not. Each one costs a kept connection, and
+	// a new connection costs a handshake of several kilobytes.
+	freshPartners = 1
+	stalePartners = 3
 	// partnerPeriod is how long the partners stay the same.
 	partnerPeriod = 10 * time.Minute
 )
@@ -131,10 +133,14 @@
 // Repair exchanges with a random partner every ExchangeInterval until ctx ends.
 // nodes returns the live nodes to choose from.
 func Repair(ctx context.Context, self model.HostID, a *Acceptor, eps *membership.Table,
-	nodes func() []Parent, open func(context.Context, Parent) (peer.Stream, error), log *slog.Logger) error {
+	fresh *Freshness, nodes func() []Parent, open func(context.Context, Parent) (peer.Stream, error), log *slog.Logger) error {
 	differed := false
 	for sleep(ctx, ExchangeInterval/2+rand.N(ExchangeInterval)) {
-		partners := Partners(self, nodes(), time.Now())
+		now, n := time.Now(), freshPartners
+		if fresh.Age(now) > staleLimit {
+			n = stalePartners
+		}
+		partners := Partners(self, nodes(), now, n)
 		if len(partners) == 0 {
 			continue
 		}
@@ -159,9 +165,9 @@
 	return ctx.Err()
 }
 
-// Partners returns the peers that a node compares with; they change every
+// Partners returns the n peers that a node compares with; they change every
 // partnerPeriod.
-func Partners(self model.HostID, nodes []Parent, now time.Time) []Parent {
+func Partners(self model.HostID, nodes []Parent, now time.Time, n int) []Parent {
 	others := make([]Parent, 0, len(nodes))
 	for _, n := range nodes {
 		if n.Host != self {
@@ -169,5 +175,5 @@
 		}
 	}
 	period := now.Truncate(partnerPeriod).String()
-	return take(self+model.HostID(period), others, exchangePartners)
+	return take(self+model.HostID(period), others, n)
 }
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -18,6 +18,10 @@
 // as stale. Heartbeats add up to HeartbeatInterval for each level.
 const staleLimit = 2500 * time.Millisecond
 
+// reportGap is the least time between a change and its report, which gathers
+// the changes of a subtree.
+const reportGap = 150 * time.Millisecond
+
 // Progress is what a child keeps between two parent streams: the cursor in the
 // last parent's table and the part of a snapshot. One mutex guards it.
 type Progress struct {
@@ -60,7 +64,8 @@
 // Is makes errors.Is(err, ErrBusy) true.
 func (e *BusyError) Is(target error) bool { return target == ErrBusy }
 
-// childReader is the reading side of a parent stream. It is used by one goroutine.
+// childReader is the child's side of a parent stream. One goroutine reads and
+// one writes; each field belongs to the reading one unless it says otherwise.
 type childReader struct {
 	a        *Acceptor
 	eps      *membership.Table
@@ -68,6 +73,10 @@
 	o        FollowOptions
 	asks     chan helloFrame
 	assembly assembly
+	// last and below tell of changes after the last report; they belong to the
+	// writing goroutine.
+	last  *InForce
+	below <-chan struct{}
 	// stale is when the parent's word first was too old.
 	stale time.Time
 	ready bool
@@ -90,7 +99,7 @@
 	writer := make(chan struct{})
 	go func() {
 		defer close(writer)
-		writeParent(ctx, st, o.Subtree, r.asks)
+		r.writeParent(ctx)
 	}()
 	err := r.run()
 	cancel()
@@ -109,28 +118,62 @@
 	}
 }
 
-// writeParent sends reports and requests until the stream or ctx ends.
-func writeParent(ctx context.Context, st peer.Stream, sub *Subtree, asks <-chan helloFrame) {
+// writeParent sends reports and requests until the stream or ctx ends. A report
+// goes out every ReportInterval, and reportGap after a change, so that the
+// leader learns within about a second that a version is in force everywhere.
+func (r *childReader) writeParent(ctx context.Context) {
 	tick := time.NewTicker(ReportInterval)
 	defer tick.Stop()
+	var soon <-chan time.Time
+	r.below = r.o.Subtree.Changed()
 	for {
+		var below, own <-chan struct{}
+		if soon == nil {
+			below, own = r.below, r.reported()
+		}
 		var f upFrame
 		select {
 		case <-ctx.Done():
 			return
-		case h := <-asks:
+		case h := <-r.asks:
 			f.Hello = &h
+		case <-below:
+			soon = time.After(reportGap)
+			continue
+		case <-own:
+			soon = time.After(reportGap)
+			continue
+		case <-soon:
+			soon, f.Report = nil, r.report()
 		case <-tick.C:
-			rep := sub.Report()
-			f.Report = &rep
+			f.Report = r.report()
 		}
-		if err := send(st, f); err != nil {
-			st.Abort()
+		if err := send(r.st, f); err != nil {
+			r.st.Abort()
 			return
 		}
 	}
 }
 
+// report returns the report of the subtree and notes what is in force in it.
+func (r *childReader) report() *SubtreeReport {
+	r.below = r.o.Subtree.Changed()
+	if r.a != nil {
+		r.last = r.a.InForce()
+	}
+	rep := r.o.Subtree.Report()
+	return &rep
+}
+
+// reported returns a channel that is closed once something newer than the last
+// report's is in force here; nil without an acceptor.
+func (r *childReader) reported() <-chan struct{} {
+	if r.a == nil {
+		return nil
+	}
+	return r.a.Changed(r.last)
+}
+
 // hello states what is here.
 func (r *childReader) hello(needSnapshot bool) *helloFrame {
 	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil}
--- /dev/null
+++ b/mesh/distribute/measure_test.go
@@ -0,0 +1,184 @@
+package distribute
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/peer"
+)
+
+var (
+	measure          = flag.Bool("measure", false, "run the measurements over real sockets")
+	measureNodes     = flag.String("measure.nodes", "50", "fleet sizes, separated by commas")
+	measureModes     = flag.String("measure.modes", "tree,poll,push", "ways of distribution to compare")
+	measureKeepAlive = flag.Duration("measure.keepalive", peer.DefaultKeepAlive, "keep-alive of the connections")
+	measureHerd      = flag.Bool("measure.herd", false, "measure the restart of all nodes instead of changes")
+)
+
+// The load of a measurement.
+const (
+	measureChanges = 20
+	measureGap     = 150 * time.Millisecond
+	measureIdle    = 3 * time.Second
+)
+
+// measureConfig has 200 services and 400 routes; i changes one route.
+func measureConfig(i int) note.Config {
+	c := note.NewConfig()
+	for s := range 200 {
+		name := fmt.Sprintf("s%d", s)
+		c.Services[service(name).Name] = service(name)
+		for r := range 2 {
+			x := route(fmt.Sprintf("r%d-%d", s, r), name, 0)
+			c.Routes[x.Name] = x
+		}
+	}
+	x := route("r0-0", "s0", i%3)
+	x.PathPrefix = fmt.Sprintf("/changed-%d", i)
+	c.Routes[x.Name] = x
+	return c
+}
+
+// TestMeasure compares the tree with two naive ways. It is no check: it runs
+// only with -measure and guards nothing but a fleet that does not converge.
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("runs with -measure only")
+	}
+	for size := range strings.SplitSeq(*measureNodes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for mode := range strings.SplitSeq(*measureModes, ",") {
+			t.Run(fmt.Sprintf("%s-%d", mode, n), func(t *testing.T) {
+				if *measureHerd {
+					measureRestart(t, mode, n)
+				} else {
+					measureConvergence(t, mode, n)
+				}
+			})
+		}
+	}
+}
+
+func settle(t *testing.T, mode string, n int) *fleet {
+	f := newFleet(t, mode, n)
+	publish(t, f.source, 1, measureConfig(0))
+	if missing := f.waitAll(at(1), 20*time.Second); missing > 0 {
+		t.Fatalf("%d of %d nodes got no version", missing, n)
+	}
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+func measureConvergence(t *testing.T, mode string, n int) {
+	f := settle(t, mode, n)
+	idle := f.traffic()
+	time.Sleep(measureIdle)
+	idleCost := f.traffic().minus(idle)
+	start, began := f.traffic(), time.Now()
+	published := map[uint64]time.Time{}
+	for i := range uint64(measureChanges) {
+		c := measureConfig(int(i + 1))
+		published[i+2] = time.Now()
+		publish(t, f.source, i+2, c)
+		time.Sleep(measureGap)
+	}
+	if missing := f.waitAll(at(measureChanges+1), 10*time.Second); missing > 0 {
+		t.Errorf("%d of %d nodes did not converge", missing, n)
+	}
+	took := time.Since(began)
+	cost := f.traffic().minus(start)
+	var times []time.Duration
+	for i, when := range published {
+		for _, node := range f.nodes {
+			if reached, ok := node.reached(at(i)); ok {
+				times = append(times, reached.Sub(when))
+			}
+		}
+	}
+	t.Logf("%s nodes=%d convergence %s", mode, n, quantiles(times))
+	t.Logf("%s nodes=%d changes: node %.0f B/s in frames; source %d frames, %d bytes for %d changes; loopback %.0f B/s a node",
+		mode, n, perNode(cost.all, n, took), cost.frames, cost.bytes, measureChanges, perNode(cost.loopback, n, took))
+	t.Logf("%s nodes=%d idle: node %.0f B/s in frames; source %.1f frames/s, %.0f B/s; loopback %.0f B/s, %.1f packets/s a node",
+		mode, n, perNode(idleCost.all, n, measureIdle), float64(idleCost.frames)/measureIdle.Seconds(),
+		float64(idleCost.bytes)/measureIdle.Seconds(), perNode(idleCost.loopback, n, measureIdle), perNode(idleCost.packets, n, measureIdle))
+	if mode == "tree" {
+		r := f.source.serve.Subtree.Report()
+		t.Logf("tree nodes=%d source children %d, reported nodes %d at %s", n, f.source.serve.Admission.Children(), r.Nodes, r.Least)
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	t.Logf("%s nodes=%d process memory %d MB", mode, n, m.Sys>>20)
+}
+
+// measureRestart stops all nodes and starts them within a second without state.
+func measureRestart(t *testing.T, mode string, n int) {
+	f := settle(t, mode, n)
+	for _, node := range f.nodes {
+		node.cancel()
+	}
+	for _, node := range f.nodes {
+		node.done.Wait()
+	}
+	start, began := f.traffic(), time.Now()
+	starts := make([]time.Time, n)
+	for i := range f.nodes {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(n))))
+		starts[i] = time.Now()
+		f.nodes[i] = f.startNode(i)
+	}
+	missing := f.waitAll(at(1), 20*time.Second)
+	var times []time.Duration
+	for i, node := range f.nodes {
+		if reached, ok := node.reached(at(1)); ok {
+			times = append(times, reached.Sub(starts[i]))
+		}
+	}
+	whole := time.Duration(0)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && whole == 0; time.Sleep(10 * time.Millisecond) {
+		d := f.source.eps.Digest()
+		if !slices.ContainsFunc(f.nodes, func(node *fleetNode) bool { return node.eps.Digest() != d }) {
+			whole = time.Since(began)
+		}
+	}
+	cost := f.traffic().minus(start)
+	t.Logf("%s nodes=%d herd: version after start %s; missing %d; all endpoint tables equal after %s", mode, n, quantiles(times), missing, whole)
+	t.Logf("%s nodes=%d herd: source %d frames, %d bytes; %d bytes of frames a node", mode, n, cost.frames, cost.bytes, cost.all/int64(n))
+}
+
+// counts are running totals of the traffic.
+type counts struct{ all, frames, bytes, loopback, packets int64 }
+
+func (f *fleet) traffic() counts {
+	sent, _ := peer.Traffic()
+	lo, packets := loopback()
+	return counts{sent, f.frames.Load(), f.bytes.Load(), lo, packets}
+}
+
+func (c counts) minus(d counts) counts {
+	return counts{c.all - d.all, c.frames - d.frames, c.bytes - d.bytes, c.loopback - d.loopback, c.packets - d.packets}
+}
+
+func perNode(total int64, n int, d time.Duration) float64 {
+	return float64(total) / float64(n) / d.Seconds()
+}
+
+func quantiles(times []time.Duration) string {
+	if len(times) == 0 {
+		return "no samples"
+	}
+	slices.Sort(times)
+	q := func(p float64) time.Duration {
+		return times[min(len(times)-1, int(p*float64(len(times))))].Round(100 * time.Microsecond)
+	}
+	return fmt.Sprintf("p50 %s p99 %s max %s", q(0.5), q(0.99), q(1))
+}
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +33,12 @@
 	// pushGap is the least time between two pushes: a burst of 500 changes a
 	// second costs ten frames a second, and a lone change is not delayed.
 	pushGap = 100 * time.Millisecond
+	// replanInterval is how often a parent asks whether a child still belongs to
+	// it. When a fleet starts, the source meets nodes before it knows all of
+	// them, and these would keep the places of the first level.
+	replanInterval = 3 * time.Second
+	// replanSpread spreads the moves of children that do not belong.
+	replanSpread = time.Second
 	// snapshotWait is how long a child waits for a transfer slot before it is
 	// told to retry elsewhere.
 	snapshotWait = time.Second
@@ -77,11 +84,12 @@
 	}
 	child := st.Peer()
 	if child.Role == peer.RoleNode {
-		if reason, alternatives, ok := admit(child, o); !ok {
+		planned, alternatives := o.plan(child)
+		if reason, ok := o.Admission.Admit(child.DataCentre, planned); !ok {
 			o.Log.Info("child refused", "child", child.Host, "reason", reason)
 			return sendBusy(st, o, reason, alternatives)
 		}
-		defer o.Admission.Release(child.DataCentre)
+		defer o.Admission.Release(child.DataCentre, planned)
 	}
 	defer o.Subtree.forget(st)
 	o.Log.Info("child admitted", "child", child.Host, "position", hello.Position.String())
@@ -108,15 +116,12 @@
 	return err
 }
 
-// admit asks the admission for a slot. Control hosts need none: they are few,
-// and their role is certified.
-func admit(child peer.Identity, o ServeOptions) (reason string, alternatives []Parent, ok bool) {
-	planned := true
-	if o.Planned != nil {
-		planned, alternatives = o.Planned(child)
+// plan reports whether the tree gives the child to this parent.
+func (o ServeOptions) plan(child peer.Identity) (planned bool, alternatives []Parent) {
+	if o.Planned == nil || child.Role != peer.RoleNode {
+		return true, nil
 	}
-	reason, ok = o.Admission.Admit(child.DataCentre, planned)
-	return reason, alternatives, ok
+	return o.Planned(child)
 }
 
 func recvHello(st peer.Stream) (helloFrame, error) {
@@ -167,6 +172,8 @@
 func (w *childWriter) run(ctx context.Context, asks <-chan helloFrame) error {
 	beat := time.NewTicker(HeartbeatInterval)
 	defer beat.Stop()
+	replan := time.NewTicker(replanInterval)
+	defer replan.Stop()
 	due := time.NewTimer(0)
 	defer due.Stop()
 	draining := w.o.Admission.Draining()
@@ -199,7 +206,11 @@
 			err = w.heartbeat()
 		case <-draining:
 			draining = nil
-			err = send(w.st, downFrame{Handoff: &handoffFrame{After: w.o.Admission.handoffDelay()}})
+			err = w.handoff(w.o.Admission.handoffDelay())
+		case <-replan.C:
+			if planned, _ := w.o.plan(w.st.Peer()); !planned {
+				err = w.handoff(rand.N(replanSpread))
+			}
 		}
 		if errors.Is(err, ErrBusy) {
 			return sendBusy(w.st, w.o, "all snapshot slots taken", nil)
@@ -210,6 +221,10 @@
 	}
 }
 
+func (w *childWriter) handoff(after time.Duration) error {
+	return send(w.st, downFrame{Handoff: &handoffFrame{After: after}})
+}
+
 func (w *childWriter) changes() (config, endpoints <-chan struct{}) {
 	if !w.hello.EndpointsOnly {
 		config = w.store.Changed(w.sent)
--- a/mesh/distribute/subtree.go
+++ b/mesh/distribute/subtree.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	children map[model.HostID]childReport
 	own      func() SubtreeReport
+	changed  chan struct{}
 }
 
 // childReport is the last report of a child and the stream that it came by.
@@ -24,14 +25,26 @@
 // NewSubtree returns a subtree with the own report of a node; a control host,
 // which is no node, passes nil.
 func NewSubtree(own func() SubtreeReport) *Subtree {
-	return &Subtree{children: map[model.HostID]childReport{}, own: own}
+	return &Subtree{children: map[model.HostID]childReport{}, own: own, changed: make(chan struct{})}
 }
 
 // set stores the report that came by a child's stream.
 func (s *Subtree) set(st peer.Stream, r SubtreeReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	was := s.children[st.Peer().Host].report
 	s.children[st.Peer().Host] = childReport{report: r, stream: st}
+	if was.Least != r.Least || was.Nodes != r.Nodes || was.Held != r.Held || len(was.Refusals) != len(r.Refusals) {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// Changed returns a channel that is closed at the next change of a child's report.
+func (s *Subtree) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
 
 // forget drops the report of an ended stream, unless the child has reported by
--- a/mesh/distribute/tree.go
+++ b/mesh/distribute/tree.go
@@ -109,27 +109,27 @@
 	return out
 }
 
-// weighted is a parent with the hash that orders it; hashing once for each
-// parent instead of at each comparison matters with hundreds of nodes.
+// weighted is the index of a parent and the hash that orders it; hashing once
+// for each parent instead of at each comparison matters with hundreds of nodes.
 type weighted struct {
-	Parent
 	weight uint64
+	index  int
 }
 
 func sorted(ps []Parent, weight func(Parent) uint64) []Parent {
 	ws := make([]weighted, len(ps))
 	for i, p := range ps {
-		ws[i] = weighted{Parent: p, weight: weight(p)}
+		ws[i] = weighted{weight: weight(p), index: i}
 	}
 	slices.SortFunc(ws, func(a, b weighted) int {
 		if c := cmp.Compare(a.weight, b.weight); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.Host, b.Host)
+		return cmp.Compare(ps[a.index].Host, ps[b.index].Host)
 	})
 	out := make([]Parent, len(ps))
 	for i, w := range ws {
-		out[i] = w.Parent
+		out[i] = ps[w.index]
 	}
 	return out
 }
--- a/mesh/distribute/tree_test.go
+++ b/mesh/distribute/tree_test.go
@@ -106,15 +106,16 @@
 	It("bounds children, keeps places for planned ones and refuses all while stopping", func() {
 		a := NewAdmission(SourceAdmission())
 		admit := func(planned bool) bool { _, ok := a.Admit("thun", planned); return ok }
-		for range SourcePerDataCentre - sourceReserve {
+		for range SourceSpare {
 			Expect(admit(false)).To(BeTrue())
 		}
 		Expect(admit(false)).To(BeFalse())
-		for range sourceReserve {
+		for range SourcePerDataCentre {
 			Expect(admit(true)).To(BeTrue())
 		}
 		Expect(admit(true)).To(BeFalse())
-		a.Release("thun")
+		a.Release("thun", true)
+		Expect(admit(false)).To(BeFalse())
 		Expect(admit(true)).To(BeTrue())
 		_, ok := a.Admit("burgdorf", false)
 		Expect(ok).To(BeTrue())
--- a/mesh/distribute/watch_test.go
+++ b/mesh/distribute/watch_test.go
@@ -255,6 +255,27 @@
 	})
 }
 
+// TestReportsReachTheTop guards against a leader that learns only after a
+// second for each level that a version is in force everywhere.
+func TestReportsReachTheTop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newProcess(sourceIdentity)
+		source.speak(t.Context())
+		parent := source
+		for i := range 6 {
+			c := newProcess(nodeIdentity(fmt.Sprintf("n%d", i)))
+			go func(p *process) { _ = Follow(t.Context(), c.a, c.eps, p.open(t.Context(), c.id), c.follow()) }(parent)
+			parent = c
+		}
+		time.Sleep(10 * time.Second)
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		time.Sleep(1500 * time.Millisecond)
+		if r := source.serve.Subtree.Report(); r.Least != at(1) || r.Nodes != 6 {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
+
 // TestSubtreeReport guards against a least position that a subtree without
 // nodes lowers, and against an unbounded report.
 func TestSubtreeReport(t *testing.T) {
--- a/mesh/membership/message.go
+++ b/mesh/membership/message.go
@@ -12,6 +12,9 @@
 // maxText bounds each text field of an announcement.
 const maxText = 128
 
+// maxCount bounds incarnation and sequence, so that the next greater one exists.
+const maxCount = 1 << 62
+
 // renewal is sent by a node every RenewInterval and on each change.
 type renewal struct {
 	Announcement Announcement `cbor:"1,keyasint"`
@@ -39,8 +42,10 @@
 		}
 	}
 	switch {
-	case a.Incarnation == 0:
-		return eris.Wrap(ErrInvalid, "incarnation is 0")
+	case a.Incarnation == 0 || a.Incarnation > maxCount:
+		return eris.Wrapf(ErrInvalid, "incarnation is %d, want 1 to %d", a.Incarnation, uint64(maxCount))
+	case a.Sequence > maxCount:
+		return eris.Wrapf(ErrInvalid, "sequence is %d, want at most %d", a.Sequence, uint64(maxCount))
 	case a.Slots < 1:
 		return eris.Wrapf(ErrInvalid, "slots is %d, want at least 1", a.Slots)
 	case a.State < StateServing || a.State > StateLapsed:
--- a/mesh/membership/publisher.go
+++ b/mesh/membership/publisher.go
@@ -72,7 +72,7 @@
 func (p *Publisher) Observe(seen Announcement) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if seen.Host != p.ann.Host || !newer(seen, p.ann) {
+	if seen.Host != p.ann.Host || seen.Check() != nil || !newer(seen, p.ann) {
 		return false
 	}
 	p.ann.Incarnation = seen.Incarnation + 1
