--- /dev/null
+++ b/mesh/replog/cluster_test.go
@@ -0,0 +1,245 @@
+package replog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var simHosts = []hostID{"a", "b", "c"}
+
+// others returns the hosts of the simulation beside id.
+func (s *sim) others(id hostID) []*simHost {
+	var out []*simHost
+	for _, h := range s.order {
+		if h != id {
+			out = append(out, s.hosts[h])
+		}
+	}
+	return out
+}
+
+// accept proposes n commands on the leader and waits until all hosts applied them.
+func (s *sim) accept(n int) {
+	s.t.Helper()
+	for range n {
+		s.propose(s.awaitLeader())
+		s.steps(1)
+	}
+	s.settle()
+}
+
+func electionSteps(n int) int { return n * int(simElection/simStep) }
+
+// Guards against a leader behind a partition that commits, confirms its
+// leadership or goes on leading, and against two sides that both accept.
+func TestLeaderBehindPartition(t *testing.T) {
+	s := newSim(t, 1, simHosts...)
+	s.accept(5)
+	old := s.awaitLeader()
+	s.partition(old.id)
+	commit, confirmed := old.eng.core.commit, s.confirmed
+	s.propose(old)
+	s.confirm(old)
+	s.steps(electionSteps(1) + 5)
+	if old.eng.core.role == Leader {
+		t.Fatal("the leader outlived its lease")
+	}
+	s.steps(electionSteps(4))
+	s.propose(s.awaitLeader())
+	s.steps(20)
+	if old.eng.core.commit != commit || s.confirmed != confirmed {
+		t.Fatalf("behind the partition: commit %d to %d, confirmations %d", commit, old.eng.core.commit, s.confirmed-confirmed)
+	}
+	if s.acked <= commit {
+		t.Fatal("the majority accepted nothing")
+	}
+	s.settle()
+}
+
+// Guards against a host that raises its term behind a partition and deposes
+// the leader on its return.
+func TestReturnFromPartitionDisturbsNobody(t *testing.T) {
+	s := newSim(t, 2, simHosts...)
+	s.accept(3)
+	l := s.awaitLeader()
+	away := s.others(l.id)[0]
+	term := l.eng.core.term
+	s.partition(away.id)
+	s.steps(electionSteps(20))
+	s.partition()
+	s.steps(electionSteps(4))
+	if l.eng.core.role != Leader || l.eng.core.term != term || away.eng.core.leader != l.id {
+		t.Fatalf("term %d became\n%s", term, s.state())
+	}
+	// A host that did raise its term is not heard either while the leader lives.
+	c := s.others(l.id)[1].eng.core
+	c.Step(s.now, Message{Kind: MsgVote, Cluster: "sim", From: away.id, FromDisk: away.disk, To: s.others(l.id)[1].id,
+		Term: term + 5, Index: 1 << 20, LogTerm: term + 5})
+	if c.term != term {
+		t.Fatalf("a vote request raised the term to %d under a live leader", c.term)
+	}
+}
+
+// Guards against an entry of an earlier term that counts as accepted by its
+// copies alone: a later leader without it could replace it.
+func TestEntryOfEarlierTermWaitsForOwnTerm(t *testing.T) {
+	ms := initialMembers(simHosts)
+	for i := range ms {
+		ms[i].Disk = DiskID(ms[i].Host)
+	}
+	s := newSim(t, 3)
+	c := NewCore(CoreConfig{Cluster: "sim", Self: "a", Disk: "a", ElectionTimeout: simElection, Heartbeat: simBeat,
+		MaxBatchBytes: 1000, MaxInflight: 16, Rand: s.rng}, s.now, CoreState{Hard: HardState{Term: 3},
+		Snapshot: SnapshotMeta{Members: ms}, Entries: []Entry{{Index: 1, Term: 2, Kind: EntryCommand}}})
+	answer := func(kind MessageKind, term, index uint64) {
+		c.Step(s.now, Message{Kind: kind, Cluster: "sim", From: "b", FromDisk: "b", To: "a", Term: term, Index: index})
+		c.Advance(c.Ready())
+	}
+	c.Tick(s.now.Add(time.Hour))
+	answer(MsgPreVoteReply, 4, 0)
+	answer(MsgVoteReply, 4, 0)
+	if c.role != Leader {
+		t.Fatalf("role is %s", c.role)
+	}
+	if err := c.AddHost("d", "d"); err == nil {
+		t.Fatal("a change of hosts was taken before the first entry of the term was accepted")
+	}
+	answer(MsgAppendReply, 4, 1)
+	if c.commit != 0 {
+		t.Fatal("an entry of term 2 was committed by counting copies in term 4")
+	}
+	answer(MsgAppendReply, 4, 2)
+	if c.commit != 2 {
+		t.Fatalf("commit is %d, want 2", c.commit)
+	}
+}
+
+// Guards against a group that is formed twice: as long as the disks are not
+// known, a host with a lost disk looks like the original one.
+func TestGroupFormsOnlyWithAllHosts(t *testing.T) {
+	s := newSim(t, 4, simHosts...)
+	s.partition("c")
+	s.steps(electionSteps(20))
+	if s.leader() != nil {
+		t.Fatalf("two of three hosts formed a group\n%s", s.state())
+	}
+	s.partition()
+	s.accept(5)
+
+	// c never saw the partitioned entries, a loses its disk: b alone knows them.
+	s.partition("c")
+	s.propose(s.awaitLeader())
+	s.steps(electionSteps(4))
+	s.crash("a")
+	s.crash("b")
+	s.partition()
+	s.add("a", simHosts)
+	s.steps(electionSteps(20))
+	if s.leader() != nil {
+		t.Fatalf("a host with an empty disk helped to elect a leader\n%s", s.state())
+	}
+	if s.hosts["a"].eng.core.commit != 0 {
+		t.Fatal("a host with an empty disk got entries under its old identity")
+	}
+}
+
+// repair replaces the disk of a host and waits until it is a voter again.
+func (s *sim) repair(id hostID) {
+	s.t.Helper()
+	s.crash(id)
+	h := s.add(id, simHosts)
+	s.await("repair", func() bool {
+		l := s.leader()
+		if l == nil || l.id == id {
+			return false
+		}
+		_ = l.eng.core.AddHost(id, h.disk) // refused while another change runs
+		s.run(l)
+		m, ok := l.eng.core.Members().Find(id)
+		return ok && m.Voter && m.Disk == h.disk && l.eng.core.membersCommitted()
+	})
+}
+
+// Guards against a repaired host that counts as a voter before it holds the
+// accepted entries on its disk: then the loss of one more host would lose them.
+func TestRepair(t *testing.T) {
+	t.Run("a second host is lost right after a repair", func(t *testing.T) {
+		for seed := range uint64(40) {
+			for _, victim := range []hostID{"a", "b"} {
+				s := newSim(t, seed, simHosts...)
+				s.loss, s.repeat, s.delay = 0.1, 0.1, 4
+				for range 30 {
+					s.propose(s.awaitLeader())
+					s.steps(1)
+				}
+				if seed%2 == 0 {
+					s.snapshot(s.awaitLeader().id)
+				}
+				s.repair("c")
+				accepted := s.acked
+				s.crash(victim)
+				s.crash("c") // only what is synced counts
+				s.restart("c")
+				l := s.awaitLeader()
+				s.propose(l)
+				s.await("acceptance by the two that remain", func() bool { return s.acked > accepted })
+				if got := uint64(len(l.applied)); got < accepted {
+					t.Fatalf("seed %d: %d entries accepted, %d remain", seed, accepted, got)
+				}
+			}
+		}
+	})
+
+	// Guards against an old disk that comes back and votes beside the new one.
+	t.Run("the former disk never votes again", func(t *testing.T) {
+		s := newSim(t, 5, simHosts...)
+		s.accept(5)
+		former := s.hosts["c"].fs
+		s.repair("c")
+		s.accept(3)
+		s.crash("c")
+		s.hosts["c"].fs = former
+		s.restart("c")
+		s.crash(s.awaitLeader().id)
+		s.steps(electionSteps(20))
+		if l := s.leader(); l != nil {
+			t.Fatalf("%s leads with the vote of a replaced disk\n%s", l.id, s.state())
+		}
+	})
+}
+
+// Guards against learners that count for the quorum before they have caught
+// up, and against hosts that are not let go.
+func TestAddAndRemoveHosts(t *testing.T) {
+	s := newSim(t, 6, simHosts...)
+	s.accept(40)
+	for _, h := range simHosts {
+		s.snapshot(h)
+	}
+	x := s.add("x", nil)
+	s.partition("x")
+	if err := s.awaitLeader().eng.core.AddHost("x", x.disk); err != nil {
+		t.Fatal(err)
+	}
+	s.steps(electionSteps(5))
+	if m, ok := s.awaitLeader().eng.core.Members().Find("x"); !ok || m.Voter {
+		t.Fatalf("an unreachable learner is %+v", m)
+	}
+	s.partition()
+	s.await("x is a voter", func() bool { m, _ := s.awaitLeader().eng.core.Members().Find("x"); return m.Voter })
+	for _, h := range simHosts[:2] {
+		s.await(fmt.Sprintf("%s is removed", h), func() bool {
+			l := s.awaitLeader()
+			_ = l.eng.core.RemoveHost(h)
+			s.run(l)
+			s.steps(1)
+			_, ok := l.eng.core.Members().Find(h)
+			return !ok && l.eng.core.membersCommitted()
+		})
+		s.crash(h)
+	}
+	s.propose(s.awaitLeader())
+	accepted := s.acked
+	s.await("c and x accept", func() bool { return s.acked > accepted })
+}
