--- /dev/null
+++ b/bench/demo/notes.go
@@ -0,0 +1,34 @@
+package demo
+
+// firstNote sets up both services of the Aare cooperative.
+const firstNote = `{
+  "number": 1,
+  "title": "cabinet ledger and roster desk",
+  "services": {"added": [
+    {"name": "ledger", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"},
+    {"name": "roster", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"}
+  ]},
+  "routes": {"added": [
+    {"name": "cabinet-status", "path_prefix": "/cabinets", "methods": ["GET"], "service": "ledger", "kind": "lookup",
+     "timeout": "1s", "max_retries": 2, "hedge": true},
+    {"name": "nested", "path_prefix": "/nested", "methods": ["GET"], "service": "ledger", "kind": "lookup",
+     "timeout": "2s", "max_retries": 2, "hedge": false},
+    {"name": "restock", "path_prefix": "/restocks", "methods": ["POST"], "service": "ledger", "kind": "write",
+     "timeout": "2s", "max_retries": 2, "hedge": false},
+    {"name": "urgent", "path_prefix": "/urgent", "methods": ["GET"], "service": "ledger", "kind": "urgent",
+     "timeout": "500ms", "max_retries": 2, "hedge": false},
+    {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
+     "timeout": "1s", "max_retries": 2, "hedge": false}
+  ]},
+  "moves": [
+    {"service": "ledger", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"},
+    {"service": "roster", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"}
+  ]
+}`
+
+// moveNote moves one service; its arguments are number, title, service, version and deadline.
+const moveNote = `{
+  "number": %d,
+  "title": %q,
+  "moves": [{"service": %q, "to": %q, "by": %q, "watch_for": "10s"}]
+}`
--- /dev/null
+++ b/bench/demo/result.go
@@ -0,0 +1,255 @@
+package demo
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"balsamtrail.org/bench/load"
+)
+
+// finish stops all processes, checks the invariants and writes the table.
+func (d *run) finish() error {
+	var broken []error
+	note := func(format string, args ...any) { broken = append(broken, fmt.Errorf(format, args...)) }
+	bytesPerSecond := d.controlBytes()
+	runs := d.collectRuns(note)
+	d.checkWrites(runs, note)
+	d.checkProcesses(note)
+	conv := d.convergence()
+	if n := d.report.Count(load.OutcomeWrong); n > 0 {
+		note("%d wrong or cut answers", n)
+	}
+	if err := d.table(bytesPerSecond, conv, len(broken)); err != nil {
+		return err
+	}
+	for _, line := range d.report.Details() {
+		_, _ = fmt.Fprintln(d.out, "  not ok:", line)
+	}
+	if len(broken) > 0 {
+		return errors.Join(broken...)
+	}
+	d.say("no invariant broke")
+	return nil
+}
+
+// controlBytes returns the control bytes per second of each live node.
+func (d *run) controlBytes() []float64 {
+	var out []float64
+	for _, s := range d.f.Servers {
+		st, err := s.Status()
+		if err == nil && st.UptimeMs > 0 {
+			out = append(out, float64(st.BytesSent+st.BytesReceived)/(float64(st.UptimeMs)/1000))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// collectRuns adds up the runs of each key over all stand-ins.
+func (d *run) collectRuns(note func(string, ...any)) map[string]int {
+	runs := map[string]int{}
+	for _, s := range d.f.Servers {
+		keys, err := s.Keys()
+		if err != nil {
+			note("stand-in %s: %v", s.Host, err)
+			continue
+		}
+		for k, n := range keys {
+			runs[k] += n
+		}
+	}
+	return runs
+}
+
+// checkWrites compares what callers were told with what ran.
+func (d *run) checkWrites(runs map[string]int, note func(string, ...any)) {
+	for key, n := range runs {
+		if n > 1 {
+			note("write %s ran %d times", key, n)
+		}
+	}
+	for key, told := range d.report.Keys() {
+		if told.OK && runs[key] == 0 {
+			note("write %s was answered and did not run", key)
+		}
+		if told.NotRun && runs[key] > 0 {
+			note("write %s was refused as not run and ran", key)
+		}
+	}
+}
+
+// checkProcesses asks every node for violations, ends all processes and looks
+// for violations and panics in their logs.
+func (d *run) checkProcesses(note func(string, ...any)) {
+	for _, s := range d.f.Servers {
+		if st, err := s.Status(); err == nil && st.Violations > 0 {
+			note("node %s counted %d violations", s.Host, st.Violations)
+		}
+	}
+	for _, s := range d.f.Servers {
+		_ = s.Node.Signal(15)
+	}
+	for _, s := range d.f.Servers {
+		if err := s.Node.Stop(); err != nil && s.Node.Running() {
+			note("%v", err)
+		}
+		s.Backend.Kill()
+	}
+	for _, c := range d.f.Controls {
+		if err := c.Stop(); err != nil {
+			note("control host %s ended with %v", c.Host, err)
+		}
+	}
+	files, _ := filepath.Glob(filepath.Join(d.f.dir, "*.log"))
+	for _, file := range files {
+		scanLines(file, func(line string) {
+			if strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") {
+				note("%s: %s", filepath.Base(file), line)
+			}
+		})
+	}
+}
+
+func scanLines(file string, f func(string)) {
+	fh, err := os.Open(file)
+	if err != nil {
+		return
+	}
+	defer fh.Close()
+	sc := bufio.NewScanner(fh)
+	sc.Buffer(make([]byte, 64<<10), 4<<20)
+	for sc.Scan() {
+		f(sc.Text())
+	}
+}
+
+// logLine is the part of a log line that the demo reads.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Msg      string    `json:"msg"`
+	Host     string    `json:"host"`
+	Index    uint64    `json:"index"`
+	Changed  bool      `json:"changed"`
+	Position string    `json:"position"`
+}
+
+// convergence returns for each accepted change the time until the last node
+// that lived through it had it in force.
+func (d *run) convergence() []time.Duration {
+	accepted := map[string]time.Time{}
+	for _, c := range d.f.Controls {
+		scanLines(filepath.Join(d.f.dir, string(c.Host)+".log"), func(line string) {
+			var l logLine
+			if json.Unmarshal([]byte(line), &l) != nil || l.Msg != "note command applied" || !l.Changed {
+				return
+			}
+			pos := fmt.Sprintf("1.%d", l.Index)
+			if t, ok := accepted[pos]; !ok || l.Time.Before(t) {
+				accepted[pos] = l.Time
+			}
+		})
+	}
+	last := map[string]time.Duration{}
+	for _, s := range d.f.Servers {
+		d.nodeConvergence(s, accepted, last)
+	}
+	return slices.Sorted(maps.Values(last))
+}
+
+// nodeConvergence raises the times of the positions that one node reached. A
+// node may skip positions that a later one covers.
+func (d *run) nodeConvergence(s *BackendServer, accepted map[string]time.Time, last map[string]time.Duration) {
+	first := true
+	scanLines(filepath.Join(d.f.dir, string(s.Host)+".log"), func(line string) {
+		var l logLine
+		if json.Unmarshal([]byte(line), &l) != nil || l.Msg != "version in force" {
+			return
+		}
+		t, ok := accepted[l.Position]
+		if !ok || first && l.Time.Sub(t) > 2*time.Second {
+			first = false
+			return // a snapshot at the start of a node that did not live through the change
+		}
+		first = false
+		last[l.Position] = max(last[l.Position], l.Time.Sub(t))
+	})
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// table writes what was measured.
+func (d *run) table(bytesPerSecond []float64, conv []time.Duration, broken int) error {
+	_, _ = fmt.Fprintln(d.out)
+	if err := d.report.WriteTable(d.out); err != nil {
+		return err
+	}
+	d.writeShares()
+	flows := map[string]load.FlowReport{}
+	for _, f := range d.report.Flows() {
+		flows[f.Name] = f
+	}
+	direct, mesh := flows["direct lookup"], flows["cabinet lookup"]
+	tw := tabwriter.NewWriter(d.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "\nmeasure\tvalue")
+	row := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(tw, "%s\t%s\n", name, fmt.Sprintf(format, args...))
+	}
+	row("processes", "%d control hosts, %d nodes, %d stand-ins", len(d.f.Controls), len(d.f.Servers), len(d.f.Servers)+1)
+	row("convergence of changes", "p50 %d ms, p99 %d ms, max %d ms of %d changes", quantile(conv, 0.5).Milliseconds(),
+		quantile(conv, 0.99).Milliseconds(), quantile(conv, 1).Milliseconds(), len(conv))
+	if n := len(bytesPerSecond); n > 0 {
+		row("control bytes a node", "median %.0f B/s, max %.0f B/s", bytesPerSecond[n/2], bytesPerSecond[n-1])
+	}
+	row("added latency of lookups", "p50 %.2f ms, p99 %.2f ms", mesh.P50-direct.P50, mesh.P99-direct.P99)
+	row("good version completed after", "%.1f s (stated time %s)", d.movedIn.Seconds(), moveTime)
+	row("bad version taken back after", "%.1f s", d.reversedIn.Seconds())
+	row("writes", "%d keys, %d wrong answers", len(d.report.Keys()), d.report.Count(load.OutcomeWrong))
+	row("broken invariants", "%d", broken)
+	return tw.Flush()
+}
+
+// shareEvery is the number of seconds in one row of the shares.
+const shareEvery = 4
+
+// writeShares writes the share of ledger lookups by version over time.
+func (d *run) writeShares() {
+	_, _ = fmt.Fprintln(d.out, "\ncabinet lookups by version over time")
+	for _, f := range d.report.Flows() {
+		if f.Name != "cabinet lookup" {
+			continue
+		}
+		sums := map[int64]map[string]int64{}
+		for _, s := range f.Seconds {
+			row := s.Second / shareEvery
+			if sums[row] == nil {
+				sums[row] = map[string]int64{}
+			}
+			for v, n := range s.Versions {
+				sums[row][v] += n
+			}
+		}
+		for _, row := range slices.Sorted(maps.Keys(sums)) {
+			v1, v2 := sums[row]["v1"], sums[row]["v2"]
+			if v1+v2 == 0 {
+				continue
+			}
+			part := float64(v2) / float64(v1+v2)
+			_, _ = fmt.Fprintf(d.out, "  %2d-%2d s  v2 %5.1f%%  %s\n", row*shareEvery, (row+1)*shareEvery-1, 100*part,
+				strings.Repeat("#", int(part*40)))
+		}
+	}
+}
--- /dev/null
+++ b/bench/demo/scenario.go
@@ -0,0 +1,326 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+// Options of a demo run.
+type Options struct {
+	// Bin is the folder of the programs, Dir that of settings, data and logs.
+	Bin, Dir string
+	Out      io.Writer
+}
+
+// Run starts the system at the size of the Aare cooperative, puts it under load
+// and failures, and writes a table. It returns an error if an invariant broke.
+func Run(ctx context.Context, o Options) error {
+	f, err := NewFleet(o.Dir, o.Bin, []model.DataCentre{"thun", "bern-altstadt", "burgdorf"})
+	if err != nil {
+		return err
+	}
+	defer f.KillAll()
+	d := &run{f: f, out: o.Out, start: time.Now(), report: load.NewReport(time.Now())}
+	if err := d.play(ctx); err != nil {
+		return fmt.Errorf("%w (logs in %s)", err, o.Dir)
+	}
+	return d.finish()
+}
+
+// run is one demo run.
+type run struct {
+	f      *Fleet
+	out    io.Writer
+	start  time.Time
+	report *load.Report
+	direct *BackendServer
+
+	movedIn, reversedIn time.Duration
+	outAt, backAt       time.Time
+	stopped             []*BackendServer
+}
+
+// say writes one line of progress with the time since the start.
+func (d *run) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, "%5.1f s  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// placement lists the data centres of the backend servers of one version.
+func placement(service model.ServiceName, version model.ServiceVersion, flags []string, dcs ...model.DataCentre) []Spec {
+	var out []Spec
+	for _, dc := range dcs {
+		out = append(out, Spec{Service: service, Version: version, DataCentre: dc, Flags: flags})
+	}
+	return out
+}
+
+var (
+	ledgerPlaces = []model.DataCentre{"thun", "thun", "thun", "bern-altstadt", "bern-altstadt", "burgdorf", "burgdorf"}
+	rosterPlaces = []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}
+)
+
+// play runs the steps of the demo in order.
+func (d *run) play(ctx context.Context) error {
+	if err := d.startFirst(); err != nil {
+		return err
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var wg sync.WaitGroup
+	wg.Go(func() { load.New(d.report).Run(loadCtx, d.flows()) })
+	err := d.steps()
+	stopLoad()
+	wg.Wait()
+	return err
+}
+
+// startFirst starts the control hosts and the first versions, and publishes the first note.
+func (d *run) startFirst() error {
+	for _, c := range d.f.Controls {
+		if err := c.Start(); err != nil {
+			return err
+		}
+	}
+	specs := append(placement("ledger", "v1", nil, ledgerPlaces...), placement("roster", "v1", nil, rosterPlaces...)...)
+	if _, err := d.f.AddAndStart(specs...); err != nil {
+		return err
+	}
+	direct, err := d.f.Add(Spec{Service: "direct", Version: "v1", DataCentre: "thun"})
+	if err != nil {
+		return err
+	}
+	d.direct = direct
+	d.f.Servers = d.f.Servers[:len(d.f.Servers)-1]
+	if err := direct.Backend.Start(); err != nil {
+		return err
+	}
+	if err := Eventually(10*time.Second, func() error { _, err := d.f.Leader(); return err }); err != nil {
+		return err
+	}
+	d.say("3 control hosts elected a leader; %d nodes started", len(d.f.Servers))
+	if err := d.f.Publish(firstNote); err != nil {
+		return err
+	}
+	if err := Eventually(10*time.Second, d.allRoutable); err != nil {
+		return err
+	}
+	d.say("note 1 published; every node routes by it")
+	return nil
+}
+
+func (d *run) allRoutable() error {
+	for _, s := range d.f.Servers {
+		st, err := s.Status()
+		if err != nil {
+			return err
+		}
+		if !st.Routable || st.Position.Index == 0 {
+			return fmt.Errorf("node %s does not route yet", s.Host)
+		}
+	}
+	return nil
+}
+
+// flows is the load: lookups, writes, urgent queries, nested calls, and the
+// same lookup straight to a stand-in as the baseline of the added latency.
+func (d *run) flows() []load.Flow {
+	var entries []string
+	for _, s := range d.f.Servers {
+		if s.Service == "roster" {
+			entries = append(entries, s.Caller)
+		}
+	}
+	mesh := func(name string, kind model.Kind, service, method, path string, rate float64) load.Flow {
+		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate,
+			BodyBytes: 256, Timeout: time.Second, Targets: entries, Resends: 5}
+	}
+	direct := mesh("direct lookup", model.KindLookup, "direct", "GET", "/cabinets/7", 100)
+	direct.Targets = []string{"http://" + d.direct.BackendAddress}
+	return []load.Flow{
+		direct,
+		mesh("cabinet lookup", model.KindLookup, "ledger", "GET", "/cabinets/7", 400),
+		mesh("restock entry", model.KindWrite, "ledger", "POST", "/restocks", 40),
+		mesh("roster lookup", model.KindLookup, "roster", "GET", "/rosters/3", 100),
+		mesh("urgent query", model.KindUrgent, "ledger", "GET", "/urgent/1", 20),
+	}
+}
+
+// steps brings the changes and failures about.
+func (d *run) steps() error {
+	time.Sleep(3 * time.Second)
+	if err := d.moves(); err != nil {
+		return err
+	}
+	if err := d.dataCentre(); err != nil {
+		return err
+	}
+	return d.stops()
+}
+
+const (
+	// moveTime is the stated time of the good move.
+	moveTime = 30 * time.Second
+	// badMoveTime is the stated time of the bad one; it is taken back long before.
+	badMoveTime = time.Minute
+)
+
+// moves moves the ledger to a good version and the roster to a bad one at the
+// same time, and kills the leader in the middle.
+func (d *run) moves() error {
+	bad := placement("roster", "v2", []string{"--bad", "at-once"}, rosterPlaces...)
+	if _, err := d.f.AddAndStart(append(placement("ledger", "v2", nil, ledgerPlaces...), bad...)...); err != nil {
+		return err
+	}
+	if err := Eventually(5*time.Second, d.allRoutable); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := d.publishMove(2, "ledger", began.Add(moveTime)); err != nil {
+		return err
+	}
+	d.say("note 2 published: all ledger traffic to v2 within %s", moveTime)
+	time.Sleep(3 * time.Second)
+	if err := d.killLeader(); err != nil {
+		return err
+	}
+	badBegan := time.Now()
+	if err := d.publishMove(3, "roster", badBegan.Add(badMoveTime)); err != nil {
+		return err
+	}
+	d.say("note 3 published: roster to v2, which fails every request")
+	if err := d.expect("roster", "reversed", badMoveTime); err != nil {
+		return err
+	}
+	d.reversedIn = time.Since(badBegan)
+	d.say("roster v2 was taken back after %.1f s", d.reversedIn.Seconds())
+	if err := d.expect("ledger", "done", moveTime); err != nil {
+		return err
+	}
+	d.movedIn = time.Since(began)
+	d.say("ledger is on v2 after %.1f s", d.movedIn.Seconds())
+	if d.movedIn > moveTime {
+		return fmt.Errorf("move of ledger took %s, stated time is %s", d.movedIn, moveTime)
+	}
+	return nil
+}
+
+func (d *run) publishMove(number int, service string, by time.Time) error {
+	title := service + " to version 2"
+	return d.f.Publish(fmt.Sprintf(moveNote, number, title, service, "v2", by.UTC().Format(time.RFC3339)))
+}
+
+const leaderDown = 3 * time.Second
+
+// killLeader kills the leader and starts it again a little later.
+func (d *run) killLeader() error {
+	leader, err := d.f.Leader()
+	if err != nil {
+		return err
+	}
+	leader.Kill()
+	d.say("leader %s killed during the move", leader.Host)
+	time.AfterFunc(leaderDown, func() { _ = leader.Start() })
+	return nil
+}
+
+// expect waits until the move of a service has ended as stated.
+func (d *run) expect(service, state string, limit time.Duration) error {
+	got, err := d.await(service, limit)
+	if err != nil {
+		return err
+	}
+	if got != state {
+		return fmt.Errorf("move of %s ended as %q, want %q", service, got, state)
+	}
+	return nil
+}
+
+// exitReversed is the exit code of `status --watch` for a move that was reversed.
+const exitReversed = 4
+
+// await waits until the move of a service is final and returns its state.
+func (d *run) await(service string, limit time.Duration) (string, error) {
+	_, err := d.f.CLI("status", service, "--watch", "--wait", limit.String())
+	var exit *exec.ExitError
+	switch {
+	case err == nil:
+		return "done", nil
+	case errors.As(err, &exit) && exit.ExitCode() == exitReversed:
+		return "reversed", nil
+	}
+	return "", err
+}
+
+// dataCentre takes a data centre out and returns it.
+func (d *run) dataCentre() error {
+	if _, err := d.f.CLI("data-centre", "out", "burgdorf"); err != nil {
+		return err
+	}
+	d.outAt = time.Now()
+	d.say("data centre burgdorf taken out")
+	time.Sleep(outLimit + 1500*time.Millisecond)
+	if err := d.checkOut(); err != nil {
+		return err
+	}
+	if _, err := d.f.CLI("data-centre", "return", "burgdorf"); err != nil {
+		return err
+	}
+	d.backAt = time.Now()
+	d.say("data centre burgdorf returned")
+	time.Sleep(time.Second)
+	return nil
+}
+
+// outLimit is the time after which a data centre that is out gets no new work.
+const outLimit = 3 * time.Second
+
+func (d *run) checkOut() error {
+	for _, s := range d.f.Servers {
+		if s.DataCentre != "burgdorf" {
+			continue
+		}
+		st, err := s.Stats()
+		if err != nil {
+			return err
+		}
+		if st.LastRequest.After(d.outAt.Add(outLimit)) {
+			return fmt.Errorf("%s got work %s after its data centre was taken out", s.Host, st.LastRequest.Sub(d.outAt))
+		}
+	}
+	return nil
+}
+
+// stops ends one node by plan and kills another one. Neither accepts callers' requests.
+func (d *run) stops() error {
+	var planned, killed *BackendServer
+	for _, s := range d.f.Servers {
+		if s.Service != "ledger" || s.Version != "v2" || s.DataCentre != "thun" {
+			continue
+		}
+		if planned == nil {
+			planned = s
+		} else if killed == nil {
+			killed = s
+		}
+	}
+	if planned == nil || killed == nil {
+		return errors.New("no nodes to stop")
+	}
+	d.say("planned stop of node %s", planned.Host)
+	if err := planned.Node.Stop(); err != nil {
+		return err
+	}
+	d.stopped = append(d.stopped, planned)
+	d.say("kill of node %s", killed.Host)
+	killed.Node.Kill()
+	time.Sleep(3 * time.Second)
+	return nil
+}
--- a/mesh/cmd/balsamtraild/main.go
+++ b/mesh/cmd/balsamtraild/main.go
@@ -1,6 +1,90 @@
-// Command balsamtraild is a program of balsamtrail.
+// Command balsamtraild is the daemon of balsamtrail. Its settings file gives it
+// the role of a control host or of a node.
 package main
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { fmt.Println("balsamtraild: no command given") }
+	"github.com/alecthomas/kong"
+	"github.com/go-kratos/kratos/v2/log"
+
+	"balsamtrail.org/mesh/control"
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/node"
+	"balsamtrail.org/mesh/settings"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+// cli is the command line of the daemon.
+type cli struct {
+	Control controlCmd       `cmd:"" help:"Run a control host. Example: balsamtraild control --settings /etc/balsamtrail/control.json"`
+	Node    nodeCmd          `cmd:"" help:"Run the node beside a backend server. Example: balsamtraild node --settings /etc/balsamtrail/node.json"`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+type controlCmd struct {
+	Settings string `required:"" type:"path" help:"Settings file of the control host, JSON."`
+}
+
+type nodeCmd struct {
+	Settings string `required:"" type:"path" help:"Settings file of the node, JSON."`
+}
+
+// Run runs a control host until a signal or an error ends it.
+func (c *controlCmd) Run(ctx context.Context) error {
+	cfg, err := settings.LoadControl(c.Settings)
+	if err != nil {
+		return err
+	}
+	l := start(cfg.Process, "control")
+	h, err := control.New(ctx, cfg, l)
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
+
+// Run runs a node until a signal or an error ends it.
+func (c *nodeCmd) Run(ctx context.Context) error {
+	cfg, err := settings.LoadNode(c.Settings)
+	if err != nil {
+		return err
+	}
+	l := start(cfg.Process, "node")
+	n, err := node.New(ctx, cfg, l)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// start sets up the process's log and assertions.
+func start(p settings.Process, role string) *slog.Logger {
+	l := telemetry.NewLogger(os.Stderr, p.LogLevel, string(p.Host), role)
+	slog.SetDefault(l)
+	log.SetLogger(telemetry.KratosLogger(l))
+	invariant.SetFatal(p.InvariantsFatal)
+	return l
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("balsamtraild"), kong.Description("The daemon of balsamtrail."),
+		kong.Vars{"version": version}, kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "balsamtraild:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/mesh/control/backend.go
@@ -0,0 +1,346 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/operator"
+	"balsamtrail.org/mesh/replog"
+	"balsamtrail.org/mesh/rollout"
+)
+
+// operatorBackend gives the operator interface its view of this control host.
+type operatorBackend struct{ c *Control }
+
+// serveOperators serves the operator interface until ctx ends.
+func (c *Control) serveOperators(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", c.cfg.Listen.Operator)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "listen.operator: %v", err)
+	}
+	s, err := operator.NewServer(operator.ServerConfig{
+		Listener: l, TLS: c.cfg.OperatorTLS, Operators: c.cfg.Operators, Watch: c.cfg.Timeouts.Watch,
+		Request: c.cfg.Timeouts.Request, RequestBytes: c.cfg.Limits.RequestBytes, Requests: c.cfg.Limits.Requests, Log: c.log,
+	}, operatorBackend{c}, c.ready)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "operator interface: %v", err)
+	}
+	return s.Serve(ctx, c.cfg.Timeouts.Shutdown)
+}
+
+// ready reports why this host cannot serve operators.
+func (c *Control) ready() error {
+	if c.config.Status().Leader == "" {
+		return eris.Wrap(ErrNoLeader, "no leader is known")
+	}
+	return nil
+}
+
+// confirmTimeout bounds the confirmation of a read; without a confirmation the
+// read is answered from this host's own state and says so.
+const confirmTimeout = 500 * time.Millisecond
+
+// read brings this host up to a confirmed leader, if one can be reached.
+func (b operatorBackend) read(ctx context.Context) operator.Read {
+	r := operator.Read{Host: b.c.cfg.Host}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	r.Confirmed = b.c.catchUp(ctx) == nil
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { r.Position = n.Position() })
+	return r
+}
+
+// Submit implements operator.Backend.
+func (b operatorBackend) Submit(ctx context.Context, cmd note.Command) (note.Result, error) {
+	if err := b.c.checkDataCentre(cmd); err != nil {
+		return note.Result{}, err
+	}
+	r, err := b.c.submit(ctx, cmd)
+	return r, operatorError(err)
+}
+
+// checkDataCentre refuses a data centre that the settings do not list.
+func (c *Control) checkDataCentre(cmd note.Command) error {
+	var dc model.DataCentre
+	switch {
+	case cmd.TakeOut != nil:
+		dc = cmd.TakeOut.DataCentre
+	case cmd.BeginReturn != nil:
+		dc = cmd.BeginReturn.DataCentre
+	default:
+		return nil
+	}
+	if !slices.Contains(c.cfg.DataCentres, dc) {
+		return eris.Wrapf(operator.ErrNotFound, "data centre %q", dc)
+	}
+	return nil
+}
+
+// operatorError translates the errors of this package.
+func operatorError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrOutcomeUnknown):
+		return eris.Wrapf(operator.ErrOutcomeUnknown, "%v", err)
+	case errors.Is(err, replog.ErrDiskFull):
+		return eris.Wrapf(operator.ErrStorageFull, "%v", err)
+	case errors.Is(err, ErrUnknownHost):
+		return eris.Wrapf(operator.ErrNotFound, "%v", err)
+	default:
+		return eris.Wrapf(operator.ErrUnavailable, "%v", err)
+	}
+}
+
+// Notes implements operator.Backend.
+func (b operatorBackend) Notes(ctx context.Context, before uint64, limit int) ([]note.Record, operator.Read, error) {
+	r := b.read(ctx)
+	var out []note.Record
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { out = n.Notes(before, limit) })
+	return out, r, nil
+}
+
+// Note implements operator.Backend.
+func (b operatorBackend) Note(ctx context.Context, number uint64) (note.Record, operator.Read, error) {
+	r := b.read(ctx)
+	var out note.Record
+	var err error
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { out, err = n.Note(number) })
+	return out, r, err
+}
+
+// Moves implements operator.Backend.
+func (b operatorBackend) Moves(ctx context.Context) ([]operator.MoveView, operator.Read, error) {
+	r := b.read(ctx)
+	var out []operator.MoveView
+	b.c.machine.View(func(n *note.State, m *rollout.State) {
+		for _, mv := range n.Moves() {
+			out = append(out, moveView(mv, m))
+		}
+	})
+	return out, r, nil
+}
+
+// Move implements operator.Backend.
+func (b operatorBackend) Move(ctx context.Context, service model.ServiceName) (operator.MoveView, operator.Read, error) {
+	moves, r, err := b.Moves(ctx)
+	for _, m := range moves {
+		if m.Service == service {
+			return m, r, err
+		}
+	}
+	return operator.MoveView{}, r, eris.Wrapf(operator.ErrNotFound, "no move of service %q", service)
+}
+
+// moveView joins a move of the notes with its rollout.
+func moveView(mv note.MoveState, moves *rollout.State) operator.MoveView {
+	v := operator.MoveView{
+		Service: mv.Move.Service, Note: mv.Note, Revision: mv.Revision, To: mv.Move.To, By: mv.Move.By,
+		Accepted: mv.Accepted, Done: mv.Done, Reversed: mv.Reversed, Reason: mv.Reason, State: operator.MoveDone,
+	}
+	st, ok := moves.Status(rollout.MoveID{Note: mv.Note, Service: mv.Move.Service})
+	switch {
+	case mv.Withdrawn:
+		v.State = operator.MoveWithdrawn
+	case !ok && mv.First():
+		v.Share, v.Reason = model.ShareAll, "first version of the service"
+	}
+	if !ok {
+		return v
+	}
+	v.State = operator.MovePhase(st.Phase.String())
+	v.From, v.Share, v.AtRisk, v.Reason, v.Sequence = st.From, st.Share, st.AtRisk, st.Reason, st.Sequence
+	v.Forecast = timeOf(st.Forecast)
+	if st.Completed != 0 {
+		v.Done, v.WatchUntil = timeOf(st.Completed), timeOf(st.Completed).Add(st.Move.WatchFor)
+	}
+	if st.Phase == rollout.PhaseReversed {
+		v.Reversed = timeOf(st.Ended)
+	}
+	if st.Verdict != nil {
+		v.Route, v.Kind = st.Verdict.Route, st.Verdict.Kind.String()
+	}
+	for _, s := range st.Steps {
+		v.Steps = append(v.Steps, operator.StepView{At: s.Time.Time(), Action: s.Op.String(), Share: s.Share, Reason: s.Reason})
+	}
+	return v
+}
+
+func timeOf(i rollout.Instant) time.Time {
+	if i == 0 {
+		return time.Time{}
+	}
+	return i.Time()
+}
+
+// Changed implements operator.Backend.
+func (b operatorBackend) Changed() <-chan struct{} { return b.c.machine.Changed() }
+
+// DataCentres implements operator.Backend.
+func (b operatorBackend) DataCentres(ctx context.Context) ([]operator.DataCentreView, operator.Read, error) {
+	r := b.read(ctx)
+	var cfg note.Config
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { cfg = n.Config() })
+	views := map[model.DataCentre]*operator.DataCentreView{}
+	for _, dc := range b.c.cfg.DataCentres {
+		views[dc] = &operator.DataCentreView{Name: dc, State: note.DataCentreIn.String()}
+		if st, ok := cfg.DataCentres[dc]; ok {
+			views[dc].State = st.String()
+		}
+	}
+	for _, a := range b.c.endpoints.All() {
+		v := views[a.DataCentre]
+		switch {
+		case v == nil:
+		case a.State == membership.StateServing:
+			v.Serving++
+		case a.State == membership.StateDraining:
+			v.Draining++
+		}
+	}
+	var out []operator.DataCentreView
+	for _, v := range views {
+		out = append(out, *v)
+	}
+	slices.SortFunc(out, func(a, b operator.DataCentreView) int { return cmp.Compare(a.Name, b.Name) })
+	return out, r, nil
+}
+
+// ControlHosts implements operator.Backend.
+func (b operatorBackend) ControlHosts(ctx context.Context) ([]operator.ControlHostView, operator.Read, error) {
+	r := b.read(ctx)
+	st := b.c.config.Status()
+	var out []operator.ControlHostView
+	for _, m := range st.Members {
+		h, _ := b.c.findHost(m.Host)
+		v := operator.ControlHostView{Host: m.Host, DataCentre: h.DataCentre, Peer: h.Peer, Role: "follower"}
+		switch {
+		case m.Host == st.Leader:
+			v.Role = "leader"
+		case !m.Voter:
+			v.Role = "learner"
+		}
+		v.LastContact = b.c.lead.lastHeard(m.Host)
+		out = append(out, v)
+	}
+	return out, r, nil
+}
+
+// lastHeard returns when the leader last heard from a control host; zero if
+// this host does not lead.
+func (l *leader) lastHeard(id model.HostID) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hosts[id].at
+}
+
+// AddControlHost implements operator.Backend.
+func (b operatorBackend) AddControlHost(ctx context.Context, caller operator.Caller, h operator.ControlHostChange) error {
+	b.c.log.Info("control host to be added", "operator", string(caller.Operator), "host", string(h.Host), "address", h.Peer)
+	return operatorError(b.c.addHost(ctx, HostAddress(h)))
+}
+
+// RemoveControlHost implements operator.Backend.
+func (b operatorBackend) RemoveControlHost(ctx context.Context, caller operator.Caller, host model.HostID) error {
+	b.c.log.Info("control host to be removed", "operator", string(caller.Operator), "host", string(host))
+	for _, m := range b.c.config.Status().Members {
+		if m.Host == host {
+			return operatorError(b.c.removeHost(ctx, host))
+		}
+	}
+	return eris.Wrapf(operator.ErrNotFound, "control host %q", host)
+}
+
+// Audit implements operator.Backend.
+func (b operatorBackend) Audit(ctx context.Context, after uint64, limit int) ([]note.AuditRecord, operator.Read, error) {
+	r := b.read(ctx)
+	var out []note.AuditRecord
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { out = n.Audit(after, limit) })
+	return out, r, nil
+}
+
+// Status implements operator.Backend.
+func (b operatorBackend) Status(ctx context.Context) (operator.StatusView, operator.Read, error) {
+	r := b.read(ctx)
+	st := b.c.config.Status()
+	v := operator.StatusView{Cluster: b.c.cfg.Cluster, Leader: st.Leader, Term: st.Term, Violations: invariant.Violations()}
+	b.c.machine.View(func(n *note.State, m *rollout.State) {
+		v.HeadNote = n.Head()
+		for dc, s := range n.Config().DataCentres {
+			if s == note.DataCentreOut {
+				v.DataCentresOut = append(v.DataCentresOut, dc)
+			}
+		}
+		for _, s := range m.Active() {
+			if s.Phase != rollout.PhaseDone {
+				v.Moves++
+			}
+			if s.AtRisk {
+				v.AtRisk++
+			}
+		}
+	})
+	slices.Sort(v.DataCentresOut)
+	v.Nodes = len(b.c.alive())
+	nodes := b.c.lead.gatherNodes(time.Now())
+	v.InForce = nodes.Least
+	if nodes.Nodes < v.Nodes || nodes.Least.Less(r.Position) {
+		v.Behind = max(v.Nodes-nodes.Nodes, 0)
+	}
+	v.Problems = b.c.problems(st)
+	return v, r, nil
+}
+
+// problems lists what needs an operator.
+func (c *Control) problems(st replog.Status) []string {
+	var out []string
+	if st.Leader == "" {
+		out = append(out, "no leader: notes and writes are not accepted")
+	}
+	if st.DiskFull {
+		out = append(out, "the disk of this control host is full")
+	}
+	if c.cfg.Host == st.Leader {
+		for _, m := range st.Members {
+			if m.Host != c.cfg.Host && time.Since(c.lead.lastHeard(m.Host)) > statusFresh {
+				out = append(out, "control host "+string(m.Host)+" is not heard")
+			}
+		}
+	}
+	return out
+}
+
+// Nodes implements operator.Backend.
+func (b operatorBackend) Nodes(ctx context.Context, service model.ServiceName) ([]operator.NodeView, operator.Read, error) {
+	r := b.read(ctx)
+	var out []operator.NodeView
+	for _, a := range b.c.endpoints.All() {
+		if service != "" && a.Service != service {
+			continue
+		}
+		out = append(out, operator.NodeView{
+			Host: a.Host, DataCentre: a.DataCentre, Service: a.Service, Version: a.Version, State: a.State.String(),
+			Incarnation: a.Incarnation, CallAddress: a.CallAddress, Slots: a.Slots,
+		})
+	}
+	return out, r, nil
+}
+
+// Config implements operator.Backend.
+func (b operatorBackend) Config(ctx context.Context) (note.Config, operator.Read, error) {
+	r := b.read(ctx)
+	var cfg note.Config
+	b.c.machine.View(func(n *note.State, _ *rollout.State) { cfg = n.Config() })
+	return cfg, r, nil
+}
--- /dev/null
+++ b/mesh/control/confirm.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// handleConfirm confirms leadership for another control host.
+func (c *Control) handleConfirm(ctx context.Context, _ peer.Identity, _ confirmRequest) (confirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	index, err := c.config.ConfirmLeader(ctx)
+	return confirmReply{Index: index}, err
+}
+
+// appliedCheck is the interval of looking at the applied index, which the log
+// raises just after the state machine has changed.
+const appliedCheck = 5 * time.Millisecond
+
+// catchUp waits until this host has applied everything that was accepted before
+// the call, as a confirmed leader states it.
+func (c *Control) catchUp(ctx context.Context) error {
+	if c.leads() {
+		_, err := c.config.ConfirmLeader(ctx)
+		return err
+	}
+	leader, ok := c.findHost(c.config.Status().Leader)
+	if !ok {
+		return eris.Wrap(ErrNoLeader, "no leader is known")
+	}
+	var reply confirmReply
+	if err := c.ep.Call(ctx, leader.Peer, leader.Identity(), methodConfirm, confirmRequest{}, &reply); err != nil {
+		return eris.Wrapf(ErrUnreachable, "leader %s: %v", leader.Host, err)
+	}
+	for c.config.Status().Applied < reply.Index {
+		select {
+		case <-c.machine.Changed():
+		case <-time.After(appliedCheck):
+		case <-ctx.Done():
+			return eris.Wrapf(ErrNoLeader, "not caught up: %v", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// confirm returns a position that includes everything accepted before the call.
+func (c *Control) confirm(ctx context.Context) (model.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := c.catchUp(ctx); err != nil {
+		return model.Position{}, err
+	}
+	return c.store.Position(), nil
+}
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -68,7 +68,7 @@
 		store: distribute.NewStore(), endpoints: membership.NewTable(), keeper: membership.NewLeaseKeeper(),
 		admission: distribute.NewAdmission(distribute.SourceAdmission()),
 		nodes:     distribute.NewSubtree(nil), hosts: distribute.NewSubtree(nil),
-		freshness: &distribute.Freshness{}, evidence: newEvidence(),
+		freshness: &distribute.Freshness{}, evidence: newEvidence(cfg.Host, uint64(time.Now().UnixMilli())),
 	}
 	c.planned = distribute.SourcePlan(c.endpoints)
 	c.machine = NewMachine(cfg.Epoch, c.store, log)
--- /dev/null
+++ b/mesh/control/decide.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/rollout"
+)
+
+// decider is the leader's decision loop. It belongs to one goroutine and starts
+// anew with each term.
+type decider struct {
+	l       *leader
+	moves   *rollout.Leader
+	orphans *orphans
+	// inForce is the position that was last marked as in force everywhere.
+	inForce model.Position
+	// refused holds the sequence of the status whose shares were refused, since
+	// another note states the traffic of the service.
+	refused map[model.ServiceName]uint64
+	// returning is when a data centre was first seen returning.
+	returning map[model.DataCentre]time.Time
+	centres   map[model.DataCentre]note.DataCentreState
+	disturbed time.Time
+	orphansAt time.Time
+}
+
+func (l *leader) decide(ctx context.Context) error {
+	d := &decider{
+		l: l, moves: rollout.NewLeader(l.log), orphans: newOrphans(), refused: map[model.ServiceName]uint64{},
+		returning: map[model.DataCentre]time.Time{},
+	}
+	tick := time.NewTicker(decideInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		d.tick(ctx, time.Now())
+	}
+}
+
+// tick makes the decisions that are due. Each command is decided again at the
+// next tick if it was not accepted.
+func (d *decider) tick(ctx context.Context, now time.Time) {
+	view, state, alive := d.l.gather(now), d.l.c.decisionState(), d.l.c.alive()
+	for _, r := range view.reports {
+		d.moves.Report(now, r)
+	}
+	d.watchCentres(now, state.config)
+	capacity := func(s model.ServiceName) rollout.Capacity { return d.capacity(state, view, alive, s) }
+	for _, c := range d.moves.Tick(now, state.active, uint32(len(alive)), capacity) {
+		d.proposeRollout(ctx, c)
+	}
+	for _, c := range d.noteCommands(now, state) {
+		d.proposeNote(ctx, c)
+	}
+	d.markInForce(ctx, state, view, len(alive))
+	if now.Sub(d.orphansAt) >= orphanInterval {
+		d.orphansAt = now
+		d.lapse(now, alive, view.held)
+	}
+}
+
+// capacity sums up what the two versions of a service can take.
+func (d *decider) capacity(s decisionState, view leaderView, alive []membership.Announcement, service model.ServiceName) rollout.Capacity {
+	st := s.current[service]
+	c := rollout.Capacity{Disturbed: d.disturbed}
+	for _, a := range alive {
+		if a.Service != service || a.State != membership.StateServing || s.config.DataCentres[a.DataCentre] == note.DataCentreOut {
+			continue
+		}
+		switch a.Version {
+		case st.Move.To:
+			c.NewServers++
+		case st.From:
+			c.OldServers++
+		}
+	}
+	before, after := view.loads[versionKey{service, st.From}], view.loads[versionKey{service, st.Move.To}]
+	c.NewLimit, c.OldLimit = after.Limit, before.Limit
+	c.Concurrency = float64(before.InFlight + after.InFlight)
+	c.CallsPerSecond = before.CallsPerSecond + after.CallsPerSecond
+	return c
+}
+
+// watchCentres notes changes of the data centres.
+func (d *decider) watchCentres(now time.Time, cfg note.Config) {
+	for dc, st := range cfg.DataCentres {
+		if d.centres != nil && d.centres[dc] != st {
+			d.disturbed = now
+		}
+		if _, ok := d.returning[dc]; st == note.DataCentreReturning && !ok {
+			d.returning[dc] = now
+		}
+		if st != note.DataCentreReturning {
+			delete(d.returning, dc)
+		}
+	}
+	d.centres = cfg.DataCentres
+}
+
+// noteCommands returns the commands that bring the notes in line with the moves
+// and end the return of data centres.
+func (d *decider) noteCommands(now time.Time, s decisionState) []note.Command {
+	var out []note.Command
+	add := func(c note.Command) {
+		c.Operator, c.Time = note.RolloutOperator, now
+		out = append(out, c)
+	}
+	for _, m := range s.moves {
+		st, ok := s.current[m.Move.Service]
+		if !ok || st.Move.ID.Note != m.Note {
+			continue
+		}
+		if d.sharesDiffer(s, st) {
+			add(note.Command{SetShares: &note.SetShares{Service: m.Move.Service, Shares: note.Shares(st.Shares()), Note: m.Note}})
+		}
+		if st.Completed != 0 && m.Done.IsZero() && m.Reversed.IsZero() && !m.Withdrawn {
+			add(note.Command{MarkDone: &note.MarkDone{Number: m.Note, Service: m.Move.Service}})
+		}
+		if st.Phase == rollout.PhaseReversed && m.Reversed.IsZero() {
+			add(note.Command{MarkReversed: &note.MarkReversed{Number: m.Note, Service: m.Move.Service, Reason: st.Reason}})
+		}
+	}
+	for dc, since := range d.returning {
+		if now.Sub(since) >= returnTime {
+			add(note.Command{FinishReturn: &note.FinishReturn{DataCentre: dc}})
+		}
+	}
+	return out
+}
+
+// sharesDiffer reports whether the shares in force are not those of the move. A
+// move that has ended for good states no shares any more.
+func (d *decider) sharesDiffer(s decisionState, st rollout.Status) bool {
+	if !st.Active() && st.Phase != rollout.PhaseReversed {
+		return false
+	}
+	service := st.Move.ID.Service
+	if seq, ok := d.refused[service]; ok && seq == st.Sequence {
+		return false
+	}
+	return !sameShares(s.config.Shares[service], note.Shares(st.Shares()))
+}
+
+// sameShares compares shares; a version with share 0 counts as absent.
+func sameShares(a, b note.Shares) bool {
+	for v, s := range a {
+		if b[v] != s {
+			return false
+		}
+	}
+	for v, s := range b {
+		if a[v] != s {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *decider) proposeRollout(ctx context.Context, c rollout.Command) {
+	data, err := encodeRollout(c)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		_, err = d.l.c.config.Propose(ctx, data)
+	}
+	if err != nil {
+		d.l.log.Warn("rollout command not accepted", "service", string(c.Move.ID.Service), "op", c.Op.String(), "reason", err.Error())
+	}
+}
+
+func (d *decider) proposeNote(ctx context.Context, c note.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	r, err := d.l.c.proposeNote(ctx, c)
+	switch {
+	case err != nil:
+		d.l.log.Warn("command of the leader not accepted", "reason", err.Error())
+	case r.Code != note.CodeOK:
+		d.l.log.Warn("command of the leader refused", "code", string(r.Code), "reason", r.Message)
+		if c.SetShares != nil {
+			st := d.l.c.decisionState().current[c.SetShares.Service]
+			d.refused[c.SetShares.Service] = st.Sequence
+		}
+	}
+}
+
+// markInForce records that every live node has reached a position.
+func (d *decider) markInForce(ctx context.Context, s decisionState, view leaderView, alive int) {
+	if alive == 0 || view.nodes.Nodes < alive || view.nodes.Least.Less(s.position) || !d.inForce.Less(s.position) {
+		return
+	}
+	c := note.Command{Operator: note.RolloutOperator, MarkInForce: &note.MarkInForce{Through: s.position}}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := d.l.c.proposeNote(ctx, c); err != nil {
+		return
+	}
+	d.inForce = s.position
+	d.l.log.Info("in force everywhere", "position", s.position.String(), "nodes", alive)
+}
+
+// lapse declares nodes lapsed that no control host has heard for a while.
+func (d *decider) lapse(now time.Time, alive []membership.Announcement, held map[model.HostID]bool) {
+	for _, a := range d.orphans.observe(now, alive, held) {
+		d.l.c.endpoints.Merge(a)
+		d.l.log.Warn("lease lapsed", "host", string(a.Host), "service", string(a.Service), "reason", "no control host holds it")
+	}
+}
--- a/mesh/control/evidence.go
+++ b/mesh/control/evidence.go
@@ -3,55 +3,102 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/rollout"
 )
 
-// MethodEvidence is the stream on which a node learns the active moves and
-// reports the outcomes of its calls.
-const MethodEvidence = "control.evidence"
+// loadFresh is how long the load of a backend server counts after its report.
+const loadFresh = 3 * time.Second
 
-// EvidenceDown tells a node which services to report.
-type EvidenceDown struct {
-	Moves []rollout.Status `cbor:"1,keyasint"`
+// versionKey names one version of one service.
+type versionKey struct {
+	service model.ServiceName
+	version model.ServiceVersion
 }
 
-// EvidenceUp carries an encoded rollout.Report.
-type EvidenceUp struct {
-	Report []byte `cbor:"1,keyasint"`
+type nodeLoad struct {
+	load rollout.Load
+	at   time.Time
 }
 
-// maxPendingReports bounds the reports that wait for the leader; the oldest are dropped.
-const maxPendingReports = 16_384
+// reporter is the newest report taken from one node.
+type reporter struct{ incarnation, sequence uint64 }
 
-// evidence holds the reports of the nodes of this control host until the
-// leader takes them. One mutex guards it.
+// evidence merges the reports of the nodes of this control host until the
+// leader takes them, so that the leader's cost grows with the control hosts and
+// not with the nodes. One mutex guards it.
 type evidence struct {
-	mu      sync.Mutex
-	reports []rollout.Report
+	mu     sync.Mutex
+	merged rollout.Report
+	seen   map[model.HostID]reporter
+	loads  map[model.HostID]nodeLoad
 }
 
-func newEvidence() *evidence { return &evidence{} }
+func newEvidence(self model.HostID, incarnation uint64) *evidence {
+	return &evidence{
+		merged: rollout.Report{Host: self, Incarnation: incarnation},
+		seen:   map[model.HostID]reporter{}, loads: map[model.HostID]nodeLoad{},
+	}
+}
 
-func (e *evidence) add(r rollout.Report) {
+// add merges the report of one node; one that was merged before changes nothing.
+func (e *evidence) add(now time.Time, r rollout.Report, load rollout.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.reports) >= maxPendingReports {
-		e.reports = e.reports[1:]
+	e.loads[r.Host] = nodeLoad{load: load, at: now}
+	old := e.seen[r.Host]
+	if r.Incarnation < old.incarnation || r.Incarnation == old.incarnation && r.Sequence <= old.sequence {
+		return
 	}
-	e.reports = append(e.reports, r)
+	e.seen[r.Host] = reporter{incarnation: r.Incarnation, sequence: r.Sequence}
+	e.merged.Merge(r)
 }
 
-// take returns the pending reports and starts anew.
-func (e *evidence) take() []rollout.Report {
+// take returns the merged report and starts a new one. It states the nodes that
+// have reported lately, not those of this interval: the leader asks more often
+// than nodes report.
+func (e *evidence) take(now time.Time) rollout.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := e.reports
-	e.reports = nil
+	e.merged.Sequence++
+	out := e.merged
+	out.Nodes = 0
+	for _, l := range e.loads {
+		if now.Sub(l.at) <= loadFresh {
+			out.Nodes++
+		}
+	}
+	e.merged.Cells = nil
+	return out
+}
+
+// load sums up the fresh loads by version.
+func (e *evidence) load(now time.Time) []rollout.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := map[versionKey]rollout.Load{}
+	for host, l := range e.loads {
+		if now.Sub(l.at) > loadFresh {
+			delete(e.loads, host)
+			continue
+		}
+		k := versionKey{l.load.Service, l.load.Version}
+		if old, ok := sum[k]; ok {
+			sum[k] = old.Add(l.load)
+			continue
+		}
+		sum[k] = l.load
+	}
+	out := make([]rollout.Load, 0, len(sum))
+	for _, l := range sum {
+		out = append(out, l)
+	}
 	return out
 }
 
@@ -65,7 +112,7 @@
 		}
 	}()
 	for {
-		var up EvidenceUp
+		var up rollout.EvidenceUp
 		if err := st.Recv(&up); err != nil {
 			return eris.Wrapf(ErrUnreachable, "evidence stream: %v", err)
 		}
@@ -76,7 +123,7 @@
 		if r.Host != st.Peer().Host {
 			return eris.Wrapf(ErrForbidden, "report of %s sent by %s", r.Host, st.Peer())
 		}
-		c.evidence.add(r)
+		c.evidence.add(time.Now(), r, up.Load)
 	}
 }
 
@@ -88,7 +135,7 @@
 		changed := c.machine.Changed()
 		moves := c.activeMoves()
 		if first || differ(sent, moves) {
-			if err := st.Send(EvidenceDown{Moves: moves}); err != nil {
+			if err := st.Send(rollout.EvidenceDown{Moves: moves}); err != nil {
 				return err
 			}
 			first = false
--- /dev/null
+++ b/mesh/control/leader.go
@@ -0,0 +1,272 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/replog"
+	"balsamtrail.org/mesh/rollout"
+)
+
+// The intervals of the leader.
+const (
+	pollInterval   = 250 * time.Millisecond
+	decideInterval = 200 * time.Millisecond
+	// leasesEvery is the number of polls between two questions for the leases.
+	leasesEvery = 8
+	// statusFresh is how long a control host's answer counts.
+	statusFresh = 5 * time.Second
+	// proposeTimeout bounds one command of the leader; an unfinished one is
+	// decided again at the next tick.
+	proposeTimeout = 2 * time.Second
+	orphanInterval = 2 * time.Second
+	// returnTime is how long a data centre is returning; it covers the ramp of
+	// the nodes and the warming up of its backend servers.
+	returnTime = 30 * time.Second
+)
+
+// hostState is what the leader last heard from another control host.
+type hostState struct {
+	nodes distribute.SubtreeReport
+	loads []rollout.Load
+	at    time.Time
+	held  []model.HostID
+	// heldAt is when held was heard; zero if never.
+	heldAt time.Time
+}
+
+// leader does the work of the host that leads group 0: it moves traffic, marks
+// notes as in force and finds nodes that no host hears.
+type leader struct {
+	c   *Control
+	log *slog.Logger
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	hosts   map[model.HostID]hostState
+	reports []rollout.Report
+}
+
+func newLeader(c *Control) *leader {
+	return &leader{c: c, log: c.log, hosts: map[model.HostID]hostState{}}
+}
+
+// run leads whenever this host is elected.
+func (l *leader) run(ctx context.Context) error {
+	for {
+		st, changed := l.c.config.Watch()
+		if st.Role == replog.Leader {
+			l.term(ctx, st.Term)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// term leads until the leadership of the term ends.
+func (l *leader) term(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.reset()
+	l.log.Info("leading", "term", term)
+	g, ctx := errgroup.WithContext(ctx)
+	for _, h := range l.c.otherHosts() {
+		g.Go(func() error { return l.poll(ctx, h.Host) })
+	}
+	g.Go(func() error { return l.decide(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		return l.untilLost(ctx, term)
+	})
+	_ = g.Wait()
+	l.log.Info("no longer leading", "term", term)
+}
+
+func (l *leader) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = map[model.HostID]hostState{}
+	l.reports = nil
+}
+
+// untilLost waits until this host does not lead the term, or its members changed.
+func (l *leader) untilLost(ctx context.Context, term uint64) error {
+	first, _ := l.c.config.Watch()
+	for {
+		st, changed := l.c.config.Watch()
+		if st.Role != replog.Leader || st.Term != term || len(st.Members) != len(first.Members) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// poll asks one control host for its state until ctx ends.
+func (l *leader) poll(ctx context.Context, id model.HostID) error {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		h, ok := l.c.findHost(id)
+		if ok {
+			req := statusRequest{Leases: i%leasesEvery == 0}
+			var reply statusReply
+			if err := l.c.call(ctx, h, methodStatus, req, &reply); err == nil {
+				l.heard(id, req, reply)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *leader) heard(id model.HostID, req statusRequest, reply statusReply) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	st := l.hosts[id]
+	st.nodes, st.loads, st.at = reply.Nodes, reply.Loads, now
+	if req.Leases {
+		st.held, st.heldAt = reply.Held, now
+	}
+	l.hosts[id] = st
+	if r, err := rollout.DecodeReport(reply.Evidence); err == nil {
+		l.reports = append(l.reports, r)
+	}
+}
+
+// handleStatus answers the leader.
+func (c *Control) handleStatus(_ context.Context, _ peer.Identity, req statusRequest) (statusReply, error) {
+	reply := statusReply{Nodes: c.nodes.Report(), Loads: c.evidence.load(time.Now())}
+	if req.Leases {
+		for _, a := range c.keeper.Held() {
+			reply.Held = append(reply.Held, a.Host)
+		}
+	}
+	b, err := rollout.EncodeReport(c.evidence.take(time.Now()))
+	if err != nil {
+		return reply, err
+	}
+	reply.Evidence = b
+	return reply, nil
+}
+
+// leaderView is what the leader knows of all control hosts at one time.
+type leaderView struct {
+	nodes   distribute.SubtreeReport
+	loads   map[versionKey]rollout.Load
+	reports []rollout.Report
+	held    map[model.HostID]bool
+}
+
+// gather sums up what this host and the others have reported.
+func (l *leader) gather(now time.Time) leaderView {
+	v := leaderView{nodes: l.c.nodes.Report(), loads: map[versionKey]rollout.Load{}, held: map[model.HostID]bool{}}
+	v.add(l.c.evidence.load(now))
+	for _, a := range l.c.keeper.Held() {
+		v.held[a.Host] = true
+	}
+	v.reports = []rollout.Report{l.c.evidence.take(now)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v.reports = append(v.reports, l.reports...)
+	l.reports = nil
+	for _, h := range l.hosts {
+		if now.Sub(h.at) <= statusFresh {
+			v.addNodes(h.nodes)
+			v.add(h.loads)
+		}
+		if now.Sub(h.heldAt) <= statusFresh {
+			for _, id := range h.held {
+				v.held[id] = true
+			}
+		}
+	}
+	return v
+}
+
+// gatherNodes sums up the nodes that the control hosts serve, as far as known here.
+func (l *leader) gatherNodes(now time.Time) distribute.SubtreeReport {
+	v := leaderView{nodes: l.c.nodes.Report()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.hosts {
+		if now.Sub(h.at) <= statusFresh {
+			v.addNodes(h.nodes)
+		}
+	}
+	return v.nodes
+}
+
+func (v *leaderView) add(loads []rollout.Load) {
+	for _, l := range loads {
+		k := versionKey{l.Service, l.Version}
+		if old, ok := v.loads[k]; ok {
+			l = old.Add(l)
+		}
+		v.loads[k] = l
+	}
+}
+
+func (v *leaderView) addNodes(r distribute.SubtreeReport) {
+	if r.Nodes == 0 {
+		return
+	}
+	if v.nodes.Nodes == 0 || r.Least.Less(v.nodes.Least) {
+		v.nodes.Least = r.Least
+	}
+	v.nodes.Nodes += r.Nodes
+	v.nodes.Held += r.Held
+}
+
+// alive returns the live records of the endpoint table.
+func (c *Control) alive() []membership.Announcement {
+	var out []membership.Announcement
+	for _, a := range c.endpoints.All() {
+		if a.Alive() {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// decisionState is what the decisions need from the replicated state.
+type decisionState struct {
+	active   []rollout.Status
+	moves    []note.MoveState
+	current  map[model.ServiceName]rollout.Status
+	config   note.Config
+	position model.Position
+}
+
+func (c *Control) decisionState() decisionState {
+	s := decisionState{current: map[model.ServiceName]rollout.Status{}}
+	c.machine.View(func(n *note.State, r *rollout.State) {
+		s.active, s.moves, s.config, s.position = r.Active(), n.Moves(), n.Config(), n.Position()
+		for _, m := range s.moves {
+			if st, ok := r.Current(m.Move.Service); ok {
+				s.current[m.Move.Service] = st
+			}
+		}
+	})
+	return s
+}
--- a/mesh/control/members.go
+++ b/mesh/control/members.go
@@ -15,6 +15,7 @@
 func (c *Control) registerHostMethods() {
 	peer.HandleCall(c.ep, methodSubmit, onlyControl, c.handleSubmit)
 	peer.HandleCall(c.ep, methodStatus, onlyControl, c.handleStatus)
+	peer.HandleCall(c.ep, methodConfirm, onlyControl, c.handleConfirm)
 	peer.HandleCall(c.ep, methodDisk, onlyControl, c.handleDisk)
 	peer.HandleCall(c.ep, methodMember, onlyControl, c.handleMember)
 }
--- a/mesh/control/message.go
+++ b/mesh/control/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/replog"
@@ -55,6 +56,9 @@
 	methodSubmit = "control.submit"
 	// methodStatus gathers what the leader needs to know of another control host.
 	methodStatus = "control.status"
+	// methodConfirm asks the leader for an index that includes everything
+	// accepted before the call.
+	methodConfirm = "control.confirm"
 	// methodDisk asks a new control host for its disk identities.
 	methodDisk = "control.disk"
 	// methodMember asks the leader of a group to change its members.
@@ -77,20 +81,28 @@
 	Unknown bool   `cbor:"5,keyasint,omitempty"`
 }
 
-// statusRequest asks for the state of another control host.
-type statusRequest struct{}
+// statusRequest asks for the state of another control host. The leases are
+// asked for seldom, since the list is long.
+type statusRequest struct {
+	Leases bool `cbor:"1,keyasint,omitempty"`
+}
 
 // statusReply is what the leader learns of a control host.
 type statusReply struct {
-	// Least and Nodes describe the subtree of nodes that the host serves.
-	Least model.Position `cbor:"1,keyasint"`
-	Nodes int            `cbor:"2,keyasint"`
+	// Nodes describes the nodes that the host serves, directly or through others.
+	Nodes distribute.SubtreeReport `cbor:"1,keyasint"`
 	// Held lists the nodes whose lease the host holds.
-	Held []model.HostID `cbor:"3,keyasint"`
-	// Evidence is what its nodes have reported since the last question.
-	Evidence []byte `cbor:"4,keyasint,omitempty"`
-	// Limits sums up the advertised concurrency of the services in a move.
-	Refusals []string `cbor:"5,keyasint,omitempty"`
+	Held []model.HostID `cbor:"2,keyasint,omitempty"`
+	// Evidence is the encoded report of what its nodes saw since the last question.
+	Evidence []byte         `cbor:"3,keyasint,omitempty"`
+	Loads    []rollout.Load `cbor:"4,keyasint,omitempty"`
+}
+
+// confirmRequest asks the leader to confirm its leadership.
+type confirmRequest struct{}
+
+type confirmReply struct {
+	Index uint64 `cbor:"1,keyasint"`
 }
 
 // diskRequest asks for the disk identity of one group.
--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -12,6 +12,7 @@
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/replog"
+	"balsamtrail.org/mesh/rollout"
 )
 
 var (
@@ -27,7 +28,7 @@
 	c.ep.Handle(distribute.MethodExchange, anyRole, func(ctx context.Context, st peer.Stream) error {
 		return distribute.ServeExchange(ctx, c.store, c.endpoints, st, c.serveOptions(st.Peer()))
 	})
-	c.ep.Handle(MethodEvidence, onlyNodes, c.serveEvidence)
+	c.ep.Handle(rollout.MethodEvidence, onlyNodes, c.serveEvidence)
 	c.claims.service.Register(c.ep)
 	c.registerHostMethods()
 }
@@ -57,14 +58,6 @@
 	return o
 }
 
-// confirm returns a position that includes everything accepted before the call.
-func (c *Control) confirm(ctx context.Context) (model.Position, error) {
-	if _, err := c.config.ConfirmLeader(ctx); err != nil {
-		return model.Position{}, err
-	}
-	return c.store.Position(), nil
-}
-
 // keepLeases expires the leases of silent nodes and prunes old records.
 func (c *Control) keepLeases(ctx context.Context) error {
 	tick := time.NewTicker(membership.TickInterval)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -209,10 +209,10 @@
 
 // ignoreEnd hides the error of a task that ended because the node stops.
 func ignoreEnd(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if ctx.Err() == nil {
+		return err
 	}
-	return err
+	return nil
 }
 
 // leaveSpread is how long a leaving node goes on serving: within it every
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,8 @@
 	position func() model.Position
 	// behind is told of a peer that knows a newer position; it does not block.
 	behind func(from peer.Identity, pos model.Position)
+	// answered counts the answers since the last report of the load.
+	answered atomic.Int64
 }
 
 // handle serves one call. It implements callmux.Handler.
@@ -108,7 +111,7 @@
 }
 
 func (s *serving) answer(resp *http.Response, release func(admission.Outcome), o admission.Outcome) *callmux.Response {
-	telemetry.Counter("serving.answered").Inc(1)
+	s.answered.Add(1)
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: forwardable(resp.Header),
 		Position: s.position(), Limit: s.gate.Limit(),
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -12,7 +12,6 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/claim"
-	"balsamtrail.org/mesh/control"
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
@@ -121,7 +120,7 @@
 
 // reportEvidence learns the active moves and reports the outcomes of calls.
 func (n *Node) reportEvidence(ctx context.Context) error {
-	return n.keepStream(ctx, control.MethodEvidence, n.evidenceStream)
+	return n.keepStream(ctx, rollout.MethodEvidence, n.evidenceStream)
 }
 
 func (n *Node) evidenceStream(ctx context.Context, st peer.Stream) error {
@@ -138,7 +137,7 @@
 	})
 	defer cancel()
 	for {
-		var down control.EvidenceDown
+		var down rollout.EvidenceDown
 		if err := st.Recv(&down); err != nil {
 			return eris.Wrapf(ErrUplink, "evidence stream: %v", err)
 		}
@@ -186,12 +185,21 @@
 		if err != nil {
 			return err
 		}
-		if err := st.Send(control.EvidenceUp{Report: b}); err != nil {
+		if err := st.Send(rollout.EvidenceUp{Report: b, Load: n.load()}); err != nil {
 			return err
 		}
 	}
 }
 
+// load describes the own backend server over the last interval.
+func (n *Node) load() rollout.Load {
+	inFlight, _ := n.gate.Load()
+	return rollout.Load{
+		Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version, Servers: 1, Limit: n.gate.Limit(),
+		InFlight: inFlight, CallsPerSecond: float64(n.serving.answered.Swap(0)) / evidenceInterval.Seconds(),
+	}
+}
+
 // followStops blocks the versions that this node has strong evidence against
 // and lifts the block afterwards.
 func (n *Node) followStops(active []rollout.Status, blocked map[model.ServiceName]model.ServiceVersion) {
@@ -242,7 +250,7 @@
 	open := func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
 		return n.open(ctx, p, distribute.MethodExchange)
 	}
-	return distribute.Repair(ctx, n.cfg.Host, n.acceptor, n.endpoints, nodes, open, n.log)
+	return distribute.Repair(ctx, n.cfg.Host, n.acceptor, n.endpoints, n.freshness, nodes, open, n.log)
 }
 
 // newerPeer is a peer that is known to have a newer position.
