Retry calls that left no byte without the node's bucket; end the leader's loop

Change: a try that left no byte takes only from the call's own budget; the loop ends with its context; a cancelled try counts as cancelled; a line's own process is 'self'.

--- a/mesh/control/leader.go
+++ b/mesh/control/leader.go
@@ -62,7 +62,7 @@
 
 // run leads whenever this host is elected.
 func (l *leader) run(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		st, changed := l.c.config.Watch()
 		if st.Role == replog.Leader {
 			l.term(ctx, st.Term)
@@ -71,9 +71,9 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
+	return ctx.Err()
 }
 
 // term leads until the leadership of the term ends.
--- /dev/null
+++ b/mesh/node/entry_test.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/rollout"
+	"balsamtrail.org/mesh/routing"
+)
+
+// scriptedCaller answers calls by a function of the address.
+type scriptedCaller func(ctx context.Context, addr string, req *callmux.Request) (*callmux.Response, error)
+
+func (f scriptedCaller) Do(ctx context.Context, addr string, _ peer.Identity, req *callmux.Request) (*callmux.Response, error) {
+	return f(ctx, addr, req)
+}
+
+// recordingClaims grants every claim and records what happens to it.
+type recordingClaims struct {
+	mu                  sync.Mutex
+	err                 error
+	completed, released int
+}
+
+func (c *recordingClaims) Claim(ctx context.Context, key string, _ claim.Digest, _ model.RouteName, lifetime time.Duration) (claim.Grant, error) {
+	return claim.Grant{Key: key, Deadline: time.Now().Add(lifetime)}, c.err
+}
+
+func (c *recordingClaims) Complete(context.Context, claim.Grant, claim.Answer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed++
+	return nil
+}
+
+func (c *recordingClaims) Release(context.Context, claim.Grant, string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released++
+	return nil
+}
+
+// newTestEntry returns an entry side with three backend servers h1 to h3.
+func newTestEntry(t *testing.T, calls caller, claims claimer) *entry {
+	t.Helper()
+	invariant.SetFatal(true)
+	cfg := note.NewConfig()
+	cfg.Services["ledger"] = note.Service{Name: "ledger", Slots: 20, Connections: 100, QueueLimit: 20}
+	cfg.Shares["ledger"] = note.Shares{"v1": model.ShareAll}
+	cfg.Routes["status"] = note.Route{Name: "status", PathPrefix: "/cabinets", Service: "ledger", Kind: model.KindLookup, Timeout: time.Second, MaxRetries: 2}
+	cfg.Routes["restock"] = note.Route{Name: "restock", PathPrefix: "/restocks", Service: "ledger", Kind: model.KindWrite, Timeout: time.Second, MaxRetries: 2}
+	var servers []membership.Announcement
+	for _, h := range []model.HostID{"h1", "h2", "h3"} {
+		servers = append(servers, membership.Announcement{Host: h, Service: "ledger", Version: "v1", DataCentre: "thun",
+			CallAddress: string(h), Slots: 20, State: membership.StateServing, Incarnation: 1})
+	}
+	table := routing.NewTable(cfg, servers)
+	picker := routing.NewPicker(routing.PickerConfig{DataCentre: "thun", Seed: 1})
+	picker.SetTable(time.Now(), table)
+	log := slog.New(slog.DiscardHandler)
+	d := &dispatcher{
+		log: log, self: peer.Identity{Role: peer.RoleNode, Host: "entry"}, picker: picker, hedger: routing.NewHedger(),
+		retries: routing.NewRetryBucket(), calls: calls, recorder: rollout.NewRecorder("entry", 1),
+		position: func() model.Position { return model.Position{} }, behind: func(peer.Identity, model.Position) {},
+	}
+	return &entry{
+		log: log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20,
+		calls: semaphore.NewWeighted(1000), bodies: semaphore.NewWeighted(bodyMemory),
+	}
+}
+
+func answer(body string) *callmux.Response {
+	return &callmux.Response{Status: http.StatusOK, Header: map[string][]string{}, Limit: 20, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func refusal(notRun bool) *callmux.Response {
+	return &callmux.Response{Refusal: &callmux.Refusal{Reason: "test", NotRun: notRun}, Limit: 1, Body: http.NoBody}
+}
+
+func lookup(e *entry) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/cabinets/7", nil))
+	return w
+}
+
+func restock(e *entry) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/restocks", strings.NewReader("crate"))
+	r.Header.Set(HeaderIdempotencyKey, "1-abcdefgh")
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	e.background.Wait()
+	return w
+}
+
+// A lookup whose first try was lost after it was sent must not be refused as
+// not run, even if all later tries did not run.
+func TestNotRunIsNotSaidAfterAnUnknownOutcome(t *testing.T) {
+	tries := 0
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		tries++
+		if tries == 1 {
+			return nil, callmux.ErrOutcomeUnknown
+		}
+		return refusal(true), nil
+	}), nil)
+	w := lookup(e)
+	if tries < 2 || w.Header().Get(HeaderNotRun) != "" || w.Header().Get(HeaderOutcome) != outcomeUnknown {
+		t.Errorf("after %d tries: status %d, headers %v", tries, w.Code, w.Header())
+	}
+}
+
+// When a host dies, more calls fail at once than the node's retry bucket
+// holds; each must still be tried on another host, since none has run.
+func TestEveryCallSurvivesADeadHost(t *testing.T) {
+	const calls = 120
+	var arrived sync.WaitGroup
+	arrived.Add(calls)
+	var first atomic.Int64
+	e := newTestEntry(t, scriptedCaller(func(_ context.Context, addr string, _ *callmux.Request) (*callmux.Response, error) {
+		if first.Add(1) <= calls {
+			arrived.Done()
+			arrived.Wait() // no first try ends before all have begun
+		}
+		if addr == "h1" {
+			return nil, callmux.ErrNotSent
+		}
+		return answer("ok"), nil
+	}), nil)
+	codes := make(chan int, calls)
+	for range calls {
+		go func() { codes <- lookup(e).Code }()
+	}
+	failed := 0
+	for range calls {
+		if <-codes != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d calls failed", failed, calls)
+	}
+}
+
+// A write whose outcome is unknown must neither be tried again nor have its
+// claim released, or a resend would run it a second time.
+func TestUnknownWriteKeepsItsClaim(t *testing.T) {
+	tries := 0
+	claims := &recordingClaims{}
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		tries++
+		return nil, callmux.ErrOutcomeUnknown
+	}), claims)
+	w := restock(e)
+	if tries != 1 || claims.released != 0 || claims.completed != 0 || w.Header().Get(HeaderOutcome) != outcomeUnknown {
+		t.Errorf("%d tries, %d released, %d completed, headers %v", tries, claims.released, claims.completed, w.Header())
+	}
+}
+
+// A write that was refused everywhere is not run, and its claim is released.
+func TestRefusedWriteReleasesItsClaim(t *testing.T) {
+	claims := &recordingClaims{}
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		return refusal(true), nil
+	}), claims)
+	w := restock(e)
+	if claims.released != 1 || w.Header().Get(HeaderNotRun) == "" {
+		t.Errorf("%d released, headers %v", claims.released, w.Header())
+	}
+}
+
+// Without a grant no byte may leave the node.
+func TestNoClaimNoWrite(t *testing.T) {
+	for _, cause := range []error{claim.ErrUnavailable, claim.ErrInProgress, claim.ErrOutcomeUnknown, claim.ErrKeyExpired,
+		&claim.AnsweredError{Answer: claim.NewAnswer(201, nil, []byte("made"))}} {
+		e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+			t.Errorf("%v: a request was sent", cause)
+			return answer(""), nil
+		}), &recordingClaims{err: cause})
+		w := restock(e)
+		if notRun := w.Header().Get(HeaderNotRun) != ""; notRun != errors.Is(cause, claim.ErrUnavailable) {
+			t.Errorf("%v: not run said: %v", cause, notRun)
+		}
+	}
+}
+
+// brokenBody fails after some bytes, as the body of a lost connection does.
+type brokenBody struct{ sent bool }
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, callmux.ErrBodyTruncated
+	}
+	b.sent = true
+	return copy(p, "half"), nil
+}
+
+func (*brokenBody) Close() error { return nil }
+
+// An answer that is cut short must not look like a whole one to the caller.
+func TestCutAnswerBreaksTheConnection(t *testing.T) {
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		return &callmux.Response{Status: http.StatusOK, Header: map[string][]string{}, Body: &brokenBody{}}, nil
+	}), &recordingClaims{})
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	resp, err := http.Get(srv.URL + "/cabinets/7")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if b, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("read %q as a whole answer with status %d", b, resp.StatusCode)
+	}
+	w := restock(e)
+	if w.Code != http.StatusBadGateway || w.Header().Get(HeaderOutcome) != outcomeUnknown {
+		t.Errorf("cut answer of a write: status %d, headers %v", w.Code, w.Header())
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -24,6 +24,7 @@
 	reasonWrongServer = "another service or version runs here"
 	reasonShed        = "shed by the backend server"
 	reasonUnreachable = "backend server unreachable"
+	reasonGivenUp     = "given up before it was sent"
 	reasonLost        = "no answer from the backend server"
 	reasonUnframed    = "answer of the backend server has no length"
 )
@@ -87,8 +88,8 @@
 	latency := time.Since(started)
 	switch {
 	case errors.Is(err, ErrNotRun):
-		release(admission.Outcome{Result: admission.ResultLost, Latency: latency})
-		return s.refuse(req, reasonUnreachable, true)
+		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
+		return s.refuse(req, unreachableReason(ctx), true)
 	case err != nil:
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
 		return s.refuse(req, reasonLost, false)
@@ -104,6 +105,15 @@
 	return s.answer(resp, release, admission.Outcome{Result: answerResult(resp.StatusCode), Latency: latency})
 }
 
+// unreachableReason tells a call that its caller gave up before it was sent
+// from a backend server that could not be reached.
+func unreachableReason(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return reasonGivenUp
+	}
+	return reasonUnreachable
+}
+
 // unframed reports whether the end of the body is only the end of the
 // connection, so that a body cut short could not be told from a whole one.
 func unframed(resp *http.Response) bool {
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -65,8 +65,14 @@
 	if !routing.Retryable(c.route.Kind, t.result, t.notRun()) || c.retries >= c.route.MaxRetries {
 		return false
 	}
-	if t.notRun() {
-		c.budget.Return(t.lent)
+	if !t.notRun() {
+		return routing.TakeRetry(d.retries, c.budget)
+	}
+	c.budget.Return(t.lent)
+	if t.result == routing.ResultFailed {
+		// The request left no byte anywhere, so another try adds no load. When a
+		// host dies, more calls fail at once than the node's bucket holds.
+		return c.budget.Take()
 	}
 	return routing.TakeRetry(d.retries, c.budget)
 }
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -9,10 +9,11 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 )
 
-// NewLogger returns a logger that writes JSON lines to w.
+// NewLogger returns a logger that writes JSON lines to w. Each line names its
+// process as self, since host is the host that a line is about.
 func NewLogger(w io.Writer, level slog.Level, host, role string) *slog.Logger {
 	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
-	return slog.New(h).With("host", host, "role", role)
+	return slog.New(h).With("self", host, "role", role)
 }
 
 // kratosLogger feeds kratos log calls into slog.
