--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -104,7 +104,7 @@
 	s := e.Summary(now)
 	plan := PlanOf(now, st, s, c.CallsPerSecond)
 	d := decision{now: now, st: st, summary: s, verdict: v, capacity: c, plan: plan, alone: e.SuspectAlone(), recent: e.recent(aloneWindows, routeKey{}).new,
-		storm: e.recent(stormWindows, routeKey{}).stormy(stormCalls)}
+		storm: e.stormy()}
 	step := d.step()
 	step.Summary = s
 	if st.Phase != PhaseDone {
@@ -168,8 +168,11 @@
 	if bound == d.st.Share {
 		return Step{Reason: "not enough evidence for the next share"}
 	}
-	strong := levelOf(d.st.Share).allows(d.summary.Old, d.summary.New, strict)
-	if InstantOf(d.now) < d.plan.Next && !strong {
+	planned := d.plan.Next
+	if levelOf(d.st.Share).allows(d.summary.Old, d.summary.New, strict) {
+		planned = d.plan.Soonest
+	}
+	if InstantOf(d.now) < planned {
 		return Step{Reason: "planned for later"}
 	}
 	next := min(bound, d.capacity.bearable())
--- a/mesh/rollout/evidence.go
+++ b/mesh/rollout/evidence.go
@@ -69,6 +69,11 @@
 	return v.old.Calls >= calls && v.old.ErrorRate() > stormRate
 }
 
+// stormy reports whether the old version fails as well, in the last window or lately.
+func (e *Evidence) stormy() bool {
+	return e.recent(1, routeKey{}).stormy(stormCalls/stormWindows) || e.recent(stormWindows, routeKey{}).stormy(stormCalls)
+}
+
 // Evidence is what the leader knows of one move's two versions. It is owned by
 // the leader's goroutine, lost with the leader and gathered again by the next.
 type Evidence struct {
--- a/mesh/rollout/leader.go
+++ b/mesh/rollout/leader.go
@@ -24,8 +24,10 @@
 	reasons  map[MoveID]string
 }
 
+// tracked is the evidence of one acceptance of a move; a restarted move begins without any.
 type tracked struct {
-	id MoveID
+	id       MoveID
+	accepted Instant
 	*Evidence
 }
 
@@ -44,8 +46,14 @@
 	return &Leader{log: log, evidence: map[model.ServiceName]*tracked{}, senders: map[model.HostID]sender{}, reasons: map[MoveID]string{}}
 }
 
-// Report counts a report; it returns false for one that was counted before.
+// Report counts a report; it returns false for one that was counted before or
+// whose counters do not fit together. The host must be the one in the sender's
+// certificate.
 func (l *Leader) Report(now time.Time, r Report) bool {
+	if err := r.check(); err != nil {
+		l.log.Warn("rollout report refused", "host", string(r.Host), "reason", err.Error())
+		return false
+	}
 	old, ok := l.senders[r.Host]
 	if ok && (r.Incarnation < old.incarnation || r.Incarnation == old.incarnation && r.Sequence <= old.sequence) {
 		return false
@@ -89,8 +97,8 @@
 // track returns the evidence of a move, which starts afresh when the move or its target changes.
 func (l *Leader) track(now time.Time, st Status) *Evidence {
 	t := l.evidence[st.Move.ID.Service]
-	if t == nil || t.id != st.Move.ID || t.to != st.Move.To || t.from != st.From {
-		t = &tracked{id: st.Move.ID, Evidence: NewEvidence(now, st)}
+	if t == nil || t.id != st.Move.ID || t.accepted != st.Accepted || t.to != st.Move.To || t.from != st.From {
+		t = &tracked{id: st.Move.ID, accepted: st.Accepted, Evidence: NewEvidence(now, st)}
 		l.evidence[st.Move.ID.Service] = t
 	}
 	return t.Evidence
--- a/mesh/rollout/plan.go
+++ b/mesh/rollout/plan.go
@@ -15,7 +15,9 @@
 	maxDwell = 2 * time.Minute
 	// paced is the part of the remaining time that the plan spreads over the remaining levels; the rest is reserve.
 	paced = 0.6
-	// strict evidence (four times the calls, half the excess) lets a step come before its planned time.
+	// strict evidence (four times the calls, half the excess) lets a step come
+	// after half of its planned time. It comes no sooner, because the time left
+	// to the deadline costs nothing and shows versions that turn bad later.
 	strict = 2
 )
 
@@ -23,8 +25,9 @@
 type Plan struct {
 	// Dwell is the planned time at each level.
 	Dwell time.Duration
-	// Next is the earliest planned time of the next step; strong evidence allows it sooner.
-	Next Instant
+	// Next is the planned time of the next step; strong evidence allows it at Soonest.
+	Next    Instant
+	Soonest Instant
 	// Forecast is when the move completes at the present rate of calls, 0 if there are none to reckon with.
 	Forecast Instant
 }
@@ -41,6 +44,7 @@
 	dwell := time.Duration(paced * float64(rest) / float64(max(left, 1)))
 	p := Plan{Dwell: min(max(dwell, minDwell), maxDwell)}
 	p.Next = st.Changed.add(p.Dwell)
+	p.Soonest = st.Changed.add(max(minDwell, p.Dwell/2))
 	p.Forecast = forecast(now, st, s, callsPerSecond)
 	return p
 }
