Guard moves against late commands; refuse ambiguous routes; check deltas alone

A command of the leader that an amendment, withdrawal or reversal had overtaken could mark the wrong move as done. SetShares, MarkDone and MarkReversed may name the target, and a reversed or withdrawn move no longer becomes done. Two routes with one prefix and a common method are refused, since nodes could choose differently. A node validated the whole configuration for each delta; it now checks what the delta touches.

--- a/mesh/note/apply.go
+++ b/mesh/note/apply.go
@@ -30,6 +30,9 @@
 	if err := validateChange(b.cfg, b.changed); err != nil {
 		return Result{}, err
 	}
+	if err := validateDistinct(b.cfg, b.changed.Routes); err != nil {
+		return Result{}, err
+	}
 	n.Revision = 1
 	r := &Record{
 		Note: n, Operator: c.Operator, Operation: c.Operation, Position: pos, Accepted: s.now,
--- a/mesh/note/audit.go
+++ b/mesh/note/audit.go
@@ -79,11 +79,9 @@
 }
 
 func (a *auditLog) markInForce(through model.Position, at time.Time) {
-	for i := range a.records {
+	first := a.next - uint64(len(a.records))
+	for i := max(a.pending, first) - first; i < uint64(len(a.records)); i++ {
 		r := &a.records[i]
-		if r.Sequence < a.pending {
-			continue
-		}
 		if through.Less(r.Position) {
 			return
 		}
--- a/mesh/note/bench_test.go
+++ b/mesh/note/bench_test.go
@@ -56,12 +56,33 @@
 	}
 }
 
+// oneChange returns a configuration of full size and one with a changed service.
+func oneChange(b *testing.B) (before, after Config) {
+	d := fullState(b)
+	before = d.Config()
+	s := service("service-1-1")
+	s.Slots++
+	if err := d.publish(Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{s}}}).Err(); err != nil {
+		b.Fatal(err)
+	}
+	return before, d.Config()
+}
+
 // BenchmarkDiff measures the delta between two configurations of full size.
 func BenchmarkDiff(b *testing.B) {
-	d := fullState(b)
-	before := d.Config()
-	d.publish(Note{Number: d.Head() + 1, Services: Changes[Service]{Changed: []Service{service("service-1-1")}}})
+	before, after := oneChange(b)
 	for b.Loop() {
-		Diff(before, d.Config())
+		Diff(before, after)
+	}
+}
+
+// BenchmarkApply measures one delta on a node.
+func BenchmarkApply(b *testing.B) {
+	before, after := oneChange(b)
+	delta := Diff(before, after)
+	for b.Loop() {
+		if _, err := before.Apply(delta); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
--- a/mesh/note/delta.go
+++ b/mesh/note/delta.go
@@ -102,26 +102,31 @@
 
 // Apply returns the configuration that results from the delta. It is whole or
 // not at all: a result that does not validate is an error and c is unchanged.
+// c must be valid: only what the delta touches is checked. The result shares
+// the maps that the delta leaves as they are.
 func (c Config) Apply(d Delta) (Config, error) {
-	n := c.Clone()
+	b := newBuilder(c)
 	for _, s := range d.Services {
-		n.Services[s.Name] = s
+		b.services()[s.Name] = s
 	}
 	for _, r := range d.Routes {
-		n.Routes[r.Name] = r
+		b.routes()[r.Name] = r
 	}
 	for s, shares := range d.Shares {
-		n.Shares[s] = maps.Clone(shares)
+		b.shares()[s] = maps.Clone(shares)
 	}
-	maps.Copy(n.DataCentres, d.DataCentres)
 	for _, r := range d.RemovedRoutes {
-		delete(n.Routes, r)
+		delete(b.routes(), r)
 	}
 	for _, s := range d.RemovedShares {
-		delete(n.Shares, s)
+		delete(b.shares(), s)
 	}
 	for _, s := range d.RemovedServices {
-		delete(n.Services, s)
+		delete(b.services(), s)
 	}
-	return n, Validate(n)
+	if len(d.DataCentres) > 0 {
+		b.cfg.DataCentres = maps.Clone(c.DataCentres)
+		maps.Copy(b.cfg.DataCentres, d.DataCentres)
+	}
+	return b.cfg, validateChange(b.cfg, d)
 }
--- a/mesh/note/fold.go
+++ b/mesh/note/fold.go
@@ -194,5 +194,8 @@
 	if err := b.fold(n, nil); err != nil {
 		return Config{}, err
 	}
-	return b.cfg, Validate(b.cfg)
+	if err := Validate(b.cfg); err != nil {
+		return Config{}, err
+	}
+	return b.cfg, validateDistinct(b.cfg, b.changed.Routes)
 }
--- a/mesh/note/message.go
+++ b/mesh/note/message.go
@@ -73,6 +73,9 @@
 	// Note is the note whose move takes this step. It must be the newest note
 	// that states the service's traffic; 0 stands for that note.
 	Note uint64 `cbor:"3,keyasint,omitempty"`
+	// To is the target of the move. If it is set, the step is refused once an
+	// amendment has changed the target.
+	To model.ServiceVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // MarkInForce records that every node has reached a position: all changes up
@@ -81,17 +84,24 @@
 	Through model.Position `cbor:"1,keyasint"`
 }
 
-// MarkDone records that a move is complete.
+// MarkDone records that a move is complete. It has no effect on a move that
+// was reversed.
 type MarkDone struct {
 	Number  uint64            `cbor:"1,keyasint"`
 	Service model.ServiceName `cbor:"2,keyasint"`
+	// To is the target of the move. If it is set, the command is refused once
+	// an amendment has changed the target.
+	To model.ServiceVersion `cbor:"3,keyasint,omitempty"`
 }
 
-// MarkReversed records that a move was rolled back.
+// MarkReversed records that a move was rolled back, before or after it was done.
 type MarkReversed struct {
 	Number  uint64            `cbor:"1,keyasint"`
 	Service model.ServiceName `cbor:"2,keyasint"`
 	Reason  string            `cbor:"3,keyasint"`
+	// To is the target of the move. If it is set, the command is refused once
+	// an amendment has changed the target.
+	To model.ServiceVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // Code is the outcome of a command.
--- a/mesh/note/random_test.go
+++ b/mesh/note/random_test.go
@@ -269,6 +269,10 @@
 			if (whole == nil) != (change == nil) {
 				t.Fatalf("whole: %v, change: %v", whole, change)
 			}
+			applied, err := c.Apply(Diff(c, b.cfg))
+			if (whole == nil) != (err == nil) || err == nil && !cmp.Equal(applied, b.cfg) {
+				t.Fatalf("whole: %v, apply: %v", whole, err)
+			}
 			if whole == nil {
 				c = b.cfg
 			}
--- a/mesh/note/state.go
+++ b/mesh/note/state.go
@@ -1,6 +1,8 @@
 package note
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"balsamtrail.org/mesh/invariant"
@@ -221,5 +223,8 @@
 			return Config{}, inNote(r, replace, err)
 		}
 	}
-	return b.cfg, Validate(b.cfg)
+	if err := Validate(b.cfg); err != nil {
+		return Config{}, err
+	}
+	return b.cfg, validateDistinct(b.cfg, slices.Collect(maps.Values(b.cfg.Routes)))
 }
--- a/mesh/note/state_test.go
+++ b/mesh/note/state_test.go
@@ -137,6 +137,8 @@
 			Services: Changes[Service]{Added: []Service{service("ledger")}}}, "services.added[0]"),
 		Entry("a withdrawn service that a route needs", Note{Number: 2,
 			Services: Changes[Service]{Withdrawn: []string{"ledger"}}}, "routes[stock].service"),
+		Entry("a route that matches the same requests", Note{Number: 2, Routes: Changes[Route]{
+			Added: []Route{func() Route { r := route("twin", "ledger"); r.PathPrefix = "/stock"; return r }()}}}, "routes[twin].path_prefix"),
 		Entry("a move to the version that holds all traffic", moveNote(2, "v1"), "moves[0].to"),
 		Entry("a move whose deadline has passed", Note{Number: 2,
 			Moves: []Move{{Service: "ledger", To: "v2", By: start}}}, "moves[0].by"),
@@ -189,6 +191,21 @@
 		Expect(audit[1].Reason).To(Equal("errors"))
 	})
 
+	It("refuses the end of a move that an amendment or withdrawal has overtaken", func() {
+		d.publish(ledgerNote())
+		d.publish(moveNote(2, "v2"))
+		d.do(Command{Amend: &Amend{Note: moveNote(2, "v3"), Expected: 1}})
+		late := MarkDone{Number: 2, Service: "ledger", To: "v2"}
+		Expect(d.do(Command{Operator: RolloutOperator, MarkDone: &late}).Err()).To(MatchError(ErrConflict))
+		Expect(d.step(&SetShares{Service: "ledger", Shares: all("v2"), Note: 2, To: "v2"}).Err()).To(MatchError(ErrConflict))
+		d.do(Command{Operator: RolloutOperator, MarkReversed: &MarkReversed{Number: 2, Service: "ledger", To: "v3"}})
+		late.To = "v3"
+		d.do(Command{Operator: RolloutOperator, MarkDone: &late})
+		Expect(d.Moves()[0].Done).To(BeZero(), "a reversed move must not become done")
+		d.do(Command{Withdraw: &Withdraw{Number: 2, Expected: 2}})
+		Expect(d.do(Command{Operator: RolloutOperator, MarkDone: &late}).Err()).To(MatchError(ErrConflict))
+	})
+
 	It("returns a data centre in two steps and lets a new outage win", func() {
 		out := Command{TakeOut: &TakeOut{DataCentre: "thun"}}
 		back := Command{BeginReturn: &BeginReturn{DataCentre: "thun"}}
--- a/mesh/note/steps.go
+++ b/mesh/note/steps.go
@@ -20,7 +20,7 @@
 		return Result{}, err
 	}
 	owner := s.trafficOwner(cmd.Service)
-	if cmd.Note != 0 && (owner == nil || owner.Note.Number != cmd.Note) {
+	if !cmd.belongsTo(owner) {
 		return Result{}, s.stepConflict(cmd, owner)
 	}
 	if maps.Equal(cmd.Shares, s.config.Shares[cmd.Service]) {
@@ -36,8 +36,18 @@
 	return Result{Number: cmd.Note, Changed: true}, nil
 }
 
+// belongsTo reports whether the step is one of the note that states the
+// service's traffic.
+func (c *SetShares) belongsTo(owner *Record) bool {
+	if owner == nil {
+		return c.Note == 0
+	}
+	m, _ := owner.Note.move(c.Service)
+	return (c.Note == 0 || c.Note == owner.Note.Number) && (c.To == "" || c.To == m.To)
+}
+
 func (s *State) stepConflict(cmd *SetShares, owner *Record) error {
-	e := &conflictError{message: fmt.Sprintf("note %d no longer states the traffic of service %s", cmd.Note, cmd.Service)}
+	e := &conflictError{message: fmt.Sprintf("note %d no longer moves service %s to this version", cmd.Note, cmd.Service)}
 	if owner != nil {
 		e.winner = owner.winner()
 	}
@@ -85,17 +95,18 @@
 }
 
 func (s *State) markDone(c Command) (Result, error) {
-	return s.markMove(c.MarkDone.Number, c.MarkDone.Service, func(m *MoveState) {
-		if m.Done.IsZero() {
+	cmd := c.MarkDone
+	return s.markMove(cmd.Number, cmd.Service, cmd.To, func(m *MoveState) {
+		if m.Done.IsZero() && m.Reversed.IsZero() {
 			m.Done = s.now
 		}
 	})
 }
 
 func (s *State) markReversed(c Command) (Result, error) {
-	reason := c.MarkReversed.Reason
-	reason = reason[:min(len(reason), maxReasonLength)]
-	return s.markMove(c.MarkReversed.Number, c.MarkReversed.Service, func(m *MoveState) {
+	cmd := c.MarkReversed
+	reason := cmd.Reason[:min(len(cmd.Reason), maxReasonLength)]
+	return s.markMove(cmd.Number, cmd.Service, cmd.To, func(m *MoveState) {
 		if m.Reversed.IsZero() {
 			m.Reversed, m.Reason = s.now, reason
 		}
@@ -103,22 +114,28 @@
 }
 
 // markMove updates a move in its record, or in the archive if the note is folded.
-func (s *State) markMove(number uint64, service model.ServiceName, mark func(*MoveState)) (Result, error) {
-	if r := s.record(number); r != nil {
-		m := r.moveState(service)
-		if m == nil {
+func (s *State) markMove(number uint64, service model.ServiceName, to model.ServiceVersion, mark func(*MoveState)) (Result, error) {
+	r := s.record(number)
+	m, archived := s.archive[service]
+	if r != nil {
+		found := r.moveState(service)
+		if found == nil {
 			return Result{}, eris.Wrapf(ErrNotFound, "move of service %q in note %d", service, number)
 		}
-		mark(m)
-		r.settle()
-		s.audit.settle(r, m.Reason)
-		return Result{Number: number, Revision: r.Note.Revision}, nil
-	}
-	m, ok := s.archive[service]
-	if !ok || m.Note != number {
+		m = *found
+	} else if !archived || m.Note != number {
 		return Result{}, eris.Wrapf(ErrNotFound, "move of service %q in note %d", service, number)
 	}
+	if m.Withdrawn || to != "" && m.Move.To != to {
+		return Result{}, &conflictError{message: fmt.Sprintf("note %d no longer moves service %s to this version", number, service)}
+	}
 	mark(&m)
-	s.archive[service] = m
+	if r == nil {
+		s.archive[service] = m
+		return Result{Number: number, Revision: m.Revision}, nil
+	}
+	*r.moveState(service) = m
+	r.settle()
+	s.audit.settle(r, m.Reason)
 	return Result{Number: number, Revision: m.Revision}, nil
 }
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -1,6 +1,7 @@
 package note
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -61,11 +62,17 @@
 		}
 	}
 	for _, r := range d.Routes {
+		if _, ok := c.Routes[r.Name]; !ok {
+			continue // also withdrawn
+		}
 		if err := validateRouteIn(c, r.Name); err != nil {
 			return err
 		}
 	}
 	for name := range d.Shares {
+		if _, ok := c.Shares[name]; !ok {
+			continue // also withdrawn
+		}
 		if err := validateSharesIn(c, name); err != nil {
 			return err
 		}
@@ -155,6 +162,35 @@
 	return nil
 }
 
+// validateDistinct refuses two routes that match the same requests, since
+// nodes could choose differently between them. It compares the given routes
+// with all others.
+func validateDistinct(c Config, changed []Route) error {
+	if len(changed) == 0 {
+		return nil
+	}
+	byPrefix := make(map[string][]Route, len(changed))
+	for _, r := range changed {
+		byPrefix[r.PathPrefix] = append(byPrefix[r.PathPrefix], r)
+	}
+	for _, o := range c.Routes {
+		for _, r := range byPrefix[o.PathPrefix] {
+			if r.Name != o.Name && r.overlaps(o) {
+				return invalid(element("routes", string(r.Name))+".path_prefix", "route %q matches the same requests", o.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// overlaps reports whether a request method matches both routes; no methods stand for all.
+func (r Route) overlaps(o Route) bool {
+	if len(r.Methods) == 0 || len(o.Methods) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(r.Methods, func(m string) bool { return slices.Contains(o.Methods, m) })
+}
+
 func validateSharesIn(c Config, name model.ServiceName) error {
 	field := element("shares", string(name))
 	if _, ok := c.Services[name]; !ok {
