--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -19,6 +19,9 @@
 	// is out; empty, the default, keeps none. A restarted node then routes only
 	// once it has learned the position from control hosts or peers.
 	CacheFile string `json:"cache_file"`
+	// ClaimGroups is the number of replicated groups that hold idempotency
+	// claims; default 4. It must equal claim_groups of the control hosts.
+	ClaimGroups int `json:"claim_groups" validate:"min=1,max=64"`
 	// Timeouts holds the time limits.
 	Timeouts NodeTimeouts `json:"timeouts"`
 	// FanOut bounds the node's part in the distribution tree.
@@ -128,7 +131,8 @@
 // DefaultNode returns the defaults of the fields that have one.
 func DefaultNode() Node {
 	return Node{
-		Backend: Backend{HealthPath: "/healthz"},
+		Backend:     Backend{HealthPath: "/healthz"},
+		ClaimGroups: 4,
 		Timeouts: NodeTimeouts{
 			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: time.Second,
 			Repair: 2 * time.Second, Connect: 250 * time.Millisecond, Health: time.Second,
