Audit changes of control hosts; keep long polls from taking every slot

Changes of the control group had no audit record, and 512 waiting long polls would have refused all other requests, /healthz included. Long polls now get half of the slots.

--- a/mesh/note/apply.go
+++ b/mesh/note/apply.go
@@ -249,3 +249,19 @@
 	})
 	return Result{Changed: true}, nil
 }
+
+func (s *State) recordHost(c Command, pos model.Position) (Result, error) {
+	h := c.RecordHost
+	if !validName(string(h.Host)) {
+		return Result{}, invalid("host", "%q is not a name", h.Host)
+	}
+	action, what := ActionControlHostAdd, "added"
+	if h.Removed {
+		action, what = ActionControlHostRemove, "removed"
+	}
+	s.audit.add(AuditRecord{
+		Operator: c.Operator, Operation: c.Operation, Action: action, Position: pos, DataCentre: h.DataCentre,
+		Accepted: s.now, Changes: []string{fmt.Sprintf("control host %s %s", h.Host, what)},
+	})
+	return Result{}, nil
+}
--- a/mesh/note/audit.go
+++ b/mesh/note/audit.go
@@ -29,6 +29,8 @@
 	ActionDataCentreReturn    Action = "data-centre-return"
 	ActionDataCentreInService Action = "data-centre-in-service"
 	ActionSetShares           Action = "set-shares"
+	ActionControlHostAdd      Action = "control-host-add"
+	ActionControlHostRemove   Action = "control-host-remove"
 )
 
 // AuditRecord states who changed what and when, and how it went on.
--- a/mesh/note/message.go
+++ b/mesh/note/message.go
@@ -31,6 +31,7 @@
 	MarkInForce  *MarkInForce  `cbor:"17,keyasint,omitempty"`
 	MarkDone     *MarkDone     `cbor:"18,keyasint,omitempty"`
 	MarkReversed *MarkReversed `cbor:"19,keyasint,omitempty"`
+	RecordHost   *RecordHost   `cbor:"20,keyasint,omitempty"`
 }
 
 // Publish accepts a new note; its number must be one more than the newest note's.
@@ -104,6 +105,14 @@
 	To model.ServiceVersion `cbor:"4,keyasint,omitempty"`
 }
 
+// RecordHost records in the audit that an operator added or removed a control
+// host; the change itself is one of the replicated log's members.
+type RecordHost struct {
+	Host       model.HostID     `cbor:"1,keyasint"`
+	DataCentre model.DataCentre `cbor:"2,keyasint,omitempty"`
+	Removed    bool             `cbor:"3,keyasint,omitempty"`
+}
+
 // Code is the outcome of a command.
 type Code string
 
--- a/mesh/note/state.go
+++ b/mesh/note/state.go
@@ -125,6 +125,8 @@
 		return s.markInForce(c)
 	case c.MarkDone != nil:
 		return s.markDone(c)
+	case c.RecordHost != nil:
+		return s.recordHost(c, pos)
 	default:
 		return s.markReversed(c)
 	}
@@ -142,6 +144,7 @@
 	for _, present := range []bool{
 		c.Publish != nil, c.Amend != nil, c.Withdraw != nil, c.TakeOut != nil, c.BeginReturn != nil,
 		c.FinishReturn != nil, c.SetShares != nil, c.MarkInForce != nil, c.MarkDone != nil, c.MarkReversed != nil,
+		c.RecordHost != nil,
 	} {
 		if present {
 			set++
--- a/mesh/operator/reads.go
+++ b/mesh/operator/reads.go
@@ -4,6 +4,8 @@
 	"math"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"balsamtrail.org/mesh/model"
 )
 
@@ -50,6 +52,12 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	select {
+	case s.polls <- struct{}{}:
+		defer func() { <-s.polls }()
+	default:
+		return 0, nil, eris.Wrapf(ErrOverloaded, "%d long polls wait already", cap(s.polls))
+	}
 	answer, err := s.service.WatchMove(r.ctx, service, seen)
 	return http.StatusOK, answer, err
 }
--- a/mesh/operator/server.go
+++ b/mesh/operator/server.go
@@ -37,7 +37,8 @@
 	// RequestBytes bounds a request body, in bytes. A greater one admits
 	// greater notes and costs memory for each request.
 	RequestBytes int64
-	// Requests bounds the requests served together. More need more memory.
+	// Requests bounds the requests served together, of which long polls may
+	// take half. More need more memory.
 	Requests int
 	// Log receives one line for each write and each refused request.
 	Log *slog.Logger
@@ -54,8 +55,10 @@
 	service *Service
 	tokens  tokens
 	slots   chan struct{}
-	http    *khttp.Server
-	ready   func() error
+	// polls holds the long polls; they may take half of the slots.
+	polls chan struct{}
+	http  *khttp.Server
+	ready func() error
 }
 
 // NewServer returns a server that is not started yet. ready reports why the
@@ -65,7 +68,8 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	s := &Server{
-		cfg: cfg, service: NewService(b, cfg.Watch), slots: make(chan struct{}, cfg.Requests), ready: ready,
+		cfg: cfg, service: NewService(b, cfg.Watch), slots: make(chan struct{}, cfg.Requests),
+		polls: make(chan struct{}, max(1, cfg.Requests/2)), ready: ready,
 	}
 	var err error
 	if s.tokens, err = newTokens(cfg.Operators); err != nil {
--- a/mesh/operator/server_test.go
+++ b/mesh/operator/server_test.go
@@ -93,7 +93,14 @@
 		Expect([]any{code, e.Code}).To(Equal([]any{504, CodeOutcomeUnknown}))
 	})
 
-	It("refuses requests beyond its bound", func() {
+	It("refuses requests beyond its bound, and long polls before others", func() {
+		for range cap(server.polls) {
+			server.polls <- struct{}{}
+		}
+		code, _ := send("GET", "/v1/moves/ledger?watch=1", "")
+		Expect(code).To(Equal(503))
+		code, _ = send("GET", "/v1/moves/ledger", "")
+		Expect(code).To(Equal(200))
 		for range cap(server.slots) {
 			server.slots <- struct{}{}
 		}
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -92,8 +92,8 @@
 	// RequestBytes bounds the body of an operator's request; default 1048576
 	// bytes. A greater one admits greater notes and costs memory for each request.
 	RequestBytes int64 `json:"request_bytes" validate:"min=4096,max=4194304"`
-	// Requests bounds the operator requests served together, long polls
-	// included; default 512. Beyond it requests are refused with 503.
+	// Requests bounds the operator requests served together, of which long polls
+	// may take half; default 512. Beyond it requests are refused with 503.
 	Requests int `json:"requests" validate:"min=8,max=65536"`
 	// Children bounds the nodes of one data centre that this host serves
 	// directly; default 8. More make the tree flatter and cost bytes at the source.
