--- a/mesh/operator/fake_test.go
+++ b/mesh/operator/fake_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/model"
@@ -17,6 +18,13 @@
 	"balsamtrail.org/mesh/settings"
 )
 
+// TestMain fails on goroutines that outlive their server or client.
+// Ginkgo's own signal handler is one that stays.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
+
 func TestOperator(t *testing.T) {
 	invariant.SetFatal(true)
 	RegisterFailHandler(Fail)
