--- a/mesh/cmd/balsamtrail/devca.go
+++ b/mesh/cmd/balsamtrail/devca.go
@@ -45,9 +45,12 @@
 		return err
 	}
 	issued := []string{filepath.Join(c.Dir, "ca.pem")}
-	for role, hosts := range map[peer.Role][]string{peer.RoleControl: c.Control, peer.RoleNode: c.Node} {
-		for _, h := range hosts {
-			file, err := issue(ca, role, h)
+	for _, group := range []struct {
+		role  peer.Role
+		hosts []string
+	}{{peer.RoleControl, c.Control}, {peer.RoleNode, c.Node}} {
+		for _, h := range group.hosts {
+			file, err := issue(ca, group.role, h)
 			if err != nil {
 				return err
 			}
