--- a/mesh/note/apply.go
+++ b/mesh/note/apply.go
@@ -30,6 +30,9 @@
 	if err := validateChange(b.cfg, b.changed); err != nil {
 		return Result{}, err
 	}
+	if err := validateDistinct(b.cfg, b.changed.Routes); err != nil {
+		return Result{}, err
+	}
 	n.Revision = 1
 	r := &Record{
 		Note: n, Operator: c.Operator, Operation: c.Operation, Position: pos, Accepted: s.now,
@@ -246,3 +249,19 @@
 	})
 	return Result{Changed: true}, nil
 }
+
+func (s *State) recordHost(c Command, pos model.Position) (Result, error) {
+	h := c.RecordHost
+	if !validName(string(h.Host)) {
+		return Result{}, invalid("host", "%q is not a name", h.Host)
+	}
+	action, what := ActionControlHostAdd, "added"
+	if h.Removed {
+		action, what = ActionControlHostRemove, "removed"
+	}
+	s.audit.add(AuditRecord{
+		Operator: c.Operator, Operation: c.Operation, Action: action, Position: pos, DataCentre: h.DataCentre,
+		Accepted: s.now, Changes: []string{fmt.Sprintf("control host %s %s", h.Host, what)},
+	})
+	return Result{}, nil
+}
--- a/mesh/note/audit.go
+++ b/mesh/note/audit.go
@@ -29,6 +29,8 @@
 	ActionDataCentreReturn    Action = "data-centre-return"
 	ActionDataCentreInService Action = "data-centre-in-service"
 	ActionSetShares           Action = "set-shares"
+	ActionControlHostAdd      Action = "control-host-add"
+	ActionControlHostRemove   Action = "control-host-remove"
 )
 
 // AuditRecord states who changed what and when, and how it went on.
@@ -79,11 +81,9 @@
 }
 
 func (a *auditLog) markInForce(through model.Position, at time.Time) {
-	for i := range a.records {
+	first := a.next - uint64(len(a.records))
+	for i := max(a.pending, first) - first; i < uint64(len(a.records)); i++ {
 		r := &a.records[i]
-		if r.Sequence < a.pending {
-			continue
-		}
 		if through.Less(r.Position) {
 			return
 		}
