--- a/mesh/callmux/call.go
+++ b/mesh/callmux/call.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/invariant"
 )
 
 func (c *call) addCredit(payload []byte) error {
@@ -19,6 +21,29 @@
 	return c.out.add(int(n))
 }
 
+// bodyBytes returns the body bytes of a data frame. The last frame states the
+// total; a body that differs from it never reaches its reader as whole.
+func (c *call) bodyBytes(f frame) ([]byte, error) {
+	body := f.payload
+	if f.end {
+		if len(body) < totalLength {
+			return nil, eris.Wrapf(ErrProtocol, "last data frame of %d bytes", len(body))
+		}
+		body = body[:len(body)-totalLength]
+	}
+	c.received += uint64(len(body))
+	if !f.end {
+		return body, nil
+	}
+	total := binary.BigEndian.Uint64(f.payload[len(body):])
+	invariant.Check(total == c.received, invariant.WholeAnswer, "body differs from its stated length",
+		"call", c.id, "received", c.received, "stated", total)
+	if total != c.received {
+		return nil, eris.Wrapf(ErrProtocol, "body of %d bytes in place of its stated %d", c.received, total)
+	}
+	return body, nil
+}
+
 // requestBody is the streamed body of a request on the server.
 type requestBody struct {
 	cn *connection
--- a/mesh/callmux/connection.go
+++ b/mesh/callmux/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"math"
@@ -38,8 +39,10 @@
 	out   credit
 	// head receives the head frame of the response; on the client only.
 	head chan frame
-	// answered says that it did; only the reader goroutine uses it.
+	// answered says that it did, received counts the body bytes; only the reader
+	// goroutine uses them.
 	answered bool
+	received uint64
 
 	// sent says that the writer took a frame of this call, withdrawn that it
 	// must take none any more. The mutex of the outQueue guards both.
@@ -307,7 +310,11 @@
 		cn.remove(c, cause)
 		return nil
 	case frameData:
-		return c.in.put(f.payload, f.end)
+		body, err := c.bodyBytes(f)
+		if err != nil {
+			return err
+		}
+		return c.in.put(body, f.end)
 	default:
 		return eris.Wrapf(ErrProtocol, "unexpected frame of kind %d", f.kind)
 	}
@@ -382,6 +389,7 @@
 
 // pump sends a streamed body within the credit of the call.
 func (cn *connection) pump(c *call, body io.Reader) error {
+	var total uint64
 	for {
 		n := min(c.out.available(), maxData)
 		if n == 0 {
@@ -392,7 +400,7 @@
 				return c.ended()
 			}
 		}
-		buf := make([]byte, n)
+		buf := make([]byte, n, n+totalLength)
 		n, err := body.Read(buf)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
@@ -402,7 +410,12 @@
 			continue
 		}
 		c.out.spend(n)
-		if err := cn.sendData(c, frame{kind: frameData, end: end, call: c.id, payload: buf[:n]}); err != nil {
+		total += uint64(n)
+		buf = buf[:n]
+		if end {
+			buf = binary.BigEndian.AppendUint64(buf, total)
+		}
+		if err := cn.sendData(c, frame{kind: frameData, end: end, call: c.id, payload: buf}); err != nil {
 			return err
 		}
 		if end {
--- a/mesh/callmux/frame.go
+++ b/mesh/callmux/frame.go
@@ -19,6 +19,9 @@
 	maxData   = 16 << 10
 	maxHello  = 256
 	maxReason = 256
+	// totalLength is the size of the total that ends a streamed body: the number
+	// of its bytes, which the receiver compares with what it got.
+	totalLength = 8
 	// headLength is the size of the length that precedes the head in its frame.
 	headLength = 4
 	// typicalHead is the room made for an encoded head before its size is known.
@@ -34,7 +37,8 @@
 	frameHello frameKind = iota + 1
 	frameRequest
 	frameResponse
-	// frameData carries body bytes in either direction.
+	// frameData carries body bytes in either direction; the last one of a body
+	// ends with the total.
 	frameData
 	// frameWindow returns credit for body bytes that the receiver has consumed.
 	frameWindow
@@ -54,7 +58,7 @@
 	frameHello:    maxHello,
 	frameRequest:  headLength + MaxHead + maxData,
 	frameResponse: headLength + MaxHead + maxData,
-	frameData:     maxData,
+	frameData:     maxData + totalLength,
 	frameWindow:   4,
 	frameCancel:   maxReason,
 	framePing:     0,
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -247,6 +247,9 @@
 	}
 	invariant.Check(v.source.shares[e.version] > 0, invariant.BadVersionShare, "call for a version without a share",
 		"service", service, "version", e.version)
+	if p.cfg.Log.Enabled(context.Background(), slog.LevelDebug) {
+		p.cfg.Log.Debug("version chosen", "service", string(service), "version", string(e.version), "share", e.share, "lag", e.lag)
+	}
 	return e.version, nil
 }
 
