--- a/mesh/callmux/callmux_test.go
+++ b/mesh/callmux/callmux_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -159,7 +160,7 @@
 
 	It("gives the reader an error for a response body that is cut short", func() {
 		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
-			broken := io.MultiReader(strings.NewReader("part"), errReader{})
+			broken := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("backend server reset")))
 			return &callmux.Response{Status: 200, Body: io.NopCloser(broken)}, nil
 		})
 		resp := must(do(context.Background(), &callmux.Request{}))
@@ -194,6 +195,15 @@
 		Expect([]error{<-errs, <-errs}).To(HaveEach(BeNil()))
 	})
 
+	It("closes connections above the bound of the server before anything is sent", func() {
+		serve(callmux.Config{MaxConnections: 1}, echo)
+		must(do(context.Background(), &callmux.Request{}))
+		other := callmux.NewClient(callmux.Config{Credentials: credentials(dir, entryID)})
+		defer other.Close()
+		_, err := other.Do(context.Background(), addr, servingID, &callmux.Request{})
+		Expect(errors.Is(err, callmux.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
 	It("refuses a head above its bound before sending it", func() {
 		serve(callmux.Config{}, echo)
 		_, err := do(context.Background(), &callmux.Request{Path: strings.Repeat("x", callmux.MaxHead)})
@@ -221,10 +231,6 @@
 	})
 })
 
-type errReader struct{}
-
-func (errReader) Read([]byte) (int, error) { return 0, errors.New("backend server reset") }
-
 type zeroes struct{}
 
 func (zeroes) Read(p []byte) (int, error) { return len(p), nil }
--- a/mesh/routing/table_test.go
+++ b/mesh/routing/table_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -107,6 +108,26 @@
 	})
 })
 
+var _ = Describe("Attempts", func() {
+	DescribeTable("decides on another try", func(kind model.Kind, r Result, notRun bool, after time.Duration, want Verdict) {
+		route := note.Route{Kind: kind, MaxRetries: 1}
+		a := NewAttempts(route, start.Add(time.Second), NewBudget(3), NewRetryBucket())
+		Expect(a.Retry(start.Add(after), r, notRun)).To(Equal(want))
+		if want == Again {
+			Expect(a.Retry(start, r, notRun)).To(Equal(RouteExhausted))
+			spent := NewAttempts(route, start.Add(time.Second), NewBudget(0), NewRetryBucket())
+			Expect(spent.Retry(start, r, notRun)).To(Equal(BudgetExhausted))
+		}
+	},
+		Entry(nil, model.KindLookup, ResultFailed, false, time.Duration(0), Again),
+		Entry(nil, model.KindUrgent, ResultRefused, false, time.Duration(0), Again),
+		Entry("a write that may have run", model.KindWrite, ResultFailed, false, time.Duration(0), MayHaveRun),
+		Entry("a write that has not", model.KindWrite, ResultRefused, true, time.Duration(0), Again),
+		Entry("a fault levels deeper", model.KindLookup, ResultError, false, time.Duration(0), FaultIsDeeper),
+		Entry("too late", model.KindLookup, ResultFailed, true, time.Second, PastDeadline),
+	)
+})
+
 var _ = Describe("Builder", func() {
 	It("builds the same tables as NewTable in 800 random changes", func() {
 		r := rand.New(rand.NewPCG(4, 4))
@@ -115,7 +136,8 @@
 		known := map[model.HostID]membership.Announcement{}
 		for i := range 800 {
 			next := cfg.Clone()
-			s := model.ServiceName(fmt.Sprint("s", r.IntN(5)))
+			s, id := model.ServiceName(fmt.Sprint("s", r.IntN(5))), model.HostID(fmt.Sprint("h", r.IntN(30)))
+			dc, route := model.DataCentre(s), model.RouteName(id)
 			switch r.IntN(8) {
 			case 0:
 				next.Services[s] = note.Service{Name: s, Slots: 1 + r.IntN(9)}
@@ -124,21 +146,18 @@
 				delete(next.Services, s)
 				delete(next.Shares, s)
 			case 2:
-				next.Routes[model.RouteName(s)] = note.Route{Name: model.RouteName(s), PathPrefix: "/" + string(s), Service: s}
+				next.Routes[route] = note.Route{Name: route, PathPrefix: "/" + string(s), Service: s}
 			case 3:
-				delete(next.Routes, model.RouteName(s))
+				delete(next.Routes, route)
 			case 4:
-				next.DataCentres[model.DataCentre(s)] = note.DataCentreState(1 + r.IntN(3))
+				next.DataCentres[dc] = note.DataCentreState(1 + r.IntN(3))
 			case 5:
-				id := model.HostID(fmt.Sprint("h", r.IntN(30)))
 				delete(known, id)
 				b.Forget(id)
 			default:
-				a := membership.Announcement{Host: model.HostID(fmt.Sprint("h", r.IntN(30))), Incarnation: uint64(i), Service: s}
-				a.Version, a.State = model.ServiceVersion(fmt.Sprint("v", 1+r.IntN(2))), membership.State(1+r.IntN(4))
-				a.DataCentre = model.DataCentre(fmt.Sprint("s", r.IntN(5)))
-				known[a.Host] = a
-				b.Announce(a, membership.Announcement{Host: a.Host, Service: "s0", State: membership.StateServing})
+				known[id] = membership.Announcement{Host: id, Incarnation: uint64(i), Service: s, DataCentre: dc,
+					Version: model.ServiceVersion(fmt.Sprint("v", 1+r.IntN(2))), State: membership.State(1 + r.IntN(4))}
+				b.Announce(known[id], membership.Announcement{Host: id, Service: "s0", State: membership.StateServing})
 			}
 			b.SetConfig(next, note.Diff(cfg, next))
 			cfg = next
