--- a/mesh/distribute/acceptor.go
+++ b/mesh/distribute/acceptor.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"log/slog"
 	"reflect"
 	"slices"
@@ -29,6 +30,8 @@
 type HeldRoute struct {
 	Route   model.RouteName
 	Service model.ServiceName
+	// Since is the version that the route was first held back in.
+	Since model.Position
 }
 
 // Acceptor decides on a node which versions come into force. One mutex guards
@@ -158,11 +161,11 @@
 // put brings an accepted version into force. announced is the sum that the
 // sender stated.
 func (a *Acceptor) put(from, next *Version, d note.Delta, announced uint64) error {
-	former := note.Config{}
+	former := &InForce{}
 	if f := a.inForce.Load(); f != nil {
-		former = f.Config
+		former = f
 	}
-	cfg, held := effective(former, next.Config, a.eps.HasAlive)
+	cfg, held := effective(former, next, a.eps.HasAlive)
 	if err := a.store.replace(from, next, d); err != nil {
 		return err
 	}
@@ -183,7 +186,7 @@
 	if !slices.ContainsFunc(f.Held, func(h HeldRoute) bool { return a.eps.HasAlive(h.Service) }) {
 		return
 	}
-	cfg, held := effective(f.Config, f.Accepted.Config, a.eps.HasAlive)
+	cfg, held := effective(f, f.Accepted, a.eps.HasAlive)
 	a.swap(&InForce{Accepted: f.Accepted, Config: cfg, Held: held}, f.Accepted.Sum)
 	a.log.Info("held routes in force", "position", f.Accepted.Position.String(),
 		"released", len(f.Held)-len(held), "held_routes", len(held))
@@ -237,34 +240,47 @@
 // service has no endpoint here: it stays as it was, together with the service
 // that it points at. A route that was in force before keeps its place even if
 // its service lost all endpoints.
-func effective(former, accepted note.Config, hasEndpoint func(model.ServiceName) bool) (note.Config, []HeldRoute) {
-	cfg := accepted.Clone()
+func effective(former *InForce, accepted *Version, hasEndpoint func(model.ServiceName) bool) (note.Config, []HeldRoute) {
+	cfg := accepted.Config.Clone()
 	var held []HeldRoute
-	for name, r := range accepted.Routes {
-		was, had := former.Routes[name]
+	for name, r := range accepted.Config.Routes {
+		was, had := former.Config.Routes[name]
 		if had && reflect.DeepEqual(was, r) || hasEndpoint(r.Service) {
 			continue
 		}
-		held = append(held, HeldRoute{Route: name, Service: r.Service})
-		if !had {
+		held = append(held, HeldRoute{Route: name, Service: r.Service, Since: accepted.Position})
+		if had {
+			keepRoute(cfg, former.Config, was)
+		} else {
 			delete(cfg.Routes, name)
-			continue
-		}
-		cfg.Routes[name] = was
-		if _, ok := cfg.Services[was.Service]; !ok {
-			cfg.Services[was.Service] = former.Services[was.Service]
-			if s, ok := former.Shares[was.Service]; ok {
-				cfg.Shares[was.Service] = s
-			}
 		}
 	}
-	slices.SortFunc(held, func(a, b HeldRoute) int {
-		if a.Route < b.Route {
-			return -1
+	slices.SortFunc(held, func(a, b HeldRoute) int { return cmp.Compare(a.Route, b.Route) })
+	return cfg, keepSince(held, former.Held)
+}
+
+// keepRoute puts a former route into cfg, with its service if that was removed.
+func keepRoute(cfg, former note.Config, was note.Route) {
+	cfg.Routes[was.Name] = was
+	if _, ok := cfg.Services[was.Service]; ok {
+		return
+	}
+	cfg.Services[was.Service] = former.Services[was.Service]
+	if s, ok := former.Shares[was.Service]; ok {
+		cfg.Shares[was.Service] = s
+	}
+}
+
+// keepSince takes over the position of the routes that were already held back
+// for the same service. Both lists are ordered by route.
+func keepSince(held, former []HeldRoute) []HeldRoute {
+	for i, h := range held {
+		j, ok := slices.BinarySearchFunc(former, h.Route, func(f HeldRoute, name model.RouteName) int { return cmp.Compare(f.Route, name) })
+		if ok && former[j].Service == h.Service {
+			held[i].Since = former[j].Since
 		}
-		return 1
-	})
-	return cfg, held
+	}
+	return held
 }
 
 // Report returns the node's own part of its subtree's report.
@@ -281,7 +297,7 @@
 		if len(r.Refusals) == maxRefusals {
 			break
 		}
-		r.Refusals = append(r.Refusals, Refusal{Host: a.self, Position: r.Least, Route: h.Route,
+		r.Refusals = append(r.Refusals, Refusal{Host: a.self, Position: h.Since, Route: h.Route,
 			Reason: "no endpoint of service " + string(h.Service)})
 	}
 	return r
