Hand leases over between control hosts and adopt those of a lost one

A node that moved to another control host was declared lapsed by its former one, and a node that died together with its lease holder, as when a rack is lost, was never declared lapsed.

--- a/mesh/distribute/fleet_test.go
+++ b/mesh/distribute/fleet_test.go
@@ -96,7 +96,7 @@
 	f.root = Parent{Host: sourceIdentity.Host, Role: peer.RoleControl, DataCentre: "thun", Address: ep.Addr().String()}
 	go func() {
 		for sleep(t.Context(), membership.TickInterval) {
-			f.source.eps.MergeAll(f.holder.Keeper.Expire(time.Now()))
+			f.holder.Sweep(time.Now(), nil)
 		}
 	}()
 	for i := range n {
--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -105,6 +105,7 @@
 // the caller should try another control host.
 func Announce(ctx context.Context, p *Publisher, c *Contact, st peer.Stream) error {
 	defer context.AfterFunc(ctx, st.Abort)()
+	p.reannounce()
 	tick := time.NewTicker(RenewInterval)
 	defer tick.Stop()
 	for {
--- a/mesh/membership/announce_test.go
+++ b/mesh/membership/announce_test.go
@@ -31,7 +31,7 @@
 		go func() { done <- Announce(t.Context(), p, contact, st) }()
 		for range 40 {
 			time.Sleep(TickInterval)
-			h.Table.MergeAll(h.Keeper.Expire(time.Now()))
+			h.Sweep(time.Now(), nil)
 		}
 		expectState(t, h, StateServing)
 		if r, _ := contact.Last(); !r.InContact || r.Position != (model.Position{Epoch: 1, Index: 7}) {
@@ -129,3 +129,64 @@
 		t.Fatal("raised again by an older record")
 	}
 }
+
+// TestHolderChange guards against a node that is declared lapsed by its former
+// lease holder after it moved to another one.
+func TestHolderChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := holder(), holder()
+		second.Table = first.Table // the control hosts' tables agree within milliseconds
+		p := NewPublisher(announcement("n1", 0, 0, StateServing), time.Now())
+		for _, h := range []Holder{first, second} {
+			ctx, cancel := context.WithCancel(t.Context())
+			st, _ := serve(ctx, h, nodeID)
+			go func() { _ = Announce(ctx, p, &Contact{}, st) }()
+			for range 40 {
+				time.Sleep(TickInterval)
+				if n := len(first.Sweep(time.Now(), nil)) + len(second.Sweep(time.Now(), nil)); n != 0 {
+					t.Fatal("a renewing node lapsed")
+				}
+			}
+			cancel()
+		}
+	})
+}
+
+// TestHolderLost guards against a node that dies together with its lease
+// holder and is never declared lapsed, one that does so late, and one that
+// lapses although it moved to another control host.
+func TestHolderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost, other, leader := holder(), holder(), holder()
+		other.Table, leader.Table = lost.Table, lost.Table
+		for _, a := range []Announcement{announcement("dead", 1, 1, StateServing), announcement("moved", 1, 1, StateServing)} {
+			lost.renew(time.Now(), a)
+		}
+		other.renew(time.Now(), announcement("third", 1, 1, StateServing))
+		holdings := NewHoldings()
+		watch := func(name model.HostID, h Holder) context.CancelFunc {
+			ctx, cancel := context.WithCancel(t.Context())
+			mine, theirs := peer.Pipe(controlID, peer.Identity{Role: peer.RoleControl, Host: name})
+			go func() { _ = ServeHoldings(ctx, h.Keeper, theirs) }()
+			go func() { _ = WatchHoldings(ctx, holdings, mine) }()
+			return cancel
+		}
+		crash := watch("lost", lost)
+		watch("other", other)
+		time.Sleep(2 * HoldingsInterval)
+		crash()
+		start := time.Now()
+		other.renew(time.Now(), announcement("moved", 1, 2, StateServing))
+		for time.Since(start) < time.Minute {
+			time.Sleep(TickInterval)
+			for _, a := range leader.Sweep(time.Now(), holdings) {
+				if a.Host != "dead" || time.Since(start) > HolderSilence+LeaseTime+2*TickInterval {
+					t.Fatalf("%s lapsed after %s", a.Host, time.Since(start))
+				}
+			}
+		}
+		if a, _ := leader.Table.Get("dead"); a.State != StateLapsed {
+			t.Fatal("the dead node is not lapsed")
+		}
+	})
+}
--- a/mesh/membership/lease.go
+++ b/mesh/membership/lease.go
@@ -36,6 +36,8 @@
 type lease struct {
 	ann   Announcement
 	until time.Time
+	// adopted marks the lease of a lost control host's node.
+	adopted bool
 }
 
 // NewLeaseKeeper returns a keeper without leases.
@@ -56,14 +58,25 @@
 	k.leases[ann.Host] = lease{ann: ann, until: now.Add(LeaseTime)}
 }
 
-// Adopt gives hosts whose keeper was lost two leases of time to renew with any
+// Adopt gives hosts whose keeper was lost a lease of time to renew with any
 // keeper. Hosts that hold a lease here keep it.
 func (k *LeaseKeeper) Adopt(now time.Time, hosts []Announcement) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, a := range hosts {
 		if _, held := k.leases[a.Host]; !held && a.Alive() {
-			k.leases[a.Host] = lease{ann: a, until: now.Add(2 * LeaseTime)}
+			k.leases[a.Host] = lease{ann: a, until: now.Add(LeaseTime), adopted: true}
+		}
+	}
+}
+
+// returnAdopted drops the adopted leases of hosts that another keeper holds.
+func (k *LeaseKeeper) returnAdopted(elsewhere map[model.HostID]struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for h, l := range k.leases {
+		if _, ok := elsewhere[h]; ok && l.adopted {
+			delete(k.leases, h)
 		}
 	}
 }
@@ -134,13 +147,15 @@
 	k.extend(now)
 }
 
-// Held returns the leased records by host.
+// Held returns the records of the hosts that renew here, by host.
 func (k *LeaseKeeper) Held() []Announcement {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	out := make([]Announcement, 0, len(k.leases))
 	for _, l := range k.leases {
-		out = append(out, l.ann)
+		if !l.adopted {
+			out = append(out, l.ann)
+		}
 	}
 	slices.SortFunc(out, byHost)
 	return out
--- a/mesh/membership/lease_test.go
+++ b/mesh/membership/lease_test.go
@@ -56,10 +56,11 @@
 		Expect(run(time.Hour+LeaseTime, time.Hour+2*LeaseTime)).To(HaveLen(1))
 	})
 
-	It("lapses a host that died together with its keeper after two leases", func() {
+	It("lapses an adopted host that nobody renews, and does not count it as held", func() {
 		k.Adopt(epoch, []Announcement{n1, announcement("n2", 1, 1, StateServing), announcement("n3", 1, 1, StateLeft)})
 		k.Release("n2")
-		Expect(run(0, 2*LeaseTime)).To(BeEmpty())
-		Expect(run(2*LeaseTime, 3*LeaseTime)).To(HaveLen(1))
+		Expect(k.Held()).To(BeEmpty())
+		Expect(run(0, LeaseTime)).To(BeEmpty())
+		Expect(run(LeaseTime, 2*LeaseTime)).To(HaveLen(1))
 	})
 })
--- a/mesh/membership/message.go
+++ b/mesh/membership/message.go
@@ -6,8 +6,13 @@
 	"balsamtrail.org/mesh/model"
 )
 
-// MethodAnnounce is the peer method of the announce stream.
-const MethodAnnounce = "membership.announce"
+// The peer methods of this package.
+const (
+	// MethodAnnounce is the announce stream from a node to its lease holder.
+	MethodAnnounce = "membership.announce"
+	// MethodHoldings is the stream between control hosts about held leases.
+	MethodHoldings = "membership.holdings"
+)
 
 // maxText bounds each text field of an announcement.
 const maxText = 128
@@ -30,6 +35,20 @@
 	Seen *Announcement `cbor:"3,keyasint,omitempty"`
 }
 
+// holdingsQuery asks a control host for its leases.
+type holdingsQuery struct {
+	// Sum identifies the answer that is known already.
+	Sum   uint64 `cbor:"1,keyasint"`
+	Known bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// holdingsReply names the leased nodes if they differ from the known answer.
+type holdingsReply struct {
+	Sum     uint64         `cbor:"1,keyasint"`
+	Changed bool           `cbor:"2,keyasint,omitempty"`
+	Hosts   []model.HostID `cbor:"3,keyasint,omitempty"`
+}
+
 // Check reports the first bad field of an announcement that a node may send.
 func (a Announcement) Check() error {
 	texts := []struct{ field, value string }{
--- a/mesh/membership/publisher.go
+++ b/mesh/membership/publisher.go
@@ -66,6 +66,15 @@
 // Leave announces that the backend server has left.
 func (p *Publisher) Leave() { p.update(func(a *Announcement) { a.State = StateLeft }) }
 
+// reannounce raises the sequence at the start of an announce stream. By the
+// newer record the former lease holder sees that the node renews elsewhere.
+func (p *Publisher) reannounce() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ann.Sequence++
+	p.wake()
+}
+
 // Observe compares the own announcement with the record that others hold of
 // this host. If theirs replaces it, as after a lapse or a start with a clock
 // that went backwards, the incarnation is raised above theirs.
