--- a/mesh/distribute/fleet_test.go
+++ b/mesh/distribute/fleet_test.go
@@ -96,7 +96,7 @@
 	f.root = Parent{Host: sourceIdentity.Host, Role: peer.RoleControl, DataCentre: "thun", Address: ep.Addr().String()}
 	go func() {
 		for sleep(t.Context(), membership.TickInterval) {
-			f.source.eps.MergeAll(f.holder.Keeper.Expire(time.Now()))
+			f.holder.Sweep(time.Now(), nil)
 		}
 	}()
 	for i := range n {
@@ -202,7 +202,8 @@
 	switch f.mode {
 	case "tree":
 		o := AttachOptions{Self: n.id.Host, Follow: n.follow(), Log: quiet, Open: open,
-			Candidates: func() []Parent { return Parents(n.id.Host, "thun", nodes(), []Parent{f.root}) }}
+			Candidates: func() []Parent { return Parents(n.id.Host, "thun", nodes(), []Parent{f.root}) },
+			Preferred:  func() []Parent { return Preferred(n.id.Host, "thun", nodes(), []Parent{f.root}) }}
 		n.done.Go(func() { _ = Attach(ctx, n.a, n.eps, o) })
 		n.done.Go(func() {
 			_ = Repair(ctx, n.id.Host, n.a, n.eps, n.serve.Freshness, nodes, func(ctx context.Context, p Parent) (peer.Stream, error) {
