Use the slices' own retry rules and lease hand-over; audit control hosts

Change: the entry side asks routing.Attempts for retries and hedges instead of rules of its own; the leader adopts leases of lost control hosts through membership.Holdings instead of a list of its own; adding and removing control hosts is recorded in the audit; steps name the target of their move, so that a late one cannot hit an amended move.

--- a/mesh/control/backend.go
+++ b/mesh/control/backend.go
@@ -248,7 +248,16 @@
 // AddControlHost implements operator.Backend.
 func (b operatorBackend) AddControlHost(ctx context.Context, caller operator.Caller, h operator.ControlHostChange) error {
 	b.c.log.Info("control host to be added", "operator", string(caller.Operator), "host", string(h.Host), "address", h.Peer)
-	return operatorError(b.c.addHost(ctx, HostAddress(h)))
+	if err := b.c.addHost(ctx, HostAddress(h)); err != nil {
+		return operatorError(err)
+	}
+	return b.recordHost(ctx, caller, note.RecordHost{Host: h.Host, DataCentre: h.DataCentre})
+}
+
+// recordHost writes a change of the control hosts to the audit.
+func (b operatorBackend) recordHost(ctx context.Context, caller operator.Caller, r note.RecordHost) error {
+	_, err := b.c.submit(ctx, note.Command{Operator: caller.Operator, Operation: caller.Operation, RecordHost: &r})
+	return operatorError(err)
 }
 
 // RemoveControlHost implements operator.Backend.
@@ -256,7 +265,10 @@
 	b.c.log.Info("control host to be removed", "operator", string(caller.Operator), "host", string(host))
 	for _, m := range b.c.config.Status().Members {
 		if m.Host == host {
-			return operatorError(b.c.removeHost(ctx, host))
+			if err := b.c.removeHost(ctx, host); err != nil {
+				return operatorError(err)
+			}
+			return b.recordHost(ctx, caller, note.RecordHost{Host: host, Removed: true})
 		}
 	}
 	return eris.Wrapf(operator.ErrNotFound, "control host %q", host)
--- a/mesh/control/decide.go
+++ b/mesh/control/decide.go
@@ -13,9 +13,8 @@
 // decider is the leader's decision loop. It belongs to one goroutine and starts
 // anew with each term.
 type decider struct {
-	l       *leader
-	moves   *rollout.Leader
-	orphans *orphans
+	l     *leader
+	moves *rollout.Leader
 	// inForce is the position that was last marked as in force everywhere.
 	inForce model.Position
 	// refused holds the sequence of the status whose shares were refused, since
@@ -25,12 +24,11 @@
 	returning map[model.DataCentre]time.Time
 	centres   map[model.DataCentre]note.DataCentreState
 	disturbed time.Time
-	orphansAt time.Time
 }
 
 func (l *leader) decide(ctx context.Context) error {
 	d := &decider{
-		l: l, moves: rollout.NewLeader(l.log), orphans: newOrphans(), refused: map[model.ServiceName]uint64{},
+		l: l, moves: rollout.NewLeader(l.log), refused: map[model.ServiceName]uint64{},
 		returning: map[model.DataCentre]time.Time{},
 	}
 	tick := time.NewTicker(decideInterval)
@@ -61,10 +59,6 @@
 		d.proposeNote(ctx, c)
 	}
 	d.markInForce(ctx, state, view, len(alive))
-	if now.Sub(d.orphansAt) >= orphanInterval {
-		d.orphansAt = now
-		d.lapse(now, alive, view.held)
-	}
 }
 
 // capacity sums up what the two versions of a service can take.
@@ -119,13 +113,15 @@
 			continue
 		}
 		if d.sharesDiffer(s, st) {
-			add(note.Command{SetShares: &note.SetShares{Service: m.Move.Service, Shares: note.Shares(st.Shares()), Note: m.Note}})
+			add(note.Command{SetShares: &note.SetShares{
+				Service: m.Move.Service, Shares: note.Shares(st.Shares()), Note: m.Note, To: st.Move.To}})
 		}
 		if st.Completed != 0 && m.Done.IsZero() && m.Reversed.IsZero() && !m.Withdrawn {
-			add(note.Command{MarkDone: &note.MarkDone{Number: m.Note, Service: m.Move.Service}})
+			add(note.Command{MarkDone: &note.MarkDone{Number: m.Note, Service: m.Move.Service, To: st.Move.To}})
 		}
 		if st.Phase == rollout.PhaseReversed && m.Reversed.IsZero() {
-			add(note.Command{MarkReversed: &note.MarkReversed{Number: m.Note, Service: m.Move.Service, Reason: st.Reason}})
+			add(note.Command{MarkReversed: &note.MarkReversed{
+				Number: m.Note, Service: m.Move.Service, Reason: st.Reason, To: st.Move.To}})
 		}
 	}
 	for dc, since := range d.returning {
@@ -206,11 +202,3 @@
 	d.inForce = s.position
 	d.l.log.Info("in force everywhere", "position", s.position.String(), "nodes", alive)
 }
-
-// lapse declares nodes lapsed that no control host has heard for a while.
-func (d *decider) lapse(now time.Time, alive []membership.Announcement, held map[model.HostID]bool) {
-	for _, a := range d.orphans.observe(now, alive, held) {
-		d.l.c.endpoints.Merge(a)
-		d.l.log.Warn("lease lapsed", "host", string(a.Host), "service", string(a.Service), "reason", "no control host holds it")
-	}
-}
--- a/mesh/control/leader.go
+++ b/mesh/control/leader.go
@@ -21,14 +21,11 @@
 const (
 	pollInterval   = 250 * time.Millisecond
 	decideInterval = 200 * time.Millisecond
-	// leasesEvery is the number of polls between two questions for the leases.
-	leasesEvery = 8
 	// statusFresh is how long a control host's answer counts.
 	statusFresh = 5 * time.Second
 	// proposeTimeout bounds one command of the leader; an unfinished one is
 	// decided again at the next tick.
 	proposeTimeout = 2 * time.Second
-	orphanInterval = 2 * time.Second
 	// returnTime is how long a data centre is returning; it covers the ramp of
 	// the nodes and the warming up of its backend servers.
 	returnTime = 30 * time.Second
@@ -39,9 +36,6 @@
 	nodes distribute.SubtreeReport
 	loads []rollout.Load
 	at    time.Time
-	held  []model.HostID
-	// heldAt is when held was heard; zero if never.
-	heldAt time.Time
 }
 
 // leader does the work of the host that leads group 0: it moves traffic, marks
@@ -54,6 +48,9 @@
 	mu      sync.Mutex
 	hosts   map[model.HostID]hostState
 	reports []rollout.Report
+	// holdings are the leases of the other control hosts; nil while this host
+	// does not lead.
+	holdings *membership.Holdings
 }
 
 func newLeader(c *Control) *leader {
@@ -80,11 +77,13 @@
 func (l *leader) term(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.reset()
+	l.reset(membership.NewHoldings())
+	defer l.reset(nil)
 	l.log.Info("leading", "term", term)
 	g, ctx := errgroup.WithContext(ctx)
 	for _, h := range l.c.otherHosts() {
 		g.Go(func() error { return l.poll(ctx, h.Host) })
+		g.Go(func() error { return l.watchHoldings(ctx, h.Host) })
 	}
 	g.Go(func() error { return l.decide(ctx) })
 	g.Go(func() error {
@@ -95,11 +94,41 @@
 	l.log.Info("no longer leading", "term", term)
 }
 
-func (l *leader) reset() {
+func (l *leader) reset(holdings *membership.Holdings) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts = map[model.HostID]hostState{}
 	l.reports = nil
+	l.holdings = holdings
+}
+
+// otherHoldings returns the leases of the other control hosts; nil while this
+// host does not lead.
+func (l *leader) otherHoldings() *membership.Holdings {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holdings
+}
+
+// watchHoldings follows which leases another control host holds, so that a node
+// that dies together with its lease holder still lapses.
+func (l *leader) watchHoldings(ctx context.Context, id model.HostID) error {
+	for ctx.Err() == nil {
+		err := l.holdingsOnce(ctx, id)
+		if ctx.Err() == nil {
+			l.log.Info("holdings stream ended", "peer", string(id), "reason", err.Error())
+		}
+		pause(ctx, hostRetry)
+	}
+	return ctx.Err()
+}
+
+func (l *leader) holdingsOnce(ctx context.Context, id model.HostID) error {
+	st, err := l.c.openHost(ctx, id, membership.MethodHoldings)
+	if err != nil {
+		return err
+	}
+	return membership.WatchHoldings(ctx, l.otherHoldings(), st)
 }
 
 // untilLost waits until this host does not lead the term, or its members changed.
@@ -122,13 +151,11 @@
 func (l *leader) poll(ctx context.Context, id model.HostID) error {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
-	for i := 0; ; i++ {
-		h, ok := l.c.findHost(id)
-		if ok {
-			req := statusRequest{Leases: i%leasesEvery == 0}
+	for {
+		if h, ok := l.c.findHost(id); ok {
 			var reply statusReply
-			if err := l.c.call(ctx, h, methodStatus, req, &reply); err == nil {
-				l.heard(id, req, reply)
+			if err := l.c.call(ctx, h, methodStatus, statusRequest{}, &reply); err == nil {
+				l.heard(id, reply)
 			}
 		}
 		select {
@@ -139,29 +166,18 @@
 	}
 }
 
-func (l *leader) heard(id model.HostID, req statusRequest, reply statusReply) {
-	now := time.Now()
+func (l *leader) heard(id model.HostID, reply statusReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	st := l.hosts[id]
-	st.nodes, st.loads, st.at = reply.Nodes, reply.Loads, now
-	if req.Leases {
-		st.held, st.heldAt = reply.Held, now
-	}
-	l.hosts[id] = st
+	l.hosts[id] = hostState{nodes: reply.Nodes, loads: reply.Loads, at: time.Now()}
 	if r, err := rollout.DecodeReport(reply.Evidence); err == nil {
 		l.reports = append(l.reports, r)
 	}
 }
 
 // handleStatus answers the leader.
-func (c *Control) handleStatus(_ context.Context, _ peer.Identity, req statusRequest) (statusReply, error) {
+func (c *Control) handleStatus(_ context.Context, _ peer.Identity, _ statusRequest) (statusReply, error) {
 	reply := statusReply{Nodes: c.nodes.Report(), Loads: c.evidence.load(time.Now())}
-	if req.Leases {
-		for _, a := range c.keeper.Held() {
-			reply.Held = append(reply.Held, a.Host)
-		}
-	}
 	b, err := rollout.EncodeReport(c.evidence.take(time.Now()))
 	if err != nil {
 		return reply, err
@@ -175,16 +191,12 @@
 	nodes   distribute.SubtreeReport
 	loads   map[versionKey]rollout.Load
 	reports []rollout.Report
-	held    map[model.HostID]bool
 }
 
 // gather sums up what this host and the others have reported.
 func (l *leader) gather(now time.Time) leaderView {
-	v := leaderView{nodes: l.c.nodes.Report(), loads: map[versionKey]rollout.Load{}, held: map[model.HostID]bool{}}
+	v := leaderView{nodes: l.c.nodes.Report(), loads: map[versionKey]rollout.Load{}}
 	v.add(l.c.evidence.load(now))
-	for _, a := range l.c.keeper.Held() {
-		v.held[a.Host] = true
-	}
 	v.reports = []rollout.Report{l.c.evidence.take(now)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -195,11 +207,6 @@
 			v.addNodes(h.nodes)
 			v.add(h.loads)
 		}
-		if now.Sub(h.heldAt) <= statusFresh {
-			for _, id := range h.held {
-				v.held[id] = true
-			}
-		}
 	}
 	return v
 }
--- a/mesh/control/message.go
+++ b/mesh/control/message.go
@@ -81,21 +81,16 @@
 	Unknown bool   `cbor:"5,keyasint,omitempty"`
 }
 
-// statusRequest asks for the state of another control host. The leases are
-// asked for seldom, since the list is long.
-type statusRequest struct {
-	Leases bool `cbor:"1,keyasint,omitempty"`
-}
+// statusRequest asks for the state of another control host.
+type statusRequest struct{}
 
 // statusReply is what the leader learns of a control host.
 type statusReply struct {
 	// Nodes describes the nodes that the host serves, directly or through others.
 	Nodes distribute.SubtreeReport `cbor:"1,keyasint"`
-	// Held lists the nodes whose lease the host holds.
-	Held []model.HostID `cbor:"2,keyasint,omitempty"`
 	// Evidence is the encoded report of what its nodes saw since the last question.
-	Evidence []byte         `cbor:"3,keyasint,omitempty"`
-	Loads    []rollout.Load `cbor:"4,keyasint,omitempty"`
+	Evidence []byte         `cbor:"2,keyasint,omitempty"`
+	Loads    []rollout.Load `cbor:"3,keyasint,omitempty"`
 }
 
 // confirmRequest asks the leader to confirm its leadership.
--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -28,14 +28,21 @@
 	c.ep.Handle(distribute.MethodExchange, anyRole, func(ctx context.Context, st peer.Stream) error {
 		return distribute.ServeExchange(ctx, c.store, c.endpoints, st, c.serveOptions(st.Peer()))
 	})
+	c.ep.Handle(membership.MethodHoldings, onlyControl, func(ctx context.Context, st peer.Stream) error {
+		return membership.ServeHoldings(ctx, c.keeper, st)
+	})
 	c.ep.Handle(rollout.MethodEvidence, onlyNodes, c.serveEvidence)
 	c.claims.service.Register(c.ep)
 	c.registerHostMethods()
 }
 
+// holder returns the parts that the announce streams and the sweep share.
+func (c *Control) holder() membership.Holder {
+	return membership.Holder{Table: c.endpoints, Keeper: c.keeper, Status: c.contact, Log: c.log}
+}
+
 func (c *Control) serveAnnounce(ctx context.Context, st peer.Stream) error {
-	h := membership.Holder{Table: c.endpoints, Keeper: c.keeper, Status: c.contact, Log: c.log}
-	return membership.ServeAnnounce(ctx, h, st)
+	return membership.ServeAnnounce(ctx, c.holder(), st)
 }
 
 // contact returns the position in force here and whether the leader is heard.
@@ -84,10 +91,7 @@
 		if heard {
 			c.freshness.Heard(now, 0)
 		}
-		for _, a := range c.keeper.Expire(now) {
-			c.endpoints.Merge(a)
-			c.log.Warn("lease lapsed", "host", string(a.Host), "service", string(a.Service), "version", string(a.Version))
-		}
+		c.holder().Sweep(now, c.lead.otherHoldings())
 		c.endpoints.Prune(now)
 	}
 }
@@ -148,20 +152,29 @@
 }
 
 func (c *Control) followOnce(ctx context.Context, id model.HostID, progress *distribute.Progress) error {
-	h, ok := c.findHost(id)
-	if !ok {
-		return eris.Wrapf(ErrUnknownHost, "%s", id)
-	}
-	openCtx, cancel := context.WithTimeout(ctx, hostOpenTimeout)
-	st, err := c.ep.Open(openCtx, h.Peer, h.Identity(), distribute.MethodWatch)
-	cancel()
+	st, err := c.openHost(ctx, id, distribute.MethodWatch)
 	if err != nil {
-		return eris.Wrapf(ErrUnreachable, "%s: %v", id, err)
+		return err
 	}
 	return distribute.Follow(ctx, nil, c.endpoints, st, distribute.FollowOptions{
 		Subtree: c.nodes, Freshness: &distribute.Freshness{}, Progress: progress, Log: c.log,
 	})
 }
 
+// openHost opens a stream to another control host.
+func (c *Control) openHost(ctx context.Context, id model.HostID, method string) (peer.Stream, error) {
+	h, ok := c.findHost(id)
+	if !ok {
+		return nil, eris.Wrapf(ErrUnknownHost, "%s", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, hostOpenTimeout)
+	defer cancel()
+	st, err := c.ep.Open(ctx, h.Peer, h.Identity(), method)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", id, err)
+	}
+	return st, nil
+}
+
 // leads reports whether this host leads group 0.
 func (c *Control) leads() bool { return c.config.Status().Role == replog.Leader }
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -76,6 +76,6 @@
 // unknown outcome.
 func refuseCall(w http.ResponseWriter, c *call, reason string) {
 	invariant.Check(!c.mayHaveRun, invariant.TrueNotRun, "refused as not run after a try of unknown outcome",
-		"route", string(c.route.Name), "tried", c.tried)
+		"route", string(c.route.Name), "tried", c.attempts.Tried())
 	notRun(w, http.StatusServiceUnavailable, reason)
 }
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -9,7 +9,6 @@
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/membership"
-	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/rollout"
 	"balsamtrail.org/mesh/routing"
@@ -24,9 +23,8 @@
 	header http.Header
 	body   []byte
 	budget *routing.Budget
-	// tried lists the hosts of earlier tries.
-	tried   []model.HostID
-	retries int
+	// attempts is set when the call is dispatched.
+	attempts *routing.Attempts
 	// mayHaveRun is set once a try had an unknown outcome; the call is then never
 	// refused as not run, whatever later tries say.
 	mayHaveRun bool
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -41,40 +41,31 @@
 // dispatch tries a call until it has an answer or no try is left. The result is
 // the last try.
 func (d *dispatcher) dispatch(ctx context.Context, c *call) *try {
-	d.retries.Call()
+	deadline, _ := ctx.Deadline()
+	c.attempts = routing.NewAttempts(c.route, deadline, c.budget, d.retries)
 	for {
 		t := d.next(ctx, c)
 		if t.answered() && t.result != routing.ResultRefused {
 			return t
 		}
-		if !d.mayRetry(ctx, c, t) {
+		if !mayRetry(ctx, c, t) {
 			return c.settled(t)
 		}
 		c.mayHaveRun = c.mayHaveRun || !t.notRun()
-		c.retries++
 		telemetry.Counter("entry.retries").Inc(1)
 		t.close()
 	}
 }
 
-// mayRetry decides on a further try and takes it from the budgets.
-func (d *dispatcher) mayRetry(ctx context.Context, c *call, t *try) bool {
+// mayRetry decides on a further try, which has then been taken from the budgets.
+func mayRetry(ctx context.Context, c *call, t *try) bool {
 	if ctx.Err() != nil || errors.Is(t.err, errNoServer) {
 		return false
 	}
-	if !routing.Retryable(c.route.Kind, t.result, t.notRun()) || c.retries >= c.route.MaxRetries {
-		return false
-	}
-	if !t.notRun() {
-		return routing.TakeRetry(d.retries, c.budget)
-	}
-	c.budget.Return(t.lent)
-	if t.result == routing.ResultFailed {
-		// The request left no byte anywhere, so another try adds no load. When a
-		// host dies, more calls fail at once than the node's bucket holds.
-		return c.budget.Take()
+	if t.notRun() {
+		c.budget.Return(t.lent)
 	}
-	return routing.TakeRetry(d.retries, c.budget)
+	return c.attempts.Retry(time.Now(), t.result, t.notRun()) == routing.Again
 }
 
 // next makes one try, hedged if the route allows it.
@@ -111,11 +102,11 @@
 	if err != nil {
 		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
-	server, err := d.picker.BackendServer(now, service, v, c.tried)
+	server, err := d.picker.BackendServer(now, service, v, c.attempts.Tried())
 	if err != nil {
 		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
-	c.tried = append(c.tried, server.Host)
+	c.attempts.Started(server.Host)
 	return server, nil
 }
 
@@ -227,7 +218,7 @@
 
 // secondServer takes a hedge from its budgets and chooses another backend server.
 func (d *dispatcher) secondServer(c *call) (membership.Announcement, bool) {
-	if !d.hedger.Take() || !c.budget.Take() {
+	if !c.attempts.Hedge(time.Now(), d.hedger) {
 		return membership.Announcement{}, false
 	}
 	server, err := d.choose(c)
--- a/mesh/routing/attempts.go
+++ b/mesh/routing/attempts.go
@@ -60,13 +60,23 @@
 		return MayHaveRun
 	case a.retries >= a.route.MaxRetries:
 		return RouteExhausted
-	case !TakeRetry(a.node, a.call):
+	case !a.takeRetry(r, notRun):
 		return BudgetExhausted
 	}
 	a.retries++
 	return Again
 }
 
+// takeRetry uses a try of the budgets. A request that left no byte anywhere
+// adds no load when it is tried again, and when a host dies more calls fail at
+// once than the node's bucket holds; it uses the call's budget only.
+func (a *Attempts) takeRetry(r Result, notRun bool) bool {
+	if notRun && r == ResultFailed {
+		return a.call.Take()
+	}
+	return TakeRetry(a.node, a.call)
+}
+
 // Hedge decides whether a second try of a lookup that is still unanswered may
 // be sent now. It uses a try of the call's budget and one of the hedged calls
 // of the node, but none of the node's retries.
