--- a/mesh/rollout/report.go
+++ b/mesh/rollout/report.go
@@ -138,18 +138,6 @@
 	r.Nodes += o.Nodes
 }
 
-// EncodeReport encodes r.
-func EncodeReport(r Report) ([]byte, error) { return encode(r) }
-
-// DecodeReport decodes a report and checks that its counters fit together.
-func DecodeReport(b []byte) (Report, error) {
-	var r Report
-	if err := decMode.Unmarshal(b, &r); err != nil {
-		return Report{}, eris.Wrapf(ErrCorrupt, "decode report: %v", err)
-	}
-	return r, r.check()
-}
-
 func (r Report) check() error {
 	if len(r.Cells) > maxCells {
 		return eris.Wrapf(ErrCorrupt, "report of %d cells, at most %d", len(r.Cells), maxCells)
