--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -118,6 +118,16 @@
 	return s, ask(b.Admin+"/status", &s)
 }
 
+// Metrics asks the node for its counters.
+func (b *BackendServer) Metrics() (map[string]struct {
+	Count int64 `json:"count"`
+}, error) {
+	var m map[string]struct {
+		Count int64 `json:"count"`
+	}
+	return m, ask(b.Admin+"/metrics", &m)
+}
+
 // Stats asks the stand-in.
 func (b *BackendServer) Stats() (standin.Stats, error) {
 	var s standin.Stats
--- a/bench/demo/result.go
+++ b/bench/demo/result.go
@@ -21,6 +21,7 @@
 	var broken []error
 	note := func(format string, args ...any) { broken = append(broken, fmt.Errorf(format, args...)) }
 	bytesPerSecond := d.controlBytes()
+	methods := d.bytesByMethod()
 	runs := d.collectRuns(note)
 	d.checkWrites(runs, note)
 	d.checkProcesses(note)
@@ -28,7 +29,7 @@
 	if n := d.report.Count(load.OutcomeWrong); n > 0 {
 		note("%d wrong or cut answers", n)
 	}
-	if err := d.table(bytesPerSecond, conv, len(broken)); err != nil {
+	if err := d.table(bytesPerSecond, methods, conv, len(broken)); err != nil {
 		return err
 	}
 	for _, line := range d.report.Details() {
@@ -54,6 +55,39 @@
 	return out
 }
 
+// bytesByMethod splits the control bytes of the node that has most of them.
+func (d *run) bytesByMethod() []string {
+	var most map[string]int64
+	var total, seconds float64
+	for _, s := range d.f.Servers {
+		st, err := s.Status()
+		if err != nil || float64(st.BytesSent+st.BytesReceived) <= total {
+			continue
+		}
+		counters, err := s.Metrics()
+		if err != nil {
+			continue
+		}
+		total, seconds = float64(st.BytesSent+st.BytesReceived), float64(st.UptimeMs)/1000
+		most = map[string]int64{}
+		for name, c := range counters {
+			if method, ok := strings.CutPrefix(name, "peer.sent."); ok {
+				most[method] += c.Count
+			}
+			if method, ok := strings.CutPrefix(name, "peer.received."); ok {
+				most[method] += c.Count
+			}
+		}
+	}
+	var out []string
+	for _, method := range slices.Sorted(maps.Keys(most)) {
+		if rate := float64(most[method]) / seconds; rate >= 50 {
+			out = append(out, fmt.Sprintf("%s %.0f B/s", method, rate))
+		}
+	}
+	return out
+}
+
 // collectRuns adds up the runs of each key over all stand-ins.
 func (d *run) collectRuns(note func(string, ...any)) map[string]int {
 	runs := map[string]int{}
@@ -192,7 +226,7 @@
 }
 
 // table writes what was measured.
-func (d *run) table(bytesPerSecond []float64, conv []time.Duration, broken int) error {
+func (d *run) table(bytesPerSecond []float64, methods []string, conv []time.Duration, broken int) error {
 	_, _ = fmt.Fprintln(d.out)
 	if err := d.report.WriteTable(d.out); err != nil {
 		return err
@@ -214,6 +248,9 @@
 	if n := len(bytesPerSecond); n > 0 {
 		row("control bytes a node", "median %.0f B/s, max %.0f B/s", bytesPerSecond[n/2], bytesPerSecond[n-1])
 	}
+	for _, m := range methods {
+		row("  of the node with most", "%s", m)
+	}
 	row("added latency of lookups", "p50 %.2f ms, p99 %.2f ms", mesh.P50-direct.P50, mesh.P99-direct.P99)
 	row("good version completed after", "%.1f s (stated time %s)", d.movedIn.Seconds(), moveTime)
 	row("bad version taken back after", "%.1f s", d.reversedIn.Seconds())
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -174,6 +174,7 @@
 		_ = s.Close()
 		return
 	}
+	s.method = trafficOf(h.Method)
 	if err := m.handler(ctx, s); err != nil {
 		e.cfg.Log.Debug("peer stream ended", "peer", s.peer.String(), "method", h.Method, "reason", err.Error())
 		s.Abort()
@@ -207,7 +208,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
-	s := &quicStream{st: st, peer: id}
+	s := &quicStream{st: st, peer: id, method: trafficOf(name)}
 	if err := s.Send(hello{Method: name}); err != nil {
 		s.Abort()
 		return nil, err
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 )
 
@@ -36,6 +37,8 @@
 type quicStream struct {
 	st   *quic.Stream
 	peer Identity
+	// method is set once the first frame names it; frames count under it.
+	method *traffic
 
 	// mu serialises Send.
 	mu sync.Mutex
@@ -47,10 +50,10 @@
 	if err := s.st.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return eris.Wrapf(ErrClosed, "deadline: %v", err)
 	}
-	return writeFrame(countWriter{s.st}, v)
+	return writeFrame(countWriter{s.st, s.method}, v)
 }
 
-func (s *quicStream) Recv(v any) error         { return readFrame(countReader{s.st}, v) }
+func (s *quicStream) Recv(v any) error         { return readFrame(countReader{s.st, s.method}, v) }
 func (s *quicStream) Peer() Identity           { return s.peer }
 func (s *quicStream) Context() context.Context { return s.st.Context() }
 func (s *quicStream) Close() error             { return s.st.Close() }
@@ -66,18 +69,41 @@
 // Traffic returns the bytes of frames that this process has sent and received.
 func Traffic() (sent, received int64) { return bytesSent.Load(), bytesReceived.Load() }
 
-type countWriter struct{ w io.Writer }
+// traffic counts the frames of one method, in bytes.
+type traffic struct{ sent, received metrics.Counter }
+
+// trafficOf returns the counters peer.sent.<method> and peer.received.<method>.
+func trafficOf(method string) *traffic {
+	return &traffic{
+		sent:     metrics.GetOrRegisterCounter("peer.sent."+method, metrics.DefaultRegistry),
+		received: metrics.GetOrRegisterCounter("peer.received."+method, metrics.DefaultRegistry),
+	}
+}
+
+type countWriter struct {
+	w      io.Writer
+	method *traffic
+}
 
 func (c countWriter) Write(b []byte) (int, error) {
 	n, err := c.w.Write(b)
 	bytesSent.Add(int64(n))
+	if c.method != nil {
+		c.method.sent.Inc(int64(n))
+	}
 	return n, err
 }
 
-type countReader struct{ r io.Reader }
+type countReader struct {
+	r      io.Reader
+	method *traffic
+}
 
 func (c countReader) Read(b []byte) (int, error) {
 	n, err := c.r.Read(b)
 	bytesReceived.Add(int64(n))
+	if c.method != nil {
+		c.method.received.Inc(int64(n))
+	}
 	return n, err
 }
