Keep reversed moves reversed when their note is amended elsewhere

An amended title restarted a move whose version had been reversed, and replaced the record of a completed one. A move now restarts only with another deadline or version and keeps its former steps; a completed one keeps its record. The first version of a service has all calls at once.

--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -309,6 +309,9 @@
 	var returned Instant
 	before := model.Share(0)
 	for _, r := range st.Steps {
+		if r.Time < st.Accepted {
+			continue // of the same move before it was restarted
+		}
 		down := r.Op == OpStep && before == model.ShareAll && r.Share < model.ShareAll
 		switch {
 		case r.Op == OpComplete:
--- a/mesh/rollout/decide_test.go
+++ b/mesh/rollout/decide_test.go
@@ -129,6 +129,7 @@
 			m.run(1, 1000, 0, 100)
 		}
 		again := startOf(moveTo(1, 2, "v2"))
+		again.Move.By++
 		again.Time = InstantOf(at(time.Duration(m.second) * time.Second))
 		m.do(again)
 		Expect(m.run(3, 1000, 0, 0).Phase).To(Equal(PhaseMoving))
--- a/mesh/rollout/state.go
+++ b/mesh/rollout/state.go
@@ -176,9 +176,10 @@
 	st.record(StepRecord{Op: c.Op, Time: c.Time, Index: index, Share: st.Share, Reason: c.Reason, Summary: c.Summary})
 }
 
-// start accepts a move. A resend changes nothing, a newer revision with the
-// same version and a running move changes only its deadline, anything else
-// replaces the service's former move.
+// start accepts a move. A resend changes nothing; a newer revision with the
+// same version changes a move that runs or is done only where that still has a
+// meaning, and restarts one that ended otherwise only with another deadline.
+// Anything else replaces the service's former move.
 func (s *State) start(c Command, index uint64) Result {
 	id := c.Move.ID
 	if id.Service == "" || len(id.Service) > maxName || c.Move.To == "" || len(c.Move.To) > maxName || len(c.From) > maxName {
@@ -191,22 +192,19 @@
 	if ok && former.Move.ID.Note > id.Note {
 		return Result{Outcome: OutcomeStale, Status: former.clone()}
 	}
-	if ok && former.Active() && former.Move.ID == id && former.Move.To == c.Move.To {
-		former.Move = c.Move
-		former.AtRisk, former.Forecast = false, 0
-		accept(former, c, index)
+	if ok && former.Move.ID == id && former.Move.To == c.Move.To && amend(former, c, index) {
 		return Result{Outcome: OutcomeApplied, Status: former.clone()}
 	}
-	from := c.From
+	st := &Status{Move: c.Move, From: c.From, Phase: PhaseWaiting, Accepted: c.Time, Changed: c.Time}
 	if ok {
-		from = s.supersede(former, c, index)
-		if n := len(former.Steps); n > keptSteps {
-			former.Steps = slices.Delete(slices.Clone(former.Steps), 1, n-keptSteps+1)
+		st.From = s.supersede(former, c, index)
+		former.shorten()
+		if former.Move.ID == id {
+			st.Steps = slices.Clone(former.Steps)
 		}
 	}
-	st := &Status{Move: c.Move, From: from, Phase: PhaseWaiting, Accepted: c.Time, Changed: c.Time}
-	if from == c.Move.To {
-		c.Reason = "the version already has all traffic"
+	if st.From == c.Move.To || st.From == "" {
+		c.Reason = "no other version has traffic"
 		st.Phase, st.Share, st.Completed, st.WatchEnded = PhaseDone, model.ShareAll, c.Time, true
 	}
 	accept(st, c, index)
@@ -214,6 +212,25 @@
 	return Result{Outcome: OutcomeApplied, Status: st.clone()}
 }
 
+// amend changes a move to the same version and returns false if it has to
+// start again. A move that ended badly does not start again because something
+// else in its note was amended.
+func amend(st *Status, c Command, index uint64) bool {
+	switch {
+	case st.Phase == PhaseWaiting || st.Phase == PhaseMoving:
+		st.Move = c.Move
+		st.AtRisk, st.Forecast = false, 0
+	case st.Phase == PhaseDone:
+		st.Move.Revision, st.Move.WatchFor = c.Move.Revision, c.Move.WatchFor
+	case st.Move.By == c.Move.By:
+		st.Move.Revision = c.Move.Revision
+	default:
+		return false
+	}
+	accept(st, c, index)
+	return true
+}
+
 // supersede ends a former move that still runs and returns the version that
 // the next move replaces: the former target once it was done, else the version
 // before it. A version that was still being proved loses its share at once.
--- a/mesh/rollout/state_test.go
+++ b/mesh/rollout/state_test.go
@@ -74,6 +74,11 @@
 		m.next(OpStep, 100, t0)
 		m.next(OpReverse, 0, t0)
 		m.do(startOf(moveTo(1, 3, "v3")))
+		Expect(m.status(1).Phase).To(Equal(PhaseReversed), "an amended title does not bring a bad version back")
+		again := moveTo(1, 4, "v3")
+		again.By = InstantOf(at(time.Hour))
+		m.do(startOf(again))
+		Expect(m.status(1).Steps).To(ContainElement(HaveField("Op", OpReverse)), "the history stays readable")
 		Expect(m.status(1).Phase).To(Equal(PhaseWaiting))
 		Expect(m.status(1).From).To(BeEquivalentTo("v1"))
 	})
@@ -91,6 +96,22 @@
 		Expect(m.status(2).Share).To(Equal(model.ShareAll))
 	})
 
+	It("keeps the record of a completed move when its note is amended", func() {
+		m.raise(model.ShareAll)
+		m.next(OpComplete, 0, at(time.Minute))
+		m.next(OpEndWatch, 0, at(2*time.Minute))
+		before := m.status(1)
+		m.do(startOf(moveTo(1, 2, "v2")))
+		Expect(m.status(1).Completed).To(Equal(before.Completed))
+		Expect(m.status(1).Active()).To(BeFalse())
+	})
+
+	It("completes at once the first version of a service", func() {
+		c := startOf(Move{ID: MoveID{1, "new"}, Revision: 1, To: "v1"})
+		c.From = ""
+		Expect(m.do(c).Status.Shares()).To(Equal(map[model.ServiceVersion]model.Share{"v1": model.ShareAll}))
+	})
+
 	It("completes at once a move to the version that has all traffic", func() {
 		m.raise(500)
 		m.do(startOf(moveTo(2, 1, "v1")))
--- a/mesh/rollout/status.go
+++ b/mesh/rollout/status.go
@@ -89,6 +89,13 @@
 	return s
 }
 
+// shorten keeps the first and the newest steps of a move that another one replaces.
+func (s *Status) shorten() {
+	if n := len(s.Steps); n > keptSteps {
+		s.Steps = slices.Delete(slices.Clone(s.Steps), 1, n-keptSteps+1)
+	}
+}
+
 func (s *Status) record(r StepRecord) {
 	s.Steps = append(s.Steps, r)
 	if len(s.Steps) > maxSteps {
