--- a/mesh/rollout/internal/sim/sim_test.go
+++ b/mesh/rollout/internal/sim/sim_test.go
@@ -13,6 +13,8 @@
 	runs  = flag.Int("runs", 4, "runs of each scenario")
 	only  = flag.String("only", "", "regular expression of the scenarios to run")
 	naive = flag.Bool("naive", true, "run the naive plan as well")
+
+	deadline = flag.Duration("deadline", Base.Deadline, "deadline of the moves")
 )
 
 // TestTables prints the measured tables and holds the plan to its bounds.
@@ -20,6 +22,8 @@
 // bad ones pass.
 func TestTables(t *testing.T) {
 	invariant.SetFatal(true)
+	base := Base
+	base.Deadline = *deadline
 	wanted := regexp.MustCompile(*only)
 	both := func(s Scenario) [2]Sum {
 		n := 0
@@ -29,7 +33,7 @@
 		return [2]Sum{Measure(s, *runs, NewLeaderPlan), Measure(s, n, NewNaivePlan)}
 	}
 	var good, bad [][2]Sum
-	for _, s := range Good(Base) {
+	for _, s := range Good(base) {
 		if !wanted.MatchString(s.Name) {
 			continue
 		}
@@ -39,7 +43,7 @@
 			t.Errorf("%s: %d of %d good versions reversed: %v", s.Name, n, *runs, sums[0].Reasons)
 		}
 	}
-	for _, s := range BadOnes(Base) {
+	for _, s := range BadOnes(base) {
 		if !wanted.MatchString(s.Name) {
 			continue
 		}
