--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +89,118 @@
 		Entry("no work in a data centre that is out", "data-centre-out", func() { s.out = now.Add(-time.Millisecond) }),
 	)
 })
+
+// listQueue is the naive queue: one list in order of arrival that is sorted for each decision.
+type listQueue struct {
+	list      []*Waiter
+	limit     int
+	busySince time.Time
+}
+
+func (l *listQueue) push(now time.Time, w *Waiter) (evicted *Waiter) {
+	if len(l.list) >= l.limit {
+		i := slices.IndexFunc(l.list, func(o *Waiter) bool { return o.Kind == model.KindLookup })
+		if i < 0 && w.Kind == model.KindUrgent {
+			for j, o := range l.list {
+				if o.Kind == model.KindWrite {
+					i = j
+				}
+			}
+		}
+		if i < 0 {
+			return w
+		}
+		evicted = l.list[i]
+		l.list = slices.Delete(l.list, i, i+1)
+	} else if len(l.list) == 0 {
+		l.busySince = now
+	}
+	l.list = append(l.list, w)
+	return evicted
+}
+
+func (l *listQueue) pop(now time.Time) *Waiter {
+	if len(l.list) == 0 {
+		return nil
+	}
+	overloaded := now.Sub(l.busySince) >= DefaultOverloadAfter
+	key := func(w *Waiter) []int64 {
+		arrival := int64(slices.Index(l.list, w))
+		switch {
+		case w.Kind == model.KindUrgent:
+			return []int64{0, w.GiveUp.UnixNano(), arrival}
+		case w.Kind == model.KindWrite:
+			return []int64{1, arrival}
+		case overloaded:
+			return []int64{2, -arrival}
+		}
+		return []int64{2, w.GiveUp.UnixNano(), arrival}
+	}
+	first := slices.SortedFunc(slices.Values(l.list), func(a, b *Waiter) int { return slices.Compare(key(a), key(b)) })[0]
+	l.remove(first)
+	return first
+}
+
+func (l *listQueue) remove(w *Waiter) bool {
+	n := len(l.list)
+	l.list = slices.DeleteFunc(l.list, func(o *Waiter) bool { return o == w })
+	return len(l.list) < n
+}
+
+func (l *listQueue) expire(now time.Time) []*Waiter {
+	var stale []*Waiter
+	for _, w := range slices.Clone(l.list) {
+		if !now.Before(w.GiveUp) {
+			stale = append(stale, w)
+			l.remove(w)
+		}
+	}
+	return stale
+}
+
+var _ = Describe("Queue", func() {
+	It("decides like a sorted list in 10,000 random steps", func() {
+		r := rand.New(rand.NewPCG(5, 7))
+		q, naive := NewQueue(12, DefaultOverloadAfter), &listQueue{limit: 12}
+		now := time.Unix(1000, 0)
+		var known []*Waiter
+		for range 10_000 {
+			now = now.Add(time.Duration(r.IntN(12)) * time.Millisecond)
+			Expect(q.Expire(now)).To(ConsistOf(naive.expire(now)))
+			switch op := r.IntN(10); {
+			case op < 5:
+				w := &Waiter{Ticket: Ticket{Kind: model.Kinds[r.IntN(3)]}}
+				w.GiveUp = now.Add(time.Duration(1+r.IntN(200)) * time.Millisecond)
+				Expect(q.Push(now, w)).To(BeIdenticalTo(naive.push(now, w)))
+				known = append(known, w)
+			case op < 9:
+				Expect(q.Pop(now)).To(BeIdenticalTo(naive.pop(now)))
+			case len(known) > 0:
+				w := known[len(known)-1-r.IntN(min(len(known), 20))]
+				Expect(q.Remove(w)).To(Equal(naive.remove(w)))
+			}
+			Expect(q.Len()).To(Equal(len(naive.list)))
+		}
+	})
+
+	It("serves the newest lookup first only under overload, and always after urgent requests and writes", func() {
+		now := time.Unix(1000, 0)
+		q := NewQueue(10, DefaultOverloadAfter)
+		names := map[*Waiter]string{}
+		push := func(name string, k model.Kind, giveUp time.Duration) {
+			w := &Waiter{Ticket: Ticket{Kind: k}, GiveUp: now.Add(giveUp)}
+			names[w] = name
+			q.Push(now, w)
+		}
+		push("old", model.KindLookup, 3)
+		push("middle", model.KindLookup, 2)
+		push("new", model.KindLookup, 4)
+		push("write 1", model.KindWrite, 9)
+		push("write 2", model.KindWrite, 1)
+		push("urgent", model.KindUrgent, 10)
+		for _, want := range []string{"urgent", "write 1", "write 2", "middle"} {
+			Expect(names[q.Pop(now)]).To(Equal(want))
+		}
+		Expect(names[q.Pop(now.Add(DefaultOverloadAfter))]).To(Equal("new"))
+	})
+})
--- a/mesh/callmux/bench_test.go
+++ b/mesh/callmux/bench_test.go
@@ -25,10 +25,6 @@
 	return v
 }
 
-type echoMessage struct {
-	Body []byte `cbor:"1,keyasint"`
-}
-
 // BenchmarkEcho compares a small echo call over callmux with HTTP/1.1 kept
 // alive and with a QUIC stream per call, all with mutual TLS on loopback.
 func BenchmarkEcho(b *testing.B) {
@@ -55,7 +51,7 @@
 	near := must(peer.Listen(peer.Config{Listen: "127.0.0.1:0", Credentials: entry}))
 	far := must(peer.Listen(peer.Config{Listen: "127.0.0.1:0", Credentials: serving}))
 	peer.HandleCall(far, "echo", []peer.Role{peer.RoleNode},
-		func(_ context.Context, _ peer.Identity, m echoMessage) (echoMessage, error) { return m, nil })
+		func(_ context.Context, _ peer.Identity, b []byte) ([]byte, error) { return b, nil })
 	wg.Go(func() { _ = far.Serve(ctx) })
 	wg.Go(func() { _ = near.Serve(ctx) })
 
@@ -73,9 +69,9 @@
 			return must(io.ReadAll(resp.Body))
 		},
 		"quic": func() []byte {
-			var out echoMessage
-			must(0, near.Call(ctx, far.Addr().String(), servingID, "echo", echoMessage{body}, &out))
-			return out.Body
+			var out []byte
+			must(0, near.Call(ctx, far.Addr().String(), servingID, "echo", body, &out))
+			return out
 		},
 	}
 	for _, name := range []string{"callmux", "http1", "quic"} {
--- a/mesh/callmux/callmux_test.go
+++ b/mesh/callmux/callmux_test.go
@@ -100,13 +100,17 @@
 		wg.Wait()
 	})
 
-	It("passes on a refusal and what it says about having run", func() {
+	It("passes on a refusal, and reports an error of the handler as outcome unknown without waiting", func() {
 		refusal := &callmux.Refusal{Reason: "queue full", NotRun: true}
-		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
-			return &callmux.Response{Refusal: refusal}, nil
+		serve(callmux.Config{}, func(_ context.Context, _ peer.Identity, req *callmux.Request) (*callmux.Response, error) {
+			if req.Path == "/refused" {
+				return &callmux.Response{Refusal: refusal}, nil
+			}
+			return nil, errors.New("backend server gone")
 		})
-		resp := must(do(context.Background(), &callmux.Request{}))
-		Expect(resp.Refusal).To(Equal(refusal))
+		Expect(must(do(context.Background(), &callmux.Request{Path: "/refused"})).Refusal).To(Equal(refusal))
+		_, err := do(context.Background(), &callmux.Request{Timeout: time.Minute})
+		Expect(errors.Is(err, callmux.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
 	})
 
 	It("does not send to a host other than the expected one, nor from a process that is no node", func() {
@@ -150,14 +154,6 @@
 		Eventually(causes).WithTimeout(3 * time.Second).Should(Receive())
 	})
 
-	It("reports an error of the handler as outcome unknown, without waiting for the deadline", func() {
-		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
-			return nil, errors.New("backend server gone")
-		})
-		_, err := do(context.Background(), &callmux.Request{Timeout: time.Minute})
-		Expect(errors.Is(err, callmux.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
-	})
-
 	It("gives the reader an error for a response body that is cut short", func() {
 		serve(callmux.Config{}, func(context.Context, peer.Identity, *callmux.Request) (*callmux.Response, error) {
 			broken := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("backend server reset")))
