callmux: read whole request bodies without the inbox

Cause: a body that came with its head went through the inbox and its locks. Change: the handler reads such a body directly.

--- a/mesh/callmux/body.go
+++ b/mesh/callmux/body.go
@@ -45,17 +45,6 @@
 	return nil
 }
 
-// setWhole sets a body that came with its head.
-func (b *inbox) setWhole(p []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(p) > 0 {
-		b.chunks = append(b.chunks, p)
-		b.size = len(p)
-	}
-	b.err = io.EOF
-}
-
 // cut ends the body with err behind the bytes that were received.
 func (b *inbox) cut(err error) {
 	b.mu.Lock()
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -166,11 +166,10 @@
 	if reason := s.refuse(ok); reason != "" {
 		return refuse(cn, c, reason)
 	}
+	req.Body = requestBody{cn, c}
 	if f.end {
-		c.in.setWhole(body)
-		req.BodyLength = int64(len(body))
+		req.Body, req.BodyLength = newWholeBody(body), int64(len(body))
 	}
-	req.Body = requestBody{cn, c}
 	s.wg.Go(func() { answer(cn, c, req, h) })
 	return nil
 }
