admission, callmux: short deadlines are no overload; accept is tried again

Cause: three calls with deadlines below the usual latency took the limit of a warm backend server to 1; one failed accept, as with too many open files, ended the server.

--- a/mesh/admission/limiter.go
+++ b/mesh/admission/limiter.go
@@ -156,8 +156,13 @@
 		l.observeLatency(now, s, fresh)
 	case ResultError:
 		l.observeError(now, fresh)
-	case ResultRefused, ResultTimeout:
+	case ResultRefused:
 		l.bad(now, fresh)
+	case ResultTimeout:
+		// A caller's short deadline is no sign of overload.
+		if float64(s.Latency) >= slowRatio*float64(l.Expected(s.Route)) {
+			l.bad(now, fresh)
+		}
 	case ResultLost:
 		// A broken or refused connection is what a restart looks like from here.
 		if fresh {
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 // tells the caller that the outcome is unknown; a refusal is a Response.
 type Handler func(ctx context.Context, from peer.Identity, req *Request) (*Response, error)
 
+// acceptRetry is the wait after a failed accept.
+const acceptRetry = 50 * time.Millisecond
+
 // Server answers the calls of other nodes.
 type Server struct {
 	cfg Config
@@ -35,7 +39,7 @@
 	return &Server{cfg: cfg.withDefaults(), conns: map[*connection]struct{}{}}
 }
 
-// Serve accepts connections until ctx ends or the listener fails. At the end
+// Serve accepts connections until ctx ends or the listener is closed. At the end
 // of ctx it closes the listener, refuses new calls as not run, and waits up to
 // DrainLimit for running calls to finish.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, h Handler) error {
@@ -49,10 +53,16 @@
 			s.drain()
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			s.closeAll()
 			return eris.Wrapf(ErrListen, "accept: %v", err)
 		}
+		if err != nil {
+			// For example too many open files: running connections go on.
+			s.cfg.Log.Warn("accept failed; retrying", "reason", err.Error())
+			sleep(ctx, acceptRetry)
+			continue
+		}
 		if !s.admit() {
 			_ = raw.Close()
 			telemetry.Counter(MetricRefused).Inc(1)
@@ -66,6 +76,16 @@
 	}
 }
 
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit counts a connection; it reports false above MaxConnections.
 func (s *Server) admit() bool {
 	s.mu.Lock()
