--- a/mesh/claim/service.go
+++ b/mesh/claim/service.go
@@ -95,11 +95,15 @@
 		return Response{Refused: "lifetime out of range"}
 	}
 	now := InstantOf(s.cfg.Now())
-	return s.propose(ctx, g, Command{
+	resp := s.propose(ctx, g, Command{
 		Op: op, Key: req.Key, Time: now, Token: req.Token, Digest: req.Digest, Route: req.Route,
 		Owner: from.Host, Incarnation: req.Incarnation, RunDeadline: now.add(req.Lifetime),
 		Limits: s.cfg.Limits, Answer: req.Answer, Reason: req.Reason,
 	})
+	if op == OpComplete {
+		resp.Result.Answer = nil // the owner has just sent it
+	}
+	return resp
 }
 
 func (s *Service) propose(ctx context.Context, g Group, c Command) Response {
--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -109,6 +109,10 @@
 	tick := time.NewTicker(RenewInterval)
 	defer tick.Stop()
 	for {
+		if ctx.Err() != nil {
+			// A change that the next holder's stream made must not be renewed here.
+			return eris.Wrapf(ErrClosed, "%v", ctx.Err())
+		}
 		a := p.Current()
 		if err := st.Send(renewal{Announcement: a}); err != nil {
 			return eris.Wrapf(ErrClosed, "renewal: %v", err)
@@ -128,7 +132,6 @@
 		case <-p.Changed(a):
 		case <-tick.C:
 		case <-ctx.Done():
-			return eris.Wrapf(ErrClosed, "%v", ctx.Err())
 		}
 	}
 }
