Run failure scenarios with real processes (bench faults)

Each scenario starts its own fleet on loopback under light load, brings one failure about, asserts what must hold and writes a line of figures. Control hosts show the bytes of peer connections among their metrics, so that a restart of all nodes can be measured.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PKGS = ./mesh/... ./bench/...
 
-.PHONY: all build test demo fmt lint soak fuzz
+.PHONY: all build test demo faults fmt lint soak fuzz
 
 all: build
 
@@ -15,6 +15,10 @@
 demo: build
 	./bin/bench demo --bin bin
 
+# Runs the failure scenarios; NAMES selects some of them.
+faults: build
+	./bin/bench faults --bin bin $(NAMES)
+
 fmt:
 	gofmt -l -w mesh bench
 
--- /dev/null
+++ b/bench/cmd/bench/faults.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"balsamtrail.org/bench/faults"
+)
+
+type faultsCmd struct {
+	Names []string `arg:"" optional:"" help:"Scenarios to run; all by default."`
+	Bin   string   `default:"bin" type:"path" help:"Folder of the programs."`
+	Dir   string   `type:"path" help:"Folder of settings, data and logs; a temporary one by default, removed after a good run."`
+}
+
+// Run runs the failure scenarios; an error means that one failed.
+func (c *faultsCmd) Run(ctx context.Context) error {
+	dir := c.Dir
+	if dir == "" {
+		tmp, err := os.MkdirTemp("", "balsamtrail-faults-")
+		if err != nil {
+			return err
+		}
+		dir = tmp
+	}
+	err := faults.Run(ctx, faults.Options{Bin: c.Bin, Dir: dir, Names: c.Names, Out: os.Stdout})
+	if err == nil && c.Dir == "" {
+		return os.RemoveAll(dir)
+	}
+	return err
+}
--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -19,6 +19,7 @@
 type cli struct {
 	Backend backendCmd `cmd:"" help:"Run a stand-in backend server."`
 	Demo    demoCmd    `cmd:"" help:"Run the system on loopback under load and failures and write a table."`
+	Faults  faultsCmd  `cmd:"" help:"Run failure scenarios on loopback, each with its assertions."`
 }
 
 type backendCmd struct {
--- /dev/null
+++ b/bench/faults/ask.go
@@ -0,0 +1,78 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/standin"
+)
+
+const askTimeout = 2 * time.Second
+
+// get returns the status of a plain GET.
+func get(url string) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// nodeCounters is the part of a node's status that demo.NodeStatus leaves out.
+type nodeCounters struct {
+	Children int `json:"children"`
+}
+
+func children(s *demo.BackendServer) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Admin+"/status", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var c nodeCounters
+	return c.Children, json.NewDecoder(resp.Body).Decode(&c)
+}
+
+// write sends one write with a fresh key through an entry node.
+func write(e *env, entry string) error {
+	ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/restocks", strings.NewReader("restock"))
+	if err != nil {
+		return err
+	}
+	key := strconv.FormatInt(time.Now().Unix(), 10) + "-probe" + strconv.FormatUint(rand.Uint64(), 36)
+	req.Header.Set(standin.HeaderIdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("write: status %d: %s", resp.StatusCode, b)
+	}
+	return err
+}
--- /dev/null
+++ b/bench/faults/control.go
@@ -0,0 +1,385 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/operator"
+)
+
+// gauge reads one number of a control host's metrics.
+func (e *env) gauge(c *demo.ControlHost, name string) (int64, error) {
+	req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, "https://"+c.Operator+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	client, err := e.https()
+	if err != nil {
+		return 0, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(b, &all); err != nil {
+		return 0, err
+	}
+	var v struct{ Value, Count int64 }
+	if err := json.Unmarshal(all[name], &v); err != nil {
+		return 0, fmt.Errorf("metric %s of %s: %w", name, c.Host, err)
+	}
+	return v.Value + v.Count, nil
+}
+
+const (
+	leaderKills = 3
+	moveTime    = 40 * time.Second
+	betweenKill = 4 * time.Second
+	leaderGone  = 2 * time.Second
+)
+
+// leaderKill kills the leader three times during a move.
+func leaderKill(e *env) error {
+	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+		return err
+	}
+	for _, s := range place("ledger", "v2", sevenPlaces) {
+		b, err := e.Add(s)
+		if err != nil {
+			return err
+		}
+		if err := b.Start(); err != nil {
+			return err
+		}
+	}
+	entries, _ := e.entriesOf("roster")
+	e.startLoad(entries)
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	if err := demo.Eventually(startLimit, func() error { return e.allRoute(1) }); err != nil {
+		return err
+	}
+	began := time.Now()
+	if _, err := e.publish(c, operator.NewOperationID(), moveNote(2, began.Add(moveTime))); err != nil {
+		return err
+	}
+	watch := e.watchShare()
+	for range leaderKills {
+		time.Sleep(betweenKill)
+		if err := e.killLeader(); err != nil {
+			return errors.Join(err, watch.end())
+		}
+	}
+	view, err := e.awaitMove(c, moveTime)
+	took := time.Since(began)
+	if err := errors.Join(err, watch.end()); err != nil {
+		return err
+	}
+	complete := 0
+	for i, s := range view.Steps {
+		if s.Share == model.ShareAll && (i == 0 || view.Steps[i-1].Share != model.ShareAll) {
+			complete++
+		}
+	}
+	if complete != 1 {
+		return fmt.Errorf("the move completed %d times: %+v", complete, view.Steps)
+	}
+	e.measured("move of %s done once in %s over %d kills with %d steps, %d confirmed reads without a step back",
+		moveTime, seconds(took), leaderKills, len(view.Steps), watch.reads)
+	e.measured("lookups not answered in time %d of %d", notOK(e.flow(lookups)), e.flow(lookups).Sent)
+	return nil
+}
+
+// killLeader kills the leader and starts it again later.
+func (e *env) killLeader() error {
+	var leader *demo.ControlHost
+	err := demo.Eventually(startLimit, func() (err error) { leader, err = e.Leader(); return err })
+	if err != nil {
+		return err
+	}
+	leader.Kill()
+	e.say("leader %s killed", leader.Host)
+	time.Sleep(leaderGone)
+	return leader.Start()
+}
+
+// awaitMove waits until the move of the ledger has ended as done.
+func (e *env) awaitMove(c *operator.Client, limit time.Duration) (operator.MoveView, error) {
+	var v operator.MoveView
+	err := demo.Eventually(limit, func() error {
+		a, err := c.Move(e.ctx, "ledger")
+		if err != nil {
+			return err
+		}
+		if v = a.Move; v.State != operator.MoveDone {
+			return fmt.Errorf("move is %s at %d: %s", v.State, v.Share, v.Reason)
+		}
+		return nil
+	})
+	return v, err
+}
+
+// shareWatch reads the move of the ledger on every control host.
+type shareWatch struct {
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	reads int
+	err   error
+	steps []operator.StepView
+}
+
+func (e *env) watchShare() *shareWatch {
+	ctx, cancel := context.WithCancel(e.ctx)
+	w := &shareWatch{stop: cancel}
+	for _, h := range e.Controls {
+		c, err := e.client(h)
+		if err != nil {
+			w.err = err
+			continue
+		}
+		w.wg.Go(func() {
+			for ctx.Err() == nil {
+				asked, stop := context.WithTimeout(ctx, time.Second)
+				a, err := c.Move(asked, "ledger")
+				stop()
+				if err == nil && a.Read.Confirmed && a.Move.Note == 2 {
+					w.saw(a.Move)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	return w
+}
+
+// saw checks that the steps of a confirmed read extend those of earlier ones or
+// are a part of them, and that the share of the steps never falls. Reads of
+// several hosts overlap, so a shorter list may arrive later.
+func (w *shareWatch) saw(m operator.MoveView) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reads++
+	for i, s := range m.Steps {
+		if i > 0 && s.Share < m.Steps[i-1].Share {
+			w.err = fmt.Errorf("share fell from %d to %d: %s", m.Steps[i-1].Share, s.Share, s.Reason)
+		}
+		if i < len(w.steps) && (w.steps[i].Share != s.Share || !w.steps[i].At.Equal(s.At)) {
+			w.err = fmt.Errorf("step %d changed from %+v to %+v", i, w.steps[i], s)
+		}
+	}
+	if len(m.Steps) > len(w.steps) {
+		w.steps = m.Steps
+	}
+}
+
+func (w *shareWatch) end() error {
+	w.stop()
+	w.wg.Wait()
+	return w.err
+}
+
+const (
+	pauseTime = 10 * time.Second
+	afterWake = 3 * time.Second
+)
+
+// pausedControl pauses the leader for longer than its lease while a note is
+// published through the others.
+func pausedControl(e *env) error {
+	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+		return err
+	}
+	entries, _ := e.entriesOf("roster")
+	e.startLoad(entries)
+	old, err := e.Leader()
+	if err != nil {
+		return err
+	}
+	rest := slices.DeleteFunc(slices.Clone(e.Controls), func(c *demo.ControlHost) bool { return c == old })
+	others, err := e.client(rest...)
+	if err != nil {
+		return err
+	}
+	paused, err := e.client(old)
+	if err != nil {
+		return err
+	}
+	if _, err := paused.Status(e.ctx); err != nil {
+		return err
+	}
+	if err := old.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	defer func() { _ = old.Signal(syscall.SIGCONT) }()
+	began := time.Now()
+	res, err := e.publish(others, operator.NewOperationID(), withdrawOld)
+	if err != nil {
+		return fmt.Errorf("publish through the others: %w", err)
+	}
+	accepted := time.Since(began)
+	e.say("leader %s paused; note 2 accepted through the others", old.Host)
+	converged, err := until(startLimit, func() error { return e.allRoute(res.Position.Index) })
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(pauseTime)))
+	before, err := others.Status(e.ctx)
+	if err != nil {
+		return err
+	}
+	wake := e.askPaused(paused)
+	time.Sleep(100 * time.Millisecond) // the questions wait in the socket of the paused process
+	if err := old.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	confirmed, total, err := wake()
+	if err != nil {
+		return err
+	}
+	after, err := others.Status(e.ctx)
+	if err != nil {
+		return err
+	}
+	if after.Status.Term != before.Status.Term || after.Status.Leader != before.Status.Leader {
+		return fmt.Errorf("the return of the paused leader disturbed: term %d led by %s became %d led by %s",
+			before.Status.Term, before.Status.Leader, after.Status.Term, after.Status.Leader)
+	}
+	e.endLoad()
+	e.measured("paused %s: note accepted by the others after %s, in force on all nodes %s later", pauseTime, seconds(accepted),
+		seconds(converged))
+	e.measured("after the return %d of %d reads were confirmed, none old; term %d unchanged", confirmed, total, after.Status.Term)
+	e.measured("lookups not answered in time %d of %d", notOK(e.flow(lookups)), e.flow(lookups).Sent)
+	if n := notOK(e.flow(lookups)); n > 0 {
+		return fmt.Errorf("%d lookups not answered in time: %v", n, e.flow(lookups).Outcomes)
+	}
+	return nil
+}
+
+// askPaused sends reads and rival notes with number 2 to the paused host, from
+// before it wakes until afterWake. The returned function waits and judges.
+func (e *env) askPaused(paused *operator.Client) func() (confirmed, total int, err error) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var found error
+	var confirmed, total int
+	until := time.Now().Add(afterWake)
+	read := func() {
+		a, err := paused.Notes(e.ctx, 0, 10)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			return
+		}
+		total++
+		if !a.Read.Confirmed {
+			return
+		}
+		confirmed++
+		if len(a.Notes) == 0 || a.Notes[0].Note.Number < 2 {
+			found = fmt.Errorf("old state answered as confirmed: %d notes", len(a.Notes))
+		}
+	}
+	for range 4 {
+		wg.Go(func() {
+			for time.Now().Before(until) {
+				read()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	wg.Go(func() {
+		_, err := e.publish(paused, operator.NewOperationID(), smallNote(2, "rival"))
+		mu.Lock()
+		defer mu.Unlock()
+		if !errors.Is(err, operator.ErrConflict) {
+			found = fmt.Errorf("rival note 2 through the paused host: %w, want a conflict", err)
+		}
+	})
+	return func() (int, int, error) { wg.Wait(); return confirmed, total, found }
+}
+
+const (
+	outageTime  = 15 * time.Second
+	outageSpare = 3 * time.Second
+)
+
+// sourceOutage stops all control hosts for a while, and a backend server
+// restarts meanwhile.
+func sourceOutage(e *env) error {
+	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+		return err
+	}
+	entries, others := e.entriesOf("roster")
+	e.startLoad(entries)
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	for _, c := range e.Controls {
+		c.Kill()
+	}
+	e.say("all control hosts killed")
+	time.Sleep(outageSpare)
+	restarted := others[0]
+	if err := e.keepRuns(restarted); err != nil {
+		return err
+	}
+	restarted.Backend.Kill()
+	time.Sleep(time.Second)
+	if err := restarted.Backend.Start(); err != nil {
+		return err
+	}
+	again, err := until(outageTime, func() error {
+		st, err := restarted.Stats()
+		if err == nil && st.Requests == 0 {
+			err = errors.New("the restarted backend server gets no work")
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(outageTime)))
+	back := time.Now()
+	if err := e.startControls(); err != nil {
+		return err
+	}
+	ended := time.Since(back)
+	entry := entries[0].Caller
+	wrote, err := until(startLimit, func() error { return write(e, entry) })
+	if err != nil {
+		return fmt.Errorf("writes do not run again: %w", err)
+	}
+	time.Sleep(2 * time.Second)
+	e.endLoad()
+	l, w := e.flow(lookups), e.flow(writes)
+	e.measured("outage of %s: lookups not answered in time %d of %d (%v)", outageTime, notOK(l), l.Sent, l.Outcomes)
+	e.measured("writes %v", w.Outcomes)
+	e.measured("restarted backend server got work %s after its start", seconds(again))
+	e.measured("leader %s after the start, writes run again %s later", seconds(ended), seconds(wrote))
+	if n := notOK(l); n > 0 {
+		return fmt.Errorf("%d lookups not answered in time", n)
+	}
+	if w.Outcomes[load.OutcomeNotRun] == 0 {
+		return errors.New("no write was refused as not run during the outage")
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/faults/disk.go
@@ -0,0 +1,214 @@
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/operator"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/settings"
+)
+
+const (
+	diskNotes  = 20
+	noQuorum   = 4 * time.Second
+	writeLimit = 10 * time.Second
+)
+
+// diskLoss wipes one control host, repairs the group with a new identity, and
+// loses a second control host right after the repair.
+func diskLoss(e *env) error {
+	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+		return err
+	}
+	entries, others := e.entriesOf("roster")
+	e.startLoad(entries)
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	number := 2
+	for ; number < 2+diskNotes; number++ {
+		if _, err := e.publish(c, operator.NewOperationID(), smallNote(number, "accepted before the loss")); err != nil {
+			return err
+		}
+	}
+	lost, second := e.Controls[1], e.Controls[2]
+	if err := e.wipe(lost); err != nil {
+		return err
+	}
+	if err := e.wipedNeverVotes(lost, second, number); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := e.repairWith("c4", lost); err != nil {
+		return err
+	}
+	repaired := time.Since(began)
+	second.Kill()
+	if err := os.RemoveAll(e.data(second.Host)); err != nil {
+		return err
+	}
+	e.say("%s lost right after the repair", second.Host)
+	if err := e.goesOn(number); err != nil {
+		return err
+	}
+	began = time.Now()
+	if err := others[0].Node.Stop(); err != nil {
+		return err
+	}
+	if err := others[0].Node.Start(); err != nil {
+		return err
+	}
+	if err := demo.Eventually(startLimit, func() error { return e.allRoute(2) }); err != nil {
+		return fmt.Errorf("a node restarted after the repair: %w", err)
+	}
+	e.measured("repair took %s; a node stopped and restarted after it routes within %s", seconds(repaired), seconds(time.Since(began)))
+	e.endLoad()
+	if n := notOK(e.flow(lookups)); n > 0 {
+		return fmt.Errorf("%d of %d lookups not answered in time", n, e.flow(lookups).Sent)
+	}
+	return nil
+}
+
+func (e *env) data(host model.HostID) string { return filepath.Join(e.dir, string(host)+"-data") }
+
+// wipe kills a control host and removes its data directory.
+func (e *env) wipe(c *demo.ControlHost) error {
+	c.Kill()
+	e.say("%s lost its disk", c.Host)
+	return os.RemoveAll(e.data(c.Host))
+}
+
+// wipedNeverVotes starts a host with an empty disk under its old identity while
+// another one is down: the two that are up must not accept anything.
+func (e *env) wipedNeverVotes(lost, down *demo.ControlHost, number int) error {
+	down.Kill()
+	if err := lost.Start(); err != nil {
+		return err
+	}
+	c, err := e.client(e.Controls[0], lost)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	for time.Since(began) < noQuorum {
+		if _, err := e.publish(c, operator.NewOperationID(), smallNote(number, "without a quorum")); err == nil {
+			return errors.New("a note was accepted with the vote of a wiped disk")
+		}
+	}
+	lost.Kill()
+	if err := down.Start(); err != nil {
+		return err
+	}
+	return demo.Eventually(startLimit, func() error { _, err := e.Leader(); return err })
+}
+
+// repairWith adds a control host under a new identity and removes the lost one,
+// as docs/notes/faults.md states it.
+func (e *env) repairWith(id model.HostID, lost *demo.ControlHost) error {
+	address, err := e.addControl(id, lost)
+	if err != nil {
+		return err
+	}
+	if _, err := e.CLI("control-host", "add", string(id), "--data-centre", "bern-altstadt", "--peer", address); err != nil {
+		return err
+	}
+	if _, err := e.CLI("control-host", "remove", string(lost.Host)); err != nil {
+		return err
+	}
+	e.Controls = slices.DeleteFunc(e.Controls, func(c *demo.ControlHost) bool { return c == lost })
+	e.say("%s replaces %s", id, lost.Host)
+	return nil
+}
+
+// addControl starts a control host whose settings list it as a non-voter.
+func (e *env) addControl(id model.HostID, lost *demo.ControlHost) (string, error) {
+	ca, err := peer.OpenDevCA(filepath.Join(e.dir, "ca"))
+	if err != nil {
+		return "", err
+	}
+	s, err := settings.LoadControl(e.file(lost.Host))
+	if err != nil {
+		return "", err
+	}
+	files, err := ca.Issue(peer.Identity{Role: peer.RoleControl, DataCentre: s.DataCentre, Host: id})
+	if err != nil {
+		return "", err
+	}
+	var ports [2]string
+	for i := range ports {
+		if ports[i], err = freePort(); err != nil {
+			return "", err
+		}
+	}
+	s.Host, s.Credentials, s.DataDir = id, files, e.data(id)
+	s.Listen = settings.ControlListen{Peer: ports[0], Operator: ports[1]}
+	s.OperatorTLS = settings.OperatorTLS{Certificate: files.Certificate, Key: files.Key}
+	s.ControlHosts = append(s.ControlHosts, settings.ControlHost{Host: id, DataCentre: s.DataCentre, Peer: ports[0]})
+	if err := e.save(id, s); err != nil {
+		return "", err
+	}
+	h := &demo.ControlHost{
+		Process: demo.NewProcess(e.dir, string(id), filepath.Join(e.bin, "balsamtraild"), "control", "--settings", e.file(id)),
+		Host:    id, Operator: ports[1],
+	}
+	e.Controls = append(e.Controls, h)
+	return ports[0], h.Start()
+}
+
+// freePort returns a loopback address that is free for TCP and UDP.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", l.Addr().String()) //nolint:noctx // closed at once
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), u.Close()
+}
+
+// goesOn checks that nothing accepted is lost and that notes and writes are
+// accepted; number is the first note that was not accepted before.
+func (e *env) goesOn(number int) error {
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	res, err := e.publish(c, operator.NewOperationID(), smallNote(number, "after the second loss"))
+	if err != nil {
+		return fmt.Errorf("publish after the second loss: %w", err)
+	}
+	accepted := time.Since(began)
+	a, err := c.Notes(e.ctx, 0, 100)
+	if err != nil {
+		return err
+	}
+	if len(a.Notes) != number || !a.Read.Confirmed {
+		return fmt.Errorf("%d notes after the second loss, want %d; confirmed %t", len(a.Notes), number, a.Read.Confirmed)
+	}
+	entries, _ := e.entriesOf("roster")
+	for range 4 * len(entries) { // several keys, so that all claim groups are asked
+		if err := demo.Eventually(writeLimit, func() error { return write(e, entries[0].Caller) }); err != nil {
+			return fmt.Errorf("writes after the second loss: %w", err)
+		}
+	}
+	wrote := time.Since(began)
+	if err := demo.Eventually(startLimit, func() error { return e.allRoute(res.Position.Index) }); err != nil {
+		return err
+	}
+	e.measured("after the second loss a note was accepted in %s, %d writes ran within %s, the note is in force everywhere within %s",
+		seconds(accepted), 4*len(entries), seconds(wrote), seconds(time.Since(began)))
+	return nil
+}
--- /dev/null
+++ b/bench/faults/faults.go
@@ -0,0 +1,118 @@
+// Package faults holds failure tests with real processes on loopback. Each
+// scenario starts its own fleet under light load, brings one failure about,
+// asserts what must hold and writes a line of measured figures.
+package faults
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Options of a run.
+type Options struct {
+	// Bin is the folder of the programs, Dir that of settings, data and logs.
+	Bin, Dir string
+	// Names selects scenarios; empty runs all of them.
+	Names []string
+	Out   io.Writer
+}
+
+// scenario is one failure with its assertions.
+type scenario struct {
+	name  string
+	about string
+	run   func(*env) error
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"herd", "kill all nodes within a second and restart them together", herd},
+		{"leader-kill", "kill the leader three times during a move", leaderKill},
+		{"paused-control", "pause the leader for longer than its lease while a note is published", pausedControl},
+		{"silent", "swallow all bytes of the open connections", silent},
+		{"late-node", "restart a node after 300 notes", lateNode},
+		{"disk-loss", "lose a control host's disk, repair, lose a second control host", diskLoss},
+		{"source-outage", "stop all control hosts for 15 s", sourceOutage},
+		{"operators-race", "20 publishers race with the same note number", operatorsRace},
+		{"stops", "restart each node of the mesh in turn", stops},
+	}
+}
+
+// ErrUnknown is returned for a name that is no scenario.
+var ErrUnknown = errors.New("unknown scenario")
+
+// Run runs the scenarios one after the other and returns an error if one fails.
+func Run(ctx context.Context, o Options) error {
+	chosen, err := choose(o.Names)
+	if err != nil {
+		return err
+	}
+	var failed []string
+	for _, s := range chosen {
+		if err := runOne(ctx, o, s); err != nil {
+			failed = append(failed, s.name)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	if len(failed) > 0 {
+		return fmt.Errorf("failed: %s (logs in %s)", strings.Join(failed, ", "), o.Dir)
+	}
+	return nil
+}
+
+func choose(names []string) ([]scenario, error) {
+	all := scenarios()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var out []scenario
+	for _, name := range names {
+		found := false
+		for _, s := range all {
+			if s.name == name {
+				out, found = append(out, s), true
+			}
+		}
+		if !found {
+			return nil, fmt.Errorf("%w: %s", ErrUnknown, name)
+		}
+	}
+	return out, nil
+}
+
+// scenarioLimit bounds one scenario. It is above the planned minute, so that a
+// busy machine does not decide the verdict.
+const scenarioLimit = 2 * time.Minute
+
+func runOne(ctx context.Context, o Options, s scenario) error {
+	ctx, cancel := context.WithTimeout(ctx, scenarioLimit)
+	defer cancel()
+	dir := filepath.Join(o.Dir, s.name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(o.Out, "== %s: %s\n", s.name, s.about)
+	e := &env{ctx: ctx, dir: dir, bin: o.Bin, out: o.Out, start: time.Now(), ended: map[string]int{}}
+	err := e.play(s.run)
+	verdict := "pass"
+	if err != nil {
+		verdict = "FAIL"
+		for _, line := range strings.Split(err.Error(), "\n") {
+			e.say("failed: %s", line)
+		}
+	}
+	_, _ = fmt.Fprintf(o.Out, "%s %s (%.0f s): %s\n\n", verdict, s.name, time.Since(e.start).Seconds(),
+		strings.Join(e.figures, "; "))
+	if err == nil {
+		return os.RemoveAll(dir)
+	}
+	return err
+}
--- /dev/null
+++ b/bench/faults/nodes.go
@@ -0,0 +1,295 @@
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/operator"
+)
+
+// repeat lists each data centre n times.
+func repeat(n int, dcs ...model.DataCentre) []model.DataCentre {
+	var out []model.DataCentre
+	for range n {
+		out = append(out, dcs...)
+	}
+	return out
+}
+
+const (
+	herdLimit = 20 * time.Second
+	// herdNodes is the number of ledger nodes of each data centre.
+	herdNodes = 9
+)
+
+// herd kills all nodes within a second, publishes a note meanwhile and restarts
+// the nodes together.
+func herd(e *env) error {
+	if err := e.startMesh(repeat(herdNodes, threePlaces...), threePlaces); err != nil {
+		return err
+	}
+	began := time.Now()
+	for _, s := range e.Servers {
+		s.Node.Kill()
+	}
+	killed := time.Since(began)
+	if killed > time.Second {
+		e.say("the kills took %s", killed)
+	}
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	res, err := e.publish(c, operator.NewOperationID(), withdrawOld)
+	if err != nil {
+		return err
+	}
+	before, err := e.controlBytes()
+	if err != nil {
+		return err
+	}
+	for _, s := range e.Servers {
+		if err := s.Node.Start(); err != nil {
+			return err
+		}
+	}
+	took, err := until(herdLimit, func() error { return e.allRoute(res.Position.Index) })
+	if err != nil {
+		return fmt.Errorf("not all nodes route after %s: %w", herdLimit, err)
+	}
+	after, err := e.controlBytes()
+	if err != nil {
+		return err
+	}
+	served, err := until(herdLimit, e.allServe)
+	if err != nil {
+		return fmt.Errorf("not all nodes serve: %w", err)
+	}
+	e.measured("%d nodes killed in %s route by the newest note %s after the restart and reach all services %s later",
+		len(e.Servers), seconds(killed), seconds(took), seconds(served))
+	e.measured("control hosts sent %.0f KB, %.1f KB a node", float64(after-before)/1000,
+		float64(after-before)/1000/float64(len(e.Servers)))
+	return nil
+}
+
+// controlBytes sums up the bytes that the live control hosts have sent.
+func (e *env) controlBytes() (int64, error) {
+	var sum int64
+	for _, c := range e.Controls {
+		if !c.Running() {
+			continue
+		}
+		n, err := e.gauge(c, "control.bytes_sent")
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
+const (
+	lateNotes = 300
+	lateLimit = 15 * time.Second
+)
+
+// lateNode stops a node, publishes many notes and restarts it. Route old exists
+// only before those notes: an answer on it shows routing by an older note.
+func lateNode(e *env) error {
+	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+		return err
+	}
+	entries, others := e.entriesOf("roster")
+	late := others[0]
+	e.startLoad(entries)
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	res, err := e.publish(c, operator.NewOperationID(), withdrawOld)
+	if err != nil {
+		return err
+	}
+	if err := demo.Eventually(startLimit, func() error { return e.allRoute(res.Position.Index) }); err != nil {
+		return err
+	}
+	served := res.Position.Index
+	if err := late.Node.Stop(); err != nil {
+		return err
+	}
+	began := time.Now()
+	for i := range lateNotes {
+		n := 3 + i
+		if res, err = e.publish(c, operator.NewOperationID(), smallNote(n, fmt.Sprintf("small note %d", n))); err != nil {
+			return fmt.Errorf("note %d: %w", n, err)
+		}
+	}
+	e.say("%d notes published in %s", lateNotes, seconds(time.Since(began)))
+	watch := watchOld(late, served)
+	began = time.Now()
+	if err := late.Node.Start(); err != nil {
+		return err
+	}
+	var st demo.NodeStatus
+	err = demo.Eventually(lateLimit, func() error {
+		st, err = late.Status()
+		if err == nil && (!st.Routable || st.Position.Index < res.Position.Index) {
+			err = fmt.Errorf("routable %t, index %d of %d", st.Routable, st.Position.Index, res.Position.Index)
+		}
+		return err
+	})
+	took := time.Since(began)
+	if werr := watch(); werr != nil || err != nil {
+		return errors.Join(err, werr)
+	}
+	e.endLoad()
+	if n := notOK(e.flow(lookups)); n > 0 {
+		return fmt.Errorf("%d of %d lookups not answered in time", n, e.flow(lookups).Sent)
+	}
+	e.measured("caught up with %d notes %s after the start with %.1f KB received", lateNotes, seconds(took),
+		float64(st.BytesReceived)/1000)
+	return nil
+}
+
+// watchOld asks the node for the withdrawn route until the returned function is
+// called, which returns an error if the node ever routed by an older note.
+func watchOld(s *demo.BackendServer, served uint64) func() error {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var found error
+	wg.Go(func() {
+		for {
+			if code, err := get(s.Caller + "/old/1"); err == nil && code != http.StatusNotFound && code != http.StatusServiceUnavailable {
+				found = fmt.Errorf("withdrawn route answered with status %d", code)
+			}
+			if st, err := s.Status(); err == nil && st.Routable && st.Position.Index < served {
+				found = fmt.Errorf("node routes by index %d after it served %d", st.Position.Index, served)
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	})
+	return func() error { close(stop); wg.Wait(); return found }
+}
+
+const stopConvergence = 4 * time.Second
+
+// stops restarts every node in turn by SIGTERM. Callers use entry nodes that are
+// not restarted meanwhile, and must not notice.
+func stops(e *env) error {
+	if err := e.startMesh(append(repeat(9, "thun"), "bern-altstadt", "burgdorf"), threePlaces); err != nil {
+		return err
+	}
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	rosters, ledgers := e.entriesOf("roster")
+	r := &rolling{e: e, c: c, next: 2}
+	for _, g := range [][2][]*demo.BackendServer{{rosters, ledgers}, {ledgers, rosters}} {
+		e.startLoad(g[0])
+		for _, s := range g[1] {
+			if err := r.restart(s); err != nil {
+				return err
+			}
+		}
+		e.endLoad()
+	}
+	for _, f := range e.report.Flows() {
+		if n := notOK(f); n > 0 {
+			for _, line := range e.report.Details() {
+				e.say("not ok: %s", line)
+			}
+			return fmt.Errorf("%d of %d requests of %s were not answered in time: %v", n, f.Sent, f.Name, f.Outcomes)
+		}
+	}
+	if r.parents == 0 {
+		return errors.New("no node with children was stopped")
+	}
+	e.measured("%d nodes restarted, longest stop %s; %d of them had children, notes published at their stop in force within %s",
+		len(e.Servers), seconds(r.longest), r.parents, seconds(r.slowest))
+	f := e.flow(lookups)
+	e.measured("%d lookups all answered, p99 %.1f ms", f.Sent, f.P99)
+	return nil
+}
+
+// rolling is a restart of nodes one after the other.
+type rolling struct {
+	e       *env
+	c       *operator.Client
+	next    int
+	parents int
+	longest time.Duration
+	slowest time.Duration
+}
+
+// restart stops a node, publishes a note during the stop of a parent, and starts
+// the node again.
+func (r *rolling) restart(s *demo.BackendServer) error {
+	kids, err := children(s)
+	if err != nil {
+		return err
+	}
+	stopped := make(chan error, 1)
+	began := time.Now()
+	go func() { stopped <- s.Node.Stop() }()
+	if kids > 0 {
+		r.parents++
+		if err := r.publishDuring(s); err != nil {
+			return err
+		}
+	}
+	if err := <-stopped; err != nil {
+		return fmt.Errorf("node %s ended with %w", s.Host, err)
+	}
+	r.longest = max(r.longest, time.Since(began))
+	if n := r.e.countLog(string(s.Host), "planned stop cut requests"); n > 0 {
+		return fmt.Errorf("node %s cut requests", s.Host)
+	}
+	if err := s.Node.Start(); err != nil {
+		return err
+	}
+	return demo.Eventually(startLimit, func() error {
+		code, err := get(s.Caller + "/cabinets/7")
+		if err == nil && code != http.StatusOK {
+			err = fmt.Errorf("node %s answers %d", s.Host, code)
+		}
+		return err
+	})
+}
+
+// publishDuring publishes a note while s stops and waits until the others have it.
+func (r *rolling) publishDuring(s *demo.BackendServer) error {
+	res, err := r.e.publish(r.c, operator.NewOperationID(), smallNote(r.next, "during a stop"))
+	if err != nil {
+		return err
+	}
+	r.next++
+	took, err := until(startLimit, func() error {
+		for _, o := range r.e.Servers {
+			if o == s {
+				continue
+			}
+			if st, err := o.Status(); err != nil || st.Position.Index < res.Position.Index {
+				return fmt.Errorf("node %s: index %d of %d, %w", o.Host, st.Position.Index, res.Position.Index, err)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	r.slowest = max(r.slowest, took)
+	if took > stopConvergence {
+		return fmt.Errorf("note took %s during the stop of a parent", took)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/faults/notes.go
@@ -0,0 +1,67 @@
+package faults
+
+import (
+	"fmt"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/model"
+)
+
+// firstNote sets up two services; route old exists only until it is withdrawn.
+const firstNote = `{
+  "number": 1,
+  "title": "cabinet ledger and roster desk",
+  "services": {"added": [
+    {"name": "ledger", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"},
+    {"name": "roster", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"}
+  ]},
+  "routes": {"added": [
+    {"name": "cabinet-status", "path_prefix": "/cabinets", "methods": ["GET"], "service": "ledger", "kind": "lookup",
+     "timeout": "1s", "max_retries": 2, "hedge": true},
+    {"name": "restock", "path_prefix": "/restocks", "methods": ["POST"], "service": "ledger", "kind": "write",
+     "timeout": "2s", "max_retries": 2, "hedge": false},
+    {"name": "urgent", "path_prefix": "/urgent", "methods": ["GET"], "service": "ledger", "kind": "urgent",
+     "timeout": "500ms", "max_retries": 2, "hedge": false},
+    {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
+     "timeout": "1s", "max_retries": 2, "hedge": false},
+    {"name": "old", "path_prefix": "/old", "methods": ["GET"], "service": "ledger", "kind": "lookup",
+     "timeout": "1s", "max_retries": 2, "hedge": false}
+  ]},
+  "moves": [
+    {"service": "ledger", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"},
+    {"service": "roster", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"}
+  ]
+}`
+
+// withdrawOld withdraws route old in note 2.
+const withdrawOld = `{"number": 2, "title": "old withdrawn", "routes": {"withdrawn": ["old"]}}`
+
+// smallNote changes the timeout of one route, so that every note differs.
+func smallNote(number int, title string) string {
+	return fmt.Sprintf(`{"number": %d, "title": %q, "routes": {"changed": [
+    {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
+     "timeout": "%dms", "max_retries": 2, "hedge": false}]}}`, number, title, 1000+number)
+}
+
+func moveNote(number int, by time.Time) string {
+	return fmt.Sprintf(`{"number": %d, "title": "ledger to version 2",
+  "moves": [{"service": "ledger", "to": "v2", "by": %q, "watch_for": "5s"}]}`, number, by.UTC().Format(time.RFC3339))
+}
+
+var (
+	sevenPlaces = []model.DataCentre{"thun", "thun", "thun", "bern-altstadt", "bern-altstadt", "burgdorf", "burgdorf"}
+	threePlaces = []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}
+)
+
+// entriesOf returns the nodes beside the backend servers of a service.
+func (e *env) entriesOf(service model.ServiceName) (entries, others []*demo.BackendServer) {
+	for _, s := range e.Servers {
+		if s.Service == service {
+			entries = append(entries, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	return entries, others
+}
--- /dev/null
+++ b/bench/faults/silent.go
@@ -0,0 +1,179 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/relay"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note/strictjson"
+	"balsamtrail.org/mesh/operator"
+	"balsamtrail.org/mesh/settings"
+)
+
+// relays stand between all nodes and control hosts, and between all nodes.
+type relays struct {
+	tcp []*relay.TCP
+	udp []*udpRelay
+}
+
+// swallow makes all open connections silent.
+func (r *relays) swallow() (tcp, udp int) {
+	for _, t := range r.tcp {
+		tcp += t.Swallow()
+	}
+	for _, u := range r.udp {
+		udp += u.swallow()
+	}
+	return tcp, udp
+}
+
+func (r *relays) front(target string, wg *sync.WaitGroup) (string, error) {
+	u, err := listenUDP(target)
+	if err != nil {
+		return "", err
+	}
+	r.udp = append(r.udp, u)
+	wg.Go(u.run)
+	return u.addr(), nil
+}
+
+// place changes the settings of the prepared processes so that connections to
+// nodes, and those of nodes to control hosts, go through relays.
+func (r *relays) place(ctx context.Context, e *env, wg *sync.WaitGroup) error {
+	var first settings.Control
+	fronts := map[model.HostID]string{}
+	for _, c := range e.Controls {
+		s, err := settings.LoadControl(e.file(c.Host))
+		if err != nil {
+			return err
+		}
+		first = s
+		if fronts[c.Host], err = r.front(s.Listen.Peer, wg); err != nil {
+			return err
+		}
+	}
+	for _, b := range e.Servers {
+		n, err := settings.LoadNode(e.file(b.Host))
+		if err != nil {
+			return err
+		}
+		for i, h := range first.ControlHosts {
+			n.ControlHosts[i].Peer = fronts[h.Host]
+		}
+		if n.Advertise.Peer, err = r.front(n.Listen.Peer, wg); err != nil {
+			return err
+		}
+		t, err := relay.ListenTCP(ctx, "127.0.0.1:0", n.Listen.Call)
+		if err != nil {
+			return err
+		}
+		r.tcp = append(r.tcp, t)
+		wg.Go(func() { t.Run(ctx) })
+		n.Advertise.Call = t.Addr()
+		if err := e.save(b.Host, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// file returns the settings file of a process.
+func (e *env) file(host model.HostID) string { return filepath.Join(e.dir, string(host)+".json") }
+
+// save writes the settings file of a process.
+func (e *env) save(host model.HostID, v any) error {
+	b, err := strictjson.MarshalIndent(v)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(e.file(host), b, 0o600)
+}
+
+const (
+	// silentLimit is the time after which every connection must be replaced: the
+	// idle limit, an opening and one back-off.
+	silentLimit  = 6 * time.Second
+	silentRounds = 2
+)
+
+// silent swallows all bytes of all open connections, twice.
+func silent(e *env) error {
+	for _, s := range append(place("ledger", "v1", sevenPlaces), place("roster", "v1", threePlaces)...) {
+		if _, err := e.Add(s); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(e.ctx)
+	var wg sync.WaitGroup
+	r := &relays{}
+	defer func() {
+		e.endLoad()
+		cancel()
+		for _, u := range r.udp {
+			u.close()
+		}
+		wg.Wait()
+	}()
+	if err := r.place(ctx, e, &wg); err != nil {
+		return err
+	}
+	if err := e.startAll(); err != nil {
+		return err
+	}
+	entries, _ := e.entriesOf("roster")
+	e.startLoad(entries)
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	for round := range silentRounds {
+		time.Sleep(3 * time.Second)
+		if err := e.silentRound(c, r, round+2); err != nil {
+			return err
+		}
+	}
+	e.endLoad()
+	return nil
+}
+
+func (e *env) silentRound(c *operator.Client, r *relays, number int) error {
+	began := time.Now()
+	second := int64(time.Since(e.reportStart) / time.Second)
+	tcp, udp := r.swallow()
+	e.say("%d connections between nodes and %d control flows are silent", tcp, udp)
+	res, err := e.publish(c, operator.NewOperationID(), smallNote(number, "while connections are silent"))
+	if err != nil {
+		return err
+	}
+	entries, _ := e.entriesOf("roster")
+	wrote, err := until(silentLimit, func() error { return write(e, entries[number%len(entries)].Caller) })
+	if err != nil {
+		return fmt.Errorf("no write ran within %s: %w", silentLimit, err)
+	}
+	err = demo.Eventually(silentLimit, func() error { return e.allRoute(res.Position.Index) })
+	converged := time.Since(began)
+	if err != nil {
+		return fmt.Errorf("note not in force everywhere within %s: %w", silentLimit, err)
+	}
+	time.Sleep(time.Until(began.Add(silentLimit + time.Second)))
+	last := time.Duration(0)
+	var missed int64
+	for _, f := range e.report.Flows() {
+		missed += notOK(f)
+		if n := lastNotOK(f); n >= second {
+			last = max(last, time.Duration(n+1-second)*time.Second)
+		}
+	}
+	e.measured("%d+%d silent: first write %s, note everywhere within %s, last request not answered in time within %s, %d in all",
+		tcp, udp, seconds(wrote), seconds(converged), last, missed)
+	if last > silentLimit {
+		return fmt.Errorf("requests still not answered in time after %s", last)
+	}
+	return nil
+}
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -78,9 +79,16 @@
 	}
 	c.lead = newLeader(c)
 	c.register()
+	countTraffic()
 	return c, nil
 }
 
+// countTraffic shows the bytes of peer connections among the metrics.
+func countTraffic() {
+	_ = metrics.NewRegisteredFunctionalGauge("control.bytes_sent", nil, func() int64 { sent, _ := peer.Traffic(); return sent })
+	_ = metrics.NewRegisteredFunctionalGauge("control.bytes_received", nil, func() int64 { _, got := peer.Traffic(); return got })
+}
+
 // openLogs opens the replicated log of each group.
 func (c *Control) openLogs() error {
 	l, err := c.openLog(configGroup, c.machine)
