demo: take ports from below the range of source ports

A listen port from the system's range of source ports can be given to an outgoing connection while its process restarts; the listener then fails. In a restart of 30 nodes together one node lost its port that way.

--- a/bench/demo/ports.go
+++ b/bench/demo/ports.go
@@ -2,7 +2,18 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
+)
+
+// The ports handed out lie below the range from which systems take the source
+// ports of outgoing connections. A port from that range may be taken by another
+// process while a killed one restarts, whose listener then fails.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 1_000
 )
 
 // ports hands out free loopback ports. Each port is free for TCP and UDP at
@@ -11,22 +22,34 @@
 
 func newPorts() *ports { return &ports{used: map[int]bool{}} }
 
-// next returns a free address.
+// next returns a free address that was not handed out before.
 func (p *ports) next() (string, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
-		if err != nil {
-			return "", err
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
-		_ = l.Close()
-		if err != nil || p.used[port] {
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if p.used[port] || !free(port) {
 			continue
 		}
-		_ = u.Close()
 		p.used[port] = true
-		return fmt.Sprintf("127.0.0.1:%d", port), nil
+		return address(port), nil
 	}
-	return "", fmt.Errorf("no free port found")
+	return "", fmt.Errorf("no free port found in %d tries", portTries)
 }
+
+func address(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// free reports whether the port is free for TCP and UDP.
+func free(port int) bool {
+	l, err := net.Listen("tcp", address(port)) //nolint:noctx // closed at once
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", address(port)) //nolint:noctx // closed at once
+	if err != nil {
+		return false
+	}
+	return u.Close() == nil
+}
+
+// FreeAddress returns a loopback address that the fleet does not use.
+func (f *Fleet) FreeAddress() (string, error) { return f.ports.next() }
