node: end the HTTP servers when another part of the node fails

A node whose listener port was in use logged that its peer connections shut down and then lived on, without routes and without an exit code, because its other HTTP servers never ended. A supervisor could not restart it. The servers now end with the context of the node, and the process with the error.

--- a/bench/faults/control.go
+++ b/bench/faults/control.go
@@ -69,7 +69,7 @@
 			return err
 		}
 	}
-	entries, _ := e.entriesOf("roster")
+	entries, _ := e.entries()
 	e.startLoad(entries)
 	c, err := e.client()
 	if err != nil {
@@ -209,7 +209,7 @@
 	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
 		return err
 	}
-	entries, _ := e.entriesOf("roster")
+	entries, _ := e.entries()
 	e.startLoad(entries)
 	old, err := e.Leader()
 	if err != nil {
@@ -329,7 +329,7 @@
 	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
 		return err
 	}
-	entries, others := e.entriesOf("roster")
+	entries, others := e.entries()
 	e.startLoad(entries)
 	time.Sleep(2 * time.Second)
 	began := time.Now()
--- a/bench/faults/disk.go
+++ b/bench/faults/disk.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,7 +27,7 @@
 	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
 		return err
 	}
-	entries, others := e.entriesOf("roster")
+	entries, others := e.entries()
 	e.startLoad(entries)
 	c, err := e.client()
 	if err != nil {
@@ -145,7 +144,7 @@
 	}
 	var ports [2]string
 	for i := range ports {
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = e.FreeAddress(); err != nil {
 			return "", err
 		}
 	}
@@ -164,20 +163,6 @@
 	return ports[0], h.Start()
 }
 
-// freePort returns a loopback address that is free for TCP and UDP.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	u, err := net.ListenPacket("udp", l.Addr().String()) //nolint:noctx // closed at once
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), u.Close()
-}
-
 // goesOn checks that nothing accepted is lost and that notes and writes are
 // accepted; number is the first note that was not accepted before.
 func (e *env) goesOn(number int) error {
@@ -198,7 +183,7 @@
 	if len(a.Notes) != number || !a.Read.Confirmed {
 		return fmt.Errorf("%d notes after the second loss, want %d; confirmed %t", len(a.Notes), number, a.Read.Confirmed)
 	}
-	entries, _ := e.entriesOf("roster")
+	entries, _ := e.entries()
 	for range 4 * len(entries) { // several keys, so that all claim groups are asked
 		if err := demo.Eventually(writeLimit, func() error { return write(e, entries[0].Caller) }); err != nil {
 			return fmt.Errorf("writes after the second loss: %w", err)
--- a/bench/faults/nodes.go
+++ b/bench/faults/nodes.go
@@ -104,7 +104,7 @@
 	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
 		return err
 	}
-	entries, others := e.entriesOf("roster")
+	entries, others := e.entries()
 	late := others[0]
 	e.startLoad(entries)
 	c, err := e.client()
@@ -192,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	rosters, ledgers := e.entriesOf("roster")
+	rosters, ledgers := e.entries()
 	r := &rolling{e: e, c: c, next: 2}
 	for _, g := range [][2][]*demo.BackendServer{{rosters, ledgers}, {ledgers, rosters}} {
 		e.startLoad(g[0])
--- a/bench/faults/notes.go
+++ b/bench/faults/notes.go
@@ -54,10 +54,11 @@
 	threePlaces = []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}
 )
 
-// entriesOf returns the nodes beside the backend servers of a service.
-func (e *env) entriesOf(service model.ServiceName) (entries, others []*demo.BackendServer) {
+// entries returns the nodes that scenarios use as entry nodes, those beside the
+// roster, and the others.
+func (e *env) entries() (entries, others []*demo.BackendServer) {
 	for _, s := range e.Servers {
-		if s.Service == service {
+		if s.Service == "roster" {
 			entries = append(entries, s)
 		} else {
 			others = append(others, s)
--- a/bench/faults/silent.go
+++ b/bench/faults/silent.go
@@ -126,7 +126,7 @@
 	if err := e.startAll(); err != nil {
 		return err
 	}
-	entries, _ := e.entriesOf("roster")
+	entries, _ := e.entries()
 	e.startLoad(entries)
 	c, err := e.client()
 	if err != nil {
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	entries, _ := e.entriesOf("roster")
+	entries, _ := e.entries()
 	wrote, err := until(silentLimit, func() error { return write(e, entries[number%len(entries)].Caller) })
 	if err != nil {
 		return fmt.Errorf("no write ran within %s: %w", silentLimit, err)
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -42,7 +42,10 @@
 	return &httpServer{name: name, srv: srv}
 }
 
+// serve serves until stop, or until ctx ends because another part of the node
+// has failed.
 func (s *httpServer) serve(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { _ = s.srv.Close() })()
 	if err := s.srv.Start(ctx); err != nil && ctx.Err() == nil {
 		return eris.Wrapf(ErrStart, "listen.%s: %v", s.name, err)
 	}
