Give each setting an effect; keep the newest version in cache_file

Each is passed on now, by small options of distribute and membership. Ranges in which a setting could not work (a lease of two ticks, a silence below two heartbeats, fewer children than the tree plans) are refused. region stands in log lines and status.

A node restores it at its start and still routes only once it knows its floor. Refresh no longer brings held routes of a version below the floor into force.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -51,6 +51,7 @@
 
 // New opens the listening socket and the data directory of a control host.
 func New(ctx context.Context, cfg settings.Control, log *slog.Logger) (*Control, error) {
+	log = log.With("cluster", cfg.Cluster, "region", cfg.Region)
 	creds, err := peer.LoadCredentials(cfg.Credentials)
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
@@ -65,8 +66,8 @@
 	}
 	c := &Control{
 		cfg: cfg, log: log, ep: ep,
-		store: distribute.NewStore(), endpoints: membership.NewTable(), keeper: membership.NewLeaseKeeper(),
-		admission: distribute.NewAdmission(distribute.SourceAdmission()),
+		store: distribute.NewStore(), endpoints: membership.NewTable(), keeper: membership.NewLeaseKeeperOf(cfg.Timeouts.EndpointLease),
+		admission: distribute.NewAdmission(sourceAdmission(cfg.Limits)),
 		nodes:     distribute.NewSubtree(nil), hosts: distribute.NewSubtree(nil),
 		freshness: &distribute.Freshness{}, evidence: newEvidence(cfg.Host, uint64(time.Now().UnixMilli())),
 	}
@@ -81,6 +82,14 @@
 	return c, nil
 }
 
+// sourceAdmission bounds the nodes that this host serves directly.
+func sourceAdmission(l settings.ControlLimits) distribute.AdmissionConfig {
+	a := distribute.SourceAdmission()
+	a.PerDataCentre, a.Snapshots = l.Children, l.Snapshots
+	a.Children = max(a.Children, l.Children+a.Spare)
+	return a
+}
+
 // openLogs opens the replicated log of each group.
 func (c *Control) openLogs() error {
 	l, err := c.openLog(configGroup, c.machine)
--- a/mesh/distribute/acceptor.go
+++ b/mesh/distribute/acceptor.go
@@ -135,6 +135,9 @@
 	return a.put(cur, v, note.Diff(from, v.Config), v.Sum)
 }
 
+// Restore takes over the version of a cache file at a start.
+func (a *Acceptor) Restore(v *Version) error { return a.acceptVersion(v) }
+
 func (a *Acceptor) checkPosition(at, next model.Position) error {
 	if !at.Less(next) {
 		return eris.Wrapf(ErrOld, "%s after %s", next, at)
@@ -174,7 +177,8 @@
 	return nil
 }
 
-// Refresh brings held routes into force whose service has an endpoint now.
+// Refresh brings held routes into force whose service has an endpoint now,
+// unless the floor has risen above the accepted version meanwhile.
 func (a *Acceptor) Refresh() {
 	if f := a.inForce.Load(); f == nil || len(f.Held) == 0 {
 		return
@@ -182,7 +186,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := a.inForce.Load()
-	if !slices.ContainsFunc(f.Held, func(h HeldRoute) bool { return a.eps.HasAlive(h.Service) }) {
+	if f.Accepted.Position.Less(a.floor) || !slices.ContainsFunc(f.Held, func(h HeldRoute) bool { return a.eps.HasAlive(h.Service) }) {
 		return
 	}
 	cfg, held := effective(f, f.Accepted, a.eps.HasAlive)
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -234,6 +234,23 @@
 	return Exchange(t.Context(), a.a, a.eps, mine, withEndpoints, quiet)
 }
 
+// TestRepairInterval guards against a repair that ignores its interval.
+func TestRepairInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcess(nodeIdentity("n1"))
+		tries := 0
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Minute)
+		defer cancel()
+		_ = Repair(ctx, p.a, p.eps, RepairOptions{
+			Self: "n1", Freshness: p.serve.Freshness, Interval: time.Minute, Log: quiet,
+			Nodes: func() []Parent { tries++; return nil },
+		})
+		if tries < 80 || tries > 120 {
+			t.Fatalf("%d exchanges in 100 intervals", tries)
+		}
+	})
+}
+
 // TestExchange guards against a repair that misses versions or endpoints, and
 // against transfers between peers that have the same.
 func TestExchange(t *testing.T) {
--- a/mesh/distribute/errors.go
+++ b/mesh/distribute/errors.go
@@ -14,6 +14,8 @@
 	ErrRefused = errors.New("version refused")
 	// ErrBelowFloor is returned for a version older than the least position to accept.
 	ErrBelowFloor = errors.New("version below the floor")
+	// ErrCache is returned for a cache file that cannot be read or written.
+	ErrCache = errors.New("cache file")
 	// ErrSnapshot is returned for a snapshot or chunk that is damaged or out of order.
 	ErrSnapshot = errors.New("unusable snapshot")
 	// ErrBadFrame is returned for a frame that breaks a bound or the order of the stream.
--- a/mesh/distribute/exchange.go
+++ b/mesh/distribute/exchange.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -15,7 +16,7 @@
 
 // The times and bounds of the exchange between peers.
 const (
-	// ExchangeInterval is how often a node compares with a peer.
+	// ExchangeInterval is how often a node compares with a peer by default.
 	ExchangeInterval = 2 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
@@ -130,36 +131,49 @@
 	return reply, recvWithin(st, &reply, exchangeTimeout)
 }
 
-// Repair exchanges with a random partner every ExchangeInterval until ctx ends.
-// nodes returns the live nodes to choose from.
-func Repair(ctx context.Context, self model.HostID, a *Acceptor, eps *membership.Table,
-	fresh *Freshness, nodes func() []Parent, open func(context.Context, Parent) (peer.Stream, error), log *slog.Logger) error {
+// RepairOptions are the settings of Repair.
+type RepairOptions struct {
+	Self      model.HostID
+	Freshness *Freshness
+	// Interval is the mean time between two exchanges; 0 stands for
+	// ExchangeInterval. A shorter one repairs lost updates sooner and costs bytes.
+	Interval time.Duration
+	// Nodes returns the live nodes to choose from.
+	Nodes func() []Parent
+	// Open opens the exchange stream to a peer.
+	Open func(context.Context, Parent) (peer.Stream, error)
+	Log  *slog.Logger
+}
+
+// Repair exchanges with a random partner every o.Interval until ctx ends.
+func Repair(ctx context.Context, a *Acceptor, eps *membership.Table, o RepairOptions) error {
+	interval := cmp.Or(o.Interval, ExchangeInterval)
 	differed := false
-	for sleep(ctx, ExchangeInterval/2+rand.N(ExchangeInterval)) {
+	for sleep(ctx, interval/2+rand.N(interval)) {
 		now, n := time.Now(), freshPartners
-		if fresh.Age(now) > staleLimit {
+		if o.Freshness.Age(now) > staleLimit {
 			n = stalePartners
 		}
-		partners := Partners(self, nodes(), now, n)
+		partners := Partners(o.Self, o.Nodes(), now, n)
 		if len(partners) == 0 {
 			continue
 		}
 		p := partners[rand.IntN(len(partners))]
 		one, cancel := context.WithTimeout(ctx, 2*exchangeTimeout)
-		st, err := open(one, p)
+		st, err := o.Open(one, p)
 		if err == nil {
 			var c Comparison
 			// Tables differ while changes are in flight; only a difference that
 			// stays is worth the transfer of a bucket.
-			c, err = Exchange(one, a, eps, st, differed, log)
+			c, err = Exchange(one, a, eps, st, differed, o.Log)
 			differed = c.EndpointsDiffer && (!differed || !c.Pulled)
 			if c.Pulled {
-				log.Info("repaired from peer", "peer", p.Host, "position", c.Position.String())
+				o.Log.Info("repaired from peer", "peer", p.Host, "position", c.Position.String())
 			}
 		}
 		cancel()
 		if err != nil {
-			log.Debug("exchange failed", "peer", p.Host, "reason", err.Error())
+			o.Log.Debug("exchange failed", "peer", p.Host, "reason", err.Error())
 		}
 	}
 	return ctx.Err()
--- a/mesh/distribute/fleet_test.go
+++ b/mesh/distribute/fleet_test.go
@@ -206,9 +206,12 @@
 			Preferred:  func() []Parent { return Preferred(n.id.Host, "thun", nodes(), []Parent{f.root}) }}
 		n.done.Go(func() { _ = Attach(ctx, n.a, n.eps, o) })
 		n.done.Go(func() {
-			_ = Repair(ctx, n.id.Host, n.a, n.eps, n.serve.Freshness, nodes, func(ctx context.Context, p Parent) (peer.Stream, error) {
-				return ep.Open(ctx, p.Address, p.Identity(), MethodExchange)
-			}, quiet)
+			_ = Repair(ctx, n.a, n.eps, RepairOptions{
+				Self: n.id.Host, Freshness: n.serve.Freshness, Nodes: nodes, Log: quiet,
+				Open: func(ctx context.Context, p Parent) (peer.Stream, error) {
+					return ep.Open(ctx, p.Address, p.Identity(), MethodExchange)
+				},
+			})
 		})
 	case "poll", "push":
 		n.done.Go(func() { f.baseline(ctx, ep, n) })
@@ -221,7 +224,7 @@
 	for sleep(ctx, 0) {
 		st, err := ep.Open(ctx, f.root.Address, f.root.Identity(), membership.MethodAnnounce)
 		if err == nil {
-			_ = membership.Announce(ctx, pub, &membership.Contact{}, st)
+			_ = membership.Announce(ctx, pub, &membership.Contact{}, st, membership.AnnounceOptions{})
 		}
 		sleep(ctx, 100*time.Millisecond)
 	}
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -43,6 +44,9 @@
 	// Patience is how long a parent may be stale before Follow gives it up; 0
 	// means for ever.
 	Patience time.Duration
+	// Silence is the silence after which Follow gives the parent up; 0 stands for
+	// DefaultSilence. It must exceed two heartbeats.
+	Silence time.Duration
 	// Handoff receives the delay after which a stopping parent wants to be left.
 	Handoff chan<- time.Duration
 	// Ready is closed at the first frame of a parent that admitted this child.
@@ -209,7 +213,7 @@
 func (r *childReader) run() error {
 	for {
 		var f downFrame
-		if err := recvWithin(r.st, &f, silenceLimit); err != nil {
+		if err := recvWithin(r.st, &f, cmp.Or(r.o.Silence, DefaultSilence)); err != nil {
 			return err
 		}
 		if err := f.check(); err != nil {
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -23,9 +23,9 @@
 	HeartbeatInterval = 300 * time.Millisecond
 	// ReportInterval is how often a child speaks.
 	ReportInterval = time.Second
-	// silenceLimit is the silence after which a child gives its parent up. It
+	// DefaultSilence is the silence after which a child gives its parent up. It
 	// covers two lost heartbeats and leaves time to reconnect within a second.
-	silenceLimit = 900 * time.Millisecond
+	DefaultSilence = 900 * time.Millisecond
 	// childSilence is the silence after which a parent gives its child up; it
 	// only frees the slot, so it may be longer.
 	childSilence = 3 * ReportInterval
@@ -136,7 +136,7 @@
 
 func recvHello(st peer.Stream) (helloFrame, error) {
 	var f upFrame
-	if err := recvWithin(st, &f, silenceLimit); err != nil {
+	if err := recvWithin(st, &f, DefaultSilence); err != nil {
 		return helloFrame{}, err
 	}
 	if f.Hello == nil {
--- a/mesh/distribute/tree.go
+++ b/mesh/distribute/tree.go
@@ -18,7 +18,7 @@
 	// plannedFanOut is below MaxChildren, so that a parent has room for the
 	// uneven choice by hash and for the children of a failed neighbour.
 	plannedFanOut = 5
-	// levelCandidates is the number of candidates one level above.
+	// levelCandidates is the usual number of candidates one level above.
 	levelCandidates = 3
 	// spareCandidates is the number of candidates of any lower rank.
 	spareCandidates = 2
@@ -91,8 +91,14 @@
 // preferred ones, then some other nodes of lower rank, then the roots. nodes
 // are those of the data centre; they need not contain self.
 func Parents(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
+	return ParentsOf(self, dc, nodes, roots, levelCandidates)
+}
+
+// ParentsOf is Parents with the given number of preferred nodes. More find a
+// parent sooner after failures and spread the children less evenly.
+func ParentsOf(self model.HostID, dc model.DataCentre, nodes, roots []Parent, candidates int) []Parent {
 	lower := lowerNodes(self, dc, nodes)
-	out := preferred(self, dc, lower, roots)
+	out := preferred(self, dc, lower, roots, candidates)
 	spare := slices.DeleteFunc(slices.Clone(lower), func(p Parent) bool { return slices.Contains(out, p) })
 	out = append(out, take(self, spare, spareCandidates)...)
 	if Level(len(lower)) > 1 {
@@ -104,15 +110,15 @@
 // Preferred returns the parents that the tree gives to a node: nodes of the
 // next level up, or the roots for the first level.
 func Preferred(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
-	return preferred(self, dc, lowerNodes(self, dc, nodes), roots)
+	return preferred(self, dc, lowerNodes(self, dc, nodes), roots, levelCandidates)
 }
 
-func preferred(self model.HostID, dc model.DataCentre, lower, roots []Parent) []Parent {
+func preferred(self model.HostID, dc model.DataCentre, lower, roots []Parent, candidates int) []Parent {
 	level := Level(len(lower))
 	if level == 1 {
 		return orderRoots(self, dc, roots)
 	}
-	return take(self, lower[levelStart(level-1):min(levelStart(level), len(lower))], levelCandidates)
+	return take(self, lower[levelStart(level-1):min(levelStart(level), len(lower))], candidates)
 }
 
 // weighted is the index of a parent and the hash that orders it; hashing once
--- a/mesh/distribute/tree_test.go
+++ b/mesh/distribute/tree_test.go
@@ -1,7 +1,9 @@
 package distribute
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +92,16 @@
 		Expect(Parents("node-0", "thun", nodeParents(1), roots)).To(Equal([]Parent{roots[1], roots[0]}))
 	})
 
+	It("offers as many nodes of the next level up as asked for", func() {
+		nodes := nodeParents(200)
+		last := slices.MaxFunc(nodes, func(a, b Parent) int { return cmp.Compare(rankHash(a.Host), rankHash(b.Host)) })
+		few := ParentsOf(last.Host, "thun", nodes, roots, 1)
+		many := ParentsOf(last.Host, "thun", nodes, roots, 9)
+		Expect(few).To(HaveLen(1 + spareCandidates + len(roots)))
+		Expect(many).To(HaveLen(9 + spareCandidates + len(roots)))
+		Expect(many[0]).To(Equal(few[0]))
+	})
+
 	It("keeps most parents when one node leaves", func() {
 		nodes := nodeParents(200)
 		moved := 0
--- a/mesh/distribute/watch_test.go
+++ b/mesh/distribute/watch_test.go
@@ -196,6 +196,14 @@
 		if !errors.Is(err, ErrSilent) || time.Since(start) > time.Second {
 			t.Fatalf("silent parent: %v after %s", err, time.Since(start))
 		}
+		mine, _ = peer.Pipe(child.id, sourceIdentity)
+		patient := child.follow()
+		patient.Silence = 5 * time.Second
+		start = time.Now()
+		err = Follow(t.Context(), child.a, child.eps, mine, patient)
+		if !errors.Is(err, ErrSilent) || time.Since(start) != patient.Silence {
+			t.Fatalf("silent parent with a limit of %s: %v after %s", patient.Silence, err, time.Since(start))
+		}
 		stale := newProcess(sourceIdentity)
 		stale.serve.Freshness.Heard(time.Now(), 0)
 		for i := range 300 {
--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -16,7 +16,27 @@
 
 // replyTimeout bounds the wait for the answer to a renewal, so that half of
 // the lease remains to renew with another control host.
-const replyTimeout = time.Second
+const replyTimeout = LeaseTime / 2
+
+// AnnounceOptions are the times of Announce; zero values stand for the defaults.
+type AnnounceOptions struct {
+	// Renew is the interval of renewals; default RenewInterval. A shorter one
+	// tolerates more lost renewals and costs bytes.
+	Renew time.Duration
+	// Lease is the lease that control hosts grant; default LeaseTime. An answer
+	// may take half of it, so that time remains to renew elsewhere.
+	Lease time.Duration
+}
+
+func (o AnnounceOptions) withDefaults() AnnounceOptions {
+	if o.Renew == 0 {
+		o.Renew = RenewInterval
+	}
+	if o.Lease == 0 {
+		o.Lease = LeaseTime
+	}
+	return o
+}
 
 // Holder is a control host's side of all announce streams.
 type Holder struct {
@@ -35,7 +55,7 @@
 	defer context.AfterFunc(ctx, st.Abort)()
 	for {
 		var r renewal
-		if err := recvWithin(st, &r, LeaseTime); err != nil {
+		if err := recvWithin(st, &r, h.Keeper.Length()); err != nil {
 			return err
 		}
 		a := r.Announcement
@@ -100,13 +120,14 @@
 	c.reply, c.at = r, now
 }
 
-// Announce renews the node's lease over one stream every RenewInterval and at
+// Announce renews the node's lease over one stream every o.Renew and at
 // once on each change. It returns nil when the node has left and an error when
 // the caller should try another control host.
-func Announce(ctx context.Context, p *Publisher, c *Contact, st peer.Stream) error {
+func Announce(ctx context.Context, p *Publisher, c *Contact, st peer.Stream, o AnnounceOptions) error {
+	o = o.withDefaults()
 	defer context.AfterFunc(ctx, st.Abort)()
 	p.reannounce()
-	tick := time.NewTicker(RenewInterval)
+	tick := time.NewTicker(o.Renew)
 	defer tick.Stop()
 	for {
 		if ctx.Err() != nil {
@@ -118,7 +139,7 @@
 			return eris.Wrapf(ErrClosed, "renewal: %v", err)
 		}
 		var r Reply
-		if err := recvWithin(st, &r, replyTimeout); err != nil {
+		if err := recvWithin(st, &r, o.Lease/2); err != nil {
 			return err
 		}
 		c.record(time.Now(), r)
--- a/mesh/membership/announce_test.go
+++ b/mesh/membership/announce_test.go
@@ -28,7 +28,7 @@
 		p := NewPublisher(announcement("n1", 0, 0, StateServing), time.Now())
 		st, served := serve(t.Context(), h, nodeID)
 		contact, done := &Contact{}, make(chan error, 1)
-		go func() { done <- Announce(t.Context(), p, contact, st) }()
+		go func() { done <- Announce(t.Context(), p, contact, st, AnnounceOptions{}) }()
 		for range 40 {
 			time.Sleep(TickInterval)
 			h.Sweep(time.Now(), nil)
@@ -106,10 +106,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		node, _ := peer.Pipe(nodeID, controlID)
 		start := time.Now()
-		err := Announce(t.Context(), NewPublisher(announcement("n1", 0, 0, 0), start), &Contact{}, node)
+		err := Announce(t.Context(), NewPublisher(announcement("n1", 0, 0, 0), start), &Contact{}, node, AnnounceOptions{})
 		if !errors.Is(err, ErrSilent) || time.Since(start) > replyTimeout {
 			t.Fatalf("node: %v after %s", err, time.Since(start))
 		}
+		node, _ = peer.Pipe(nodeID, controlID)
+		start = time.Now()
+		err = Announce(t.Context(), NewPublisher(announcement("n1", 0, 0, 0), start), &Contact{}, node, AnnounceOptions{Lease: time.Minute})
+		if !errors.Is(err, ErrSilent) || time.Since(start) != time.Minute/2 {
+			t.Fatalf("node with a lease of a minute: %v after %s", err, time.Since(start))
+		}
 		_, done := serve(t.Context(), holder(), nodeID)
 		if err := <-done; !errors.Is(err, ErrSilent) {
 			t.Fatalf("control host: %v", err)
@@ -140,7 +146,7 @@
 		for _, h := range []Holder{first, second} {
 			ctx, cancel := context.WithCancel(t.Context())
 			st, _ := serve(ctx, h, nodeID)
-			go func() { _ = Announce(ctx, p, &Contact{}, st) }()
+			go func() { _ = Announce(ctx, p, &Contact{}, st, AnnounceOptions{}) }()
 			for range 40 {
 				time.Sleep(TickInterval)
 				if n := len(first.Sweep(time.Now(), nil)) + len(second.Sweep(time.Now(), nil)); n != 0 {
--- a/mesh/membership/lease.go
+++ b/mesh/membership/lease.go
@@ -12,20 +12,24 @@
 const (
 	// RenewInterval is how often a node renews its lease.
 	RenewInterval = 500 * time.Millisecond
-	// LeaseTime is the silence after which a node is declared lapsed. It covers
-	// three lost renewals and leaves 2 s of the 4 s target for the fan-out.
+	// LeaseTime is the silence after which a node is declared lapsed, if the
+	// keeper is not given another one. It covers three lost renewals and leaves
+	// 2 s of the 4 s target for the fan-out.
 	LeaseTime = 2 * time.Second
 	// TickInterval is how often the owner of a LeaseKeeper calls Expire.
 	TickInterval = 250 * time.Millisecond
 	// PauseLimit is the gap between two ticks from which the own process counts
 	// as paused. It is below LeaseTime minus RenewInterval, so that a shorter
-	// pause cannot lapse a node that kept renewing.
+	// pause cannot lapse a node that kept renewing. For a shorter lease the limit
+	// is half of it, since renewals come at least three times in a lease.
 	PauseLimit = time.Second
 )
 
 // LeaseKeeper decides on a control host which nodes have lapsed. It reads no
 // clock. One mutex guards it.
 type LeaseKeeper struct {
+	// length is the length of a lease; it does not change.
+	length    time.Duration
 	mu        sync.Mutex
 	leases    map[model.HostID]lease
 	lastTick  time.Time
@@ -40,8 +44,20 @@
 	adopted bool
 }
 
-// NewLeaseKeeper returns a keeper without leases.
-func NewLeaseKeeper() *LeaseKeeper { return &LeaseKeeper{leases: map[model.HostID]lease{}} }
+// NewLeaseKeeper returns a keeper that grants leases of LeaseTime.
+func NewLeaseKeeper() *LeaseKeeper { return NewLeaseKeeperOf(LeaseTime) }
+
+// NewLeaseKeeperOf returns a keeper that grants leases of the given length. A
+// shorter one finds a crash sooner and drops nodes whose host is merely slow.
+func NewLeaseKeeperOf(length time.Duration) *LeaseKeeper {
+	return &LeaseKeeper{length: length, leases: map[model.HostID]lease{}}
+}
+
+// Length returns the length of a lease.
+func (k *LeaseKeeper) Length() time.Duration { return k.length }
+
+// pauseLimit returns the gap between two ticks that counts as a pause.
+func (k *LeaseKeeper) pauseLimit() time.Duration { return min(PauseLimit, k.length/2) }
 
 // Renew grants the announced host a lease from now. A record that is older
 // than the leased one changes nothing; a host that left has no lease.
@@ -55,7 +71,7 @@
 		delete(k.leases, ann.Host)
 		return
 	}
-	k.leases[ann.Host] = lease{ann: ann, until: now.Add(LeaseTime)}
+	k.leases[ann.Host] = lease{ann: ann, until: now.Add(k.length)}
 }
 
 // Adopt gives hosts whose keeper was lost a lease of time to renew with any
@@ -65,7 +81,7 @@
 	defer k.mu.Unlock()
 	for _, a := range hosts {
 		if _, held := k.leases[a.Host]; !held && a.Alive() {
-			k.leases[a.Host] = lease{ann: a, until: now.Add(LeaseTime), adopted: true}
+			k.leases[a.Host] = lease{ann: a, until: now.Add(k.length), adopted: true}
 		}
 	}
 }
@@ -89,13 +105,13 @@
 }
 
 // Expire returns the lapsed records of the hosts whose lease ran out, for the
-// owner to merge into its table. A gap of PauseLimit since the last call means
+// owner to merge into its table. A gap of the pause limit since the last call means
 // that this process was paused and could not hear renewals: every lease is
 // then extended instead.
 func (k *LeaseKeeper) Expire(now time.Time) []Announcement {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	paused := !k.lastTick.IsZero() && now.Sub(k.lastTick) >= PauseLimit
+	paused := !k.lastTick.IsZero() && now.Sub(k.lastTick) >= k.pauseLimit()
 	k.lastTick = now
 	if paused {
 		k.pauses++
@@ -121,7 +137,7 @@
 
 func (k *LeaseKeeper) extend(now time.Time) {
 	for h, l := range k.leases {
-		if full := now.Add(LeaseTime); l.until.Before(full) {
+		if full := now.Add(k.length); l.until.Before(full) {
 			l.until = full
 			k.leases[h] = l
 		}
--- a/mesh/membership/lease_test.go
+++ b/mesh/membership/lease_test.go
@@ -27,6 +27,14 @@
 		Expect(newer(out[0], n1)).To(BeTrue())
 	})
 
+	It("lapses after the length it was given, even if that is close to the pause limit", func() {
+		k = NewLeaseKeeperOf(PauseLimit)
+		k.Renew(epoch, n1)
+		Expect(run(0, PauseLimit)).To(BeEmpty())
+		Expect(run(PauseLimit, 2*PauseLimit)).To(HaveLen(1))
+		Expect(k.Pauses()).To(BeZero())
+	})
+
 	It("does not lapse a host that left, and is not extended by an older record", func() {
 		k.Renew(epoch, n1)
 		left := announcement("n1", 5, 4, StateLeft)
--- /dev/null
+++ b/mesh/node/cache.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// openCache takes over the version in the cache file. A damaged file is
+// reported and ignored: the configuration is then learned as without a file.
+func (n *Node) openCache() error {
+	path := n.cfg.CacheFile
+	if path == "" {
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return eris.Wrapf(ErrStart, "cache_file: %v", err)
+	}
+	c, err := distribute.ReadCache(path)
+	if err == nil && c.Version != nil {
+		err = n.acceptor.Restore(c.Version)
+	}
+	switch {
+	case err != nil:
+		telemetry.Counter("node.cache-ignored").Inc(1)
+		n.log.Warn("cache file ignored", "file", path, "reason", err.Error())
+	case c.Version != nil:
+		n.cachedPeers = c.Peers
+		n.log.Info("cache file loaded", "file", path, "position", c.Version.Position.String(), "peers", len(c.Peers))
+	}
+	return nil
+}
+
+// keepCache writes each accepted version to the cache file until ctx ends.
+func (n *Node) keepCache(ctx context.Context) error {
+	if n.cfg.CacheFile == "" {
+		return nil
+	}
+	peers := func() []distribute.Parent {
+		return slices.DeleteFunc(n.knownNodes(), func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
+	}
+	return distribute.KeepCache(ctx, n.cfg.CacheFile, n.acceptor.Store(), peers, n.log)
+}
+
+// knownNodes returns the live nodes of the data centre. While none is known,
+// as after a start without the source, it returns those of the cache file.
+func (n *Node) knownNodes() []distribute.Parent {
+	nodes := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
+	if len(nodes) == 0 {
+		return slices.Clone(n.cachedPeers)
+	}
+	return nodes
+}
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -68,6 +68,8 @@
 type statusView struct {
 	Host       model.HostID         `json:"host"`
 	DataCentre model.DataCentre     `json:"data_centre"`
+	Region     string               `json:"region"`
+	Cluster    string               `json:"cluster"`
 	Service    model.ServiceName    `json:"service"`
 	Version    model.ServiceVersion `json:"version"`
 	Position   model.Position       `json:"position"`
@@ -91,7 +93,8 @@
 	now := time.Now()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(statusView{
-		Host: n.cfg.Host, DataCentre: n.cfg.DataCentre, Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version,
+		Host: n.cfg.Host, DataCentre: n.cfg.DataCentre, Region: n.cfg.Region, Cluster: n.cfg.Cluster,
+		Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version,
 		Position: n.acceptor.Position(), Routable: n.view.current() != nil, State: n.publisher.Current().State.String(),
 		Limit: n.gate.Limit(), InFlight: inFlight, Queued: queued, Children: n.children.Children(),
 		SourceAgeMs: n.freshness.Age(now).Milliseconds(), Violations: invariant.Violations(),
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -39,6 +39,8 @@
 	freshness *distribute.Freshness
 	children  *distribute.Admission
 	newer     chan newerPeer
+	// cachedPeers are the peers in the cache file; it does not change after New.
+	cachedPeers []distribute.Parent
 	// floor is the least position by which the node may route; nil until known.
 	floor atomic.Pointer[model.Position]
 
@@ -59,6 +61,7 @@
 
 // New opens the sockets of a node; Run serves.
 func New(ctx context.Context, cfg settings.Node, log *slog.Logger) (*Node, error) {
+	log = log.With("cluster", cfg.Cluster, "region", cfg.Region)
 	creds, err := peer.LoadCredentials(cfg.Credentials)
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
@@ -88,6 +91,9 @@
 	}
 	n.backend = newBackend(backendConfig{base: base, connections: cfg.Backend.Connections, dialTimeout: cfg.Timeouts.Connect})
 	n.buildControlSide()
+	if err := n.openCache(); err != nil {
+		return nil, err
+	}
 	n.buildCallSide(creds, want)
 	n.register()
 	return n, nil
@@ -123,10 +129,13 @@
 		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service, version: n.cfg.Backend.Version,
 		position: n.acceptor.Position, behind: n.noteNewer,
 	}
-	mux := callmux.Config{Credentials: creds, DrainLimit: n.cfg.Timeouts.Drain, Log: n.log}
+	mux := callmux.Config{
+		Credentials: creds, DialTimeout: n.cfg.Timeouts.Connect, DrainLimit: n.cfg.Timeouts.Drain, Log: n.log,
+	}
 	n.calls, n.callServer = callmux.NewClient(mux), callmux.NewServer(mux)
 	n.claims = claim.NewClient(claim.ClientConfig{
 		Caller: n.ep, Hosts: n.claimHosts, Groups: uint32(n.cfg.ClaimGroups), Log: n.log,
+		TryTimeout:  claimTries * n.cfg.Timeouts.Connect,
 		Incarnation: func() uint64 { return n.publisher.Current().Incarnation },
 	})
 	d := &dispatcher{
@@ -140,6 +149,10 @@
 	}
 }
 
+// claimTries is the time of one call to a control host in units of
+// timeouts.connect: one to connect and one for the commit.
+const claimTries = 2
+
 // initialLimits hold until the first configuration.
 func (n *Node) initialLimits() note.Service {
 	return note.Service{
@@ -180,6 +193,7 @@
 	g.Go(func() error { return ignoreEnd(life, n.ep.Serve(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.learnFloor(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.attach(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.keepCache(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.repair(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.catchUp(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.reportEvidence(life)) })
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -110,7 +110,9 @@
 // announce renews the lease of the backend server until it has left.
 func (n *Node) announce(ctx context.Context) error {
 	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
-		return membership.Announce(ctx, n.publisher, n.contact, st)
+		return membership.Announce(ctx, n.publisher, n.contact, st, membership.AnnounceOptions{
+			Renew: n.cfg.Timeouts.LeaseRenew, Lease: n.cfg.Timeouts.EndpointLease,
+		})
 	})
 }
 
@@ -230,10 +232,10 @@
 		Self: n.cfg.Host,
 		Follow: distribute.FollowOptions{
 			Subtree: n.subtree, Freshness: n.freshness, Progress: &distribute.Progress{}, Log: n.log,
+			Silence: n.cfg.Timeouts.ParentSilence,
 		},
 		Candidates: func() []distribute.Parent {
-			nodes := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
-			return distribute.Parents(n.cfg.Host, n.cfg.DataCentre, nodes, n.controlHosts())
+			return distribute.ParentsOf(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates)
 		},
 		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
 			return n.open(ctx, p, distribute.MethodWatch)
@@ -244,13 +246,14 @@
 
 // repair compares positions with random peers.
 func (n *Node) repair(ctx context.Context) error {
-	nodes := func() []distribute.Parent {
-		return distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
-	}
-	open := func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
-		return n.open(ctx, p, distribute.MethodExchange)
-	}
-	return distribute.Repair(ctx, n.cfg.Host, n.acceptor, n.endpoints, n.freshness, nodes, open, n.log)
+	return distribute.Repair(ctx, n.acceptor, n.endpoints, distribute.RepairOptions{
+		Self: n.cfg.Host, Freshness: n.freshness, Interval: n.cfg.Timeouts.Repair,
+		Nodes: n.knownNodes,
+		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
+			return n.open(ctx, p, distribute.MethodExchange)
+		},
+		Log: n.log,
+	})
 }
 
 // newerPeer is a peer that is known to have a newer position.
@@ -311,7 +314,7 @@
 // position by which this node may route, then returns.
 func (n *Node) learnFloor(ctx context.Context) error {
 	for ctx.Err() == nil {
-		peers := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
+		peers := n.knownNodes()
 		peers = slices.DeleteFunc(peers, func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
 		answers := n.askPositions(ctx, append(n.controlHosts(), peers[:min(len(peers), floorPeers)]...))
 		if floor, ok := distribute.Floor(answers, len(n.cfg.ControlHosts), len(peers)); ok {
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -71,7 +71,7 @@
 	// EndpointLease is how long a node counts as alive after its last renewal;
 	// default 2s. A shorter one finds a crash sooner and drops nodes whose host
 	// is merely slow. It must be the same on all control hosts.
-	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=500ms,max=1m"`
+	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=1s,max=1m"`
 	// Propose is how long an operator's write waits for a quorum; default 3s.
 	// A longer one hides an election, a shorter one reports it to the operator. It must be
 	// at most Request.
@@ -96,8 +96,9 @@
 	// may take half; default 512. Beyond it requests are refused with 503.
 	Requests int `json:"requests" validate:"min=8,max=65536"`
 	// Children bounds the nodes of one data centre that this host serves
-	// directly; default 8. More make the tree flatter and cost bytes at the source.
-	Children int `json:"children" validate:"min=1,max=256"`
+	// directly; default 8. The tree gives it 4; more take over those of a lost
+	// control host at once and cost bytes at the source.
+	Children int `json:"children" validate:"min=4,max=256"`
 	// Snapshots bounds the snapshots sent together; default 8. More end a storm
 	// of restarts sooner and take processor time from commits.
 	Snapshots int `json:"snapshots" validate:"min=1,max=256"`
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -80,17 +80,20 @@
 	// be at most a third of EndpointLease.
 	LeaseRenew time.Duration `json:"lease_renew" validate:"min=50ms,max=20s"`
 	// EndpointLease is the lease that control hosts grant; default 2s. It must
-	// equal timeouts.endpoint_lease of the control hosts.
-	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=500ms,max=1m"`
+	// equal timeouts.endpoint_lease of the control hosts. A control host that does
+	// not answer a renewal within half of it is replaced.
+	EndpointLease time.Duration `json:"endpoint_lease" validate:"min=1s,max=1m"`
 	// ParentSilence is the silence after which a tree parent is replaced;
-	// default 1s. A shorter one converges sooner after a crash and replaces
-	// parents whose host is merely slow.
-	ParentSilence time.Duration `json:"parent_silence" validate:"min=200ms,max=30s"`
+	// default 900ms. It covers at least two heartbeats of 300ms. A shorter one
+	// converges sooner after a crash and replaces parents whose host is merely
+	// slow. A connection that is silent as a whole is given up after 1s in any case.
+	ParentSilence time.Duration `json:"parent_silence" validate:"min=700ms,max=30s"`
 	// Repair is the interval of comparing positions with a random peer; default
 	// 2s. A shorter one repairs lost updates sooner and costs bytes.
 	Repair time.Duration `json:"repair" validate:"min=200ms,max=1m"`
-	// Connect bounds making a connection to a backend server or node; default
-	// 250ms. A shorter one fails over sooner, but not across a slow link.
+	// Connect bounds making a connection to a backend server or node, TLS
+	// included; default 250ms. One call to a control host for a claim may take
+	// twice as long. A shorter one fails over sooner, but not across a slow link.
 	Connect time.Duration `json:"connect" validate:"min=5ms,max=10s"`
 	// Health is the interval of health requests to the backend server; default
 	// 1s. A shorter one costs the backend server requests.
@@ -108,8 +111,9 @@
 	// Children bounds the nodes that this node serves; default 8. More make
 	// the tree flatter and cost this node bytes.
 	Children int `json:"children" validate:"min=1,max=64"`
-	// Candidates is the number of possible parents; default 3. More find a
-	// parent sooner after failures and spread the children less evenly.
+	// Candidates is the number of preferred parents one level up the tree;
+	// default 3. More find a parent sooner after failures and spread the children
+	// less evenly.
 	Candidates int `json:"candidates" validate:"min=1,max=16"`
 	// Snapshots bounds the snapshots sent together; default 2. More end a storm
 	// of restarts sooner and cost this node processor time.
@@ -134,7 +138,7 @@
 		Backend:     Backend{HealthPath: "/healthz"},
 		ClaimGroups: 4,
 		Timeouts: NodeTimeouts{
-			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: time.Second,
+			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: 900 * time.Millisecond,
 			Repair: 2 * time.Second, Connect: 250 * time.Millisecond, Health: time.Second,
 			Drain: 15 * time.Second, HeaderRead: 5 * time.Second,
 		},
--- a/mesh/settings/shared.go
+++ b/mesh/settings/shared.go
@@ -17,9 +17,11 @@
 	Host model.HostID `json:"host" validate:"required,name"`
 	// DataCentre is the data centre that the host stands in.
 	DataCentre model.DataCentre `json:"data_centre" validate:"required,name"`
-	// Region groups data centres that lose contact with the others together.
+	// Region groups data centres that lose contact with the others together. It
+	// stands in each log line and in a node's status, so that operators can tell
+	// the loss of a region from that of its parts; it decides nothing.
 	Region string `json:"region" validate:"required,name"`
-	// Cluster is the id of the mesh, for logs and status. What keeps two meshes
+	// Cluster is the id of the mesh, for the log and status. What keeps two meshes
 	// apart is that each has its own certificate authority.
 	Cluster string `json:"cluster" validate:"required,name"`
 	// Credentials names the PEM files of the process; relative paths start at
