Count only the peers that were asked towards the floor

A node asked at most 5 peers but needed answers from half of all known ones, so that in a data centre with more than 10 nodes it could never learn its floor without the source. The peers are now chosen at random and only those asked count.

--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -316,7 +317,9 @@
 	for ctx.Err() == nil {
 		peers := n.knownNodes()
 		peers = slices.DeleteFunc(peers, func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
-		answers := n.askPositions(ctx, append(n.controlHosts(), peers[:min(len(peers), floorPeers)]...))
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:min(len(peers), floorPeers)]
+		answers := n.askPositions(ctx, append(n.controlHosts(), peers...))
 		if floor, ok := distribute.Floor(answers, len(n.cfg.ControlHosts), len(peers)); ok {
 			n.acceptor.SetFloor(floor)
 			n.floor.Store(&floor)
@@ -328,7 +331,8 @@
 	return ctx.Err()
 }
 
-// floorPeers bounds the peers asked for a floor.
+// floorPeers bounds the peers asked for a floor; the floor is the greatest
+// position among at least half of those asked.
 const floorPeers = 5
 
 func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
