--- a/bench/demo/result.go
+++ b/bench/demo/result.go
@@ -23,6 +23,8 @@
 	bytesPerSecond := d.controlBytes()
 	methods := d.bytesByMethod()
 	runs := d.collectRuns(note)
+	d.requests, d.coldAbove = d.coldLoad()
+	d.checkLeaving(note)
 	d.checkWrites(runs, note)
 	d.checkProcesses(note)
 	conv := d.convergence()
@@ -104,6 +106,33 @@
 	return runs
 }
 
+// leaveLimit is the time after which a leaving backend server gets no new work.
+const leaveLimit = 2 * time.Second
+
+// checkLeaving asks the stand-in of the planned stop when it got its last request.
+func (d *run) checkLeaving(note func(string, ...any)) {
+	st, err := d.stopped.Stats()
+	if err != nil {
+		note("stand-in %s: %v", d.stopped.Host, err)
+		return
+	}
+	if late := st.LastRequest.Sub(d.stoppedAt); late > leaveLimit {
+		note("%s got work %s after it announced that it leaves", d.stopped.Host, late)
+	}
+}
+
+// coldLoad adds up the requests that stand-ins ran, and those above what they
+// could bear while cold.
+func (d *run) coldLoad() (requests, above int64) {
+	for _, s := range d.f.Servers {
+		if st, err := s.Stats(); err == nil {
+			requests += st.Requests
+			above += st.ColdOverload
+		}
+	}
+	return requests, above
+}
+
 // checkWrites compares what callers were told with what ran.
 func (d *run) checkWrites(runs map[string]int, note func(string, ...any)) {
 	for key, n := range runs {
@@ -254,6 +283,7 @@
 	row("added latency of lookups", "p50 %.2f ms, p99 %.2f ms", mesh.P50-direct.P50, mesh.P99-direct.P99)
 	row("good version completed after", "%.1f s (stated time %s)", d.movedIn.Seconds(), moveTime)
 	row("bad version taken back after", "%.1f s", d.reversedIn.Seconds())
+	row("requests above what cold servers bear", "%d of %d", d.coldAbove, d.requests)
 	row("writes", "%d keys, %d wrong answers", len(d.report.Keys()), d.report.Count(load.OutcomeWrong))
 	row("broken invariants", "%d", broken)
 	return tw.Flush()
--- a/bench/demo/scenario.go
+++ b/bench/demo/scenario.go
@@ -44,8 +44,10 @@
 	direct *BackendServer
 
 	movedIn, reversedIn time.Duration
+	requests, coldAbove int64
 	outAt, backAt       time.Time
-	stopped             []*BackendServer
+	stopped             *BackendServer
+	stoppedAt           time.Time
 }
 
 // say writes one line of progress with the time since the start.
@@ -315,10 +317,10 @@
 		return errors.New("no nodes to stop")
 	}
 	d.say("planned stop of node %s", planned.Host)
+	d.stopped, d.stoppedAt = planned, time.Now()
 	if err := planned.Node.Stop(); err != nil {
 		return err
 	}
-	d.stopped = append(d.stopped, planned)
 	d.say("kill of node %s", killed.Host)
 	killed.Node.Kill()
 	time.Sleep(3 * time.Second)
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -69,15 +70,22 @@
 	length       int64
 	timeout      time.Duration
 	budget       int
+	// idempotent allows the transport to send the request again if the backend
+	// server has closed a kept-alive connection meanwhile.
+	idempotent bool
 }
 
-// do sends one request exactly once. ErrNotRun means that no connection was
+// errStaleConn marks a request that was lost on a kept-alive connection, which
+// the backend server may just have closed. It says nothing about its load.
+var errStaleConn = errors.New("kept-alive connection lost")
+
+// do sends one request, and exactly once unless it is idempotent. ErrNotRun means that no connection was
 // obtained or that the backend server itself said so; after any other error the
 // request may have run.
 func (b *backend) do(ctx context.Context, r backendRequest) (*http.Response, error) {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { connected.Store(true); reused.Store(i.Reused) },
 	})
 	req, err := b.newRequest(ctx, r)
 	if err != nil {
@@ -85,7 +93,10 @@
 	}
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
-		if connected.Load() {
+		switch {
+		case connected.Load() && reused.Load() && ctx.Err() == nil:
+			return nil, errors.Join(ErrOutcomeUnknown, errStaleConn, err)
+		case connected.Load():
 			return nil, eris.Wrapf(ErrOutcomeUnknown, "backend server: %v", err)
 		}
 		return nil, eris.Wrapf(ErrNotRun, "backend server unreachable: %v", err)
@@ -105,8 +116,9 @@
 	req.Header = r.header
 	// http.Transport sends a request again after a lost connection if it has no
 	// body and carries an Idempotency-Key. A body without GetBody prevents that.
-	req.Body = onceBody{r.body}
-	req.GetBody = nil
+	if r.body != nil || !r.idempotent {
+		req.Body = onceBody{r.body}
+	}
 	req.ContentLength = r.length
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(r.timeout.Milliseconds(), 1), 10))
 	req.Header.Set(HeaderRetryBudget, strconv.Itoa(r.budget))
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -84,12 +84,16 @@
 	resp, err := s.backend.do(ctx, backendRequest{
 		method: req.Method, path: req.Path, header: forwardable(req.Header),
 		body: req.Body, length: requestLength(req), timeout: remaining(ctx), budget: req.RetryBudget,
+		idempotent: req.Kind.Idempotent(),
 	})
 	latency := time.Since(started)
 	switch {
 	case errors.Is(err, ErrNotRun):
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
 		return s.refuse(req, unreachableReason(ctx), true)
+	case errors.Is(err, errStaleConn):
+		release(admission.Outcome{Result: admission.ResultCancelled, Latency: latency})
+		return s.refuse(req, reasonLost, false)
 	case err != nil:
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
 		return s.refuse(req, reasonLost, false)
--- a/mesh/node/view.go
+++ b/mesh/node/view.go
@@ -34,7 +34,11 @@
 	routable func() bool
 
 	table atomic.Pointer[routing.Table]
-	// dcState and limits belong to the goroutine of run.
+
+	// The fields below belong to the goroutine of run.
+	builder *routing.Builder
+	built   note.Config
+	cursor  uint64
 	dcState note.DataCentreState
 	limits  note.Service
 }
@@ -51,13 +55,13 @@
 func (v *view) run(ctx context.Context) error {
 	for {
 		v.acceptor.Refresh()
-		inForce, seq := v.acceptor.InForce(), v.endpoints.Sequence()
+		inForce := v.acceptor.InForce()
 		if inForce != nil {
 			v.rebuild(inForce.Config)
 		}
 		select {
 		case <-v.acceptor.Changed(inForce):
-		case <-v.endpoints.Changed(seq):
+		case <-v.endpoints.Changed(v.cursor):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -69,8 +73,18 @@
 	}
 }
 
+// rebuild makes the next table from what has changed: a table of 13,000
+// endpoints from scratch costs more than a node may spend on control.
 func (v *view) rebuild(cfg note.Config) {
-	t := routing.NewTable(cfg, v.endpoints.All())
+	if v.builder == nil {
+		v.builder, v.built = routing.NewBuilder(cfg), cfg
+	}
+	v.builder.SetConfig(cfg, note.Diff(v.built, cfg))
+	v.built = cfg
+	changed, next := v.endpoints.Since(v.cursor)
+	v.cursor = next
+	v.builder.Announce(changed...)
+	t := v.builder.Table()
 	v.picker.SetTable(time.Now(), t)
 	v.table.Store(t)
 	if s := dataCentreState(cfg, v.dc); s != v.dcState {
