experiment: fleets of Aare and Sfax, naive baseline, latency and overload

Cause: the traffic side had no comparison with a naive proxy. Change: bench/experiment starts the product and a baseline proxy with the same kind of stand-ins; 'bench experiment latency' and 'overload'; stand-ins can record their runs in a file that outlives them.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,22 @@
 demo: build
 	./bin/bench demo --bin bin
 
+# Experiments on the traffic side; run them one after the other.
+.PHONY: experiment-latency experiment-overload experiment-datacentre experiment-faults
+
+experiment-latency: build
+	./bin/bench experiment latency --bin bin
+
+experiment-overload: build
+	./bin/bench experiment overload --bin bin
+
+experiment-datacentre: build
+	./bin/bench experiment datacentre --bin bin --size aare
+	./bin/bench experiment datacentre --bin bin --size sfax
+
+experiment-faults: build
+	./bin/bench experiment faults --bin bin
+
 fmt:
 	gofmt -l -w mesh bench
 
--- /dev/null
+++ b/bench/experiment/overload.go
@@ -0,0 +1,123 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"balsamtrail.org/bench/load"
+)
+
+const (
+	// overloadBackend is long, so that the stand-ins and not the processor are the limit.
+	overloadBackend = 200 * time.Millisecond
+	overloadWarmUp  = 8 * time.Second
+	overloadLength  = 8 * time.Second
+	// overloadPause lets requests of the step before end.
+	overloadPause   = time.Second
+	overloadEntries = 10
+)
+
+var overloadFactors = []float64{1, 2, 4}
+
+// OverloadRow is one kind at one load on one side.
+type OverloadRow struct {
+	Factor float64 `json:"factor"`
+	KindRow
+	// OfferedPerSec and GoodPerSec are requests sent, and answered in time, in each second.
+	OfferedPerSec float64 `json:"offered_per_second"`
+	GoodPerSec    float64 `json:"good_per_second"`
+}
+
+// OverloadResult is the outcome of the overload experiment.
+type OverloadResult struct {
+	Size string        `json:"size"`
+	Rows []OverloadRow `json:"rows"`
+	// DuplicatesProduct and DuplicatesBaseline count the writes that ran more than once.
+	DuplicatesProduct  int `json:"duplicates_product"`
+	DuplicatesBaseline int `json:"duplicates_baseline"`
+}
+
+// WriteTable writes one row for each load, side and kind.
+func (r *OverloadResult) WriteTable(w io.Writer) error {
+	t := newTable(w, "load\tsystem\tkind\toffered/s\tgood/s\tgood %\tnot-run\tfailed\tlate\twrong\tp99 ms")
+	for _, x := range r.Rows {
+		t.row("%gx\t%s\t%s\t%.0f\t%.0f\t%s\t%d\t%d\t%d\t%d\t%.0f", x.Factor, x.System, x.Kind, x.OfferedPerSec, x.GoodPerSec,
+			percent(x.OK, x.Sent), x.NotRun, x.Failed, x.Late, x.Wrong, x.P99)
+	}
+	t.row("duplicated writes: %s %d, %s %d", Product, r.DuplicatesProduct, Baseline, r.DuplicatesBaseline)
+	return t.flush()
+}
+
+// Overload measures goodput by kind at multiples of the capacity of the backend servers.
+func Overload(o Options) (Result, error) {
+	s, err := startSystem(o, setup{
+		latency: overloadBackend, timeouts: Timeouts{Lookup: time.Second, Write: 2 * time.Second, Urgent: time.Second},
+		queueTimeout: 200 * time.Millisecond, warm: true, proxies: overloadEntries,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer s.kill()
+	s.step(Product, 1, overloadWarmUp)
+	s.step(Baseline, 1, overloadWarmUp/2)
+	s.say("limits of the nodes: %s", s.limits())
+	res := &OverloadResult{Size: o.Size.Name}
+	for _, f := range overloadFactors {
+		for _, side := range []string{Product, Baseline} {
+			r := s.step(side, f, overloadLength)
+			for _, k := range kindRows(side, r) {
+				res.Rows = append(res.Rows, OverloadRow{
+					Factor: f, KindRow: k,
+					OfferedPerSec: float64(k.Sent) / overloadLength.Seconds(), GoodPerSec: float64(k.OK) / overloadLength.Seconds(),
+				})
+			}
+			s.say("%gx on %s done", f, side)
+		}
+	}
+	return res, s.countDuplicates(&res.DuplicatesProduct, &res.DuplicatesBaseline)
+}
+
+// step loads one side at a factor of the capacity.
+func (s *system) step(side string, factor float64, length time.Duration) *load.Report {
+	targets := s.entries(overloadEntries, "")
+	if side == Baseline {
+		targets = s.proxyEntries()
+	}
+	r := load.NewReport(time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	load.New(r).Run(ctx, s.Size.flows(factor, s.latency, s.timeouts, targets))
+	time.Sleep(overloadPause)
+	return r
+}
+
+func (s *system) limits() string {
+	out := ""
+	for _, b := range s.fleet.Servers {
+		if st, err := b.Status(); err == nil {
+			out += fmt.Sprintf(" %d", st.Limit)
+		}
+	}
+	return out
+}
+
+// countDuplicates counts the writes of each side that ran more than once. One
+// of the product is an error.
+func (s *system) countDuplicates(product, baseline *int) error {
+	for _, x := range []struct {
+		side string
+		n    *int
+	}{{"product", product}, {"baseline", baseline}} {
+		runs, err := s.runs(x.side)
+		if err != nil {
+			return err
+		}
+		*x.n = duplicates(runs)
+	}
+	if *product > 0 {
+		return fmt.Errorf("%d writes ran more than once", *product)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/experiment/size.go
@@ -0,0 +1,210 @@
+// Package experiment measures the traffic side with real processes on loopback
+// and compares it with a naive proxy in the same run.
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	version = model.ServiceVersion("v1")
+	// slots is the number of requests that one upstream of either cooperative runs at a time.
+	slots = 20
+)
+
+// Size is a fleet of one of the two cooperatives (section 2 of the design page).
+type Size struct {
+	Name        string
+	DataCentres []model.DataCentre
+	Services    []ServiceSize
+	Routes      []RouteSize
+	// Out is the data centre that experiments take out.
+	Out model.DataCentre
+}
+
+// ServiceSize states in which data centres the upstreams of a service are.
+type ServiceSize struct {
+	Name   model.ServiceName
+	Places []model.DataCentre
+}
+
+// RouteSize is a route and its part of the load on its service.
+type RouteSize struct {
+	Name    string
+	Kind    model.Kind
+	Service model.ServiceName
+	Method  string
+	Prefix  string
+	// Part of the requests to the service; the parts of a service add up to 1.
+	Part float64
+}
+
+// Aare is the size of the street book cabinets.
+func Aare() Size {
+	return Size{
+		Name:        "aare",
+		DataCentres: []model.DataCentre{"thun", "bern-altstadt", "burgdorf"},
+		Services: []ServiceSize{
+			{"cabinet-ledger", []model.DataCentre{"thun", "thun", "thun", "bern-altstadt", "bern-altstadt", "burgdorf", "burgdorf"}},
+			{"roster-desk", []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}},
+		},
+		Routes: []RouteSize{
+			{"cabinet-status", model.KindLookup, "cabinet-ledger", "GET", "/cabinets", 0.75},
+			{"restock", model.KindWrite, "cabinet-ledger", "POST", "/restocks", 0.10},
+			{"urgent", model.KindUrgent, "cabinet-ledger", "GET", "/urgent", 0.15},
+			{"roster", model.KindLookup, "roster-desk", "GET", "/rosters", 1},
+		},
+		Out: "burgdorf",
+	}
+}
+
+// Sfax is the size of the gas rig inspection.
+func Sfax() Size {
+	return Size{
+		Name:        "sfax",
+		DataCentres: []model.DataCentre{"medina", "bab-jebli", "sakiet", "port-sud"},
+		Services: []ServiceSize{
+			{"inspection-records", []model.DataCentre{"medina", "medina", "bab-jebli", "bab-jebli", "sakiet", "port-sud"}},
+			{"leak-alerts", []model.DataCentre{"medina", "bab-jebli", "sakiet", "port-sud"}},
+		},
+		Routes: []RouteSize{
+			{"last-check", model.KindLookup, "inspection-records", "GET", "/checks", 0.85},
+			{"seal-certificate", model.KindWrite, "inspection-records", "POST", "/seals", 0.15},
+			{"leak-history", model.KindLookup, "leak-alerts", "GET", "/leaks", 0.6},
+			{"leak-urgent", model.KindUrgent, "leak-alerts", "GET", "/urgent/leaks", 0.4},
+		},
+		Out: "bab-jebli",
+	}
+}
+
+// SizeOf returns the size with that name.
+func SizeOf(name string) (Size, error) {
+	for _, s := range []Size{Aare(), Sfax()} {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Size{}, fmt.Errorf("unknown size %q", name)
+}
+
+// specs lists the backend servers of the size.
+func (s Size) specs(flags []string) []demo.Spec {
+	var out []demo.Spec
+	for _, svc := range s.Services {
+		for _, dc := range svc.Places {
+			out = append(out, demo.Spec{Service: svc.Name, Version: version, DataCentre: dc, Flags: flags})
+		}
+	}
+	return out
+}
+
+// capacity is the number of requests per second that the service can run at most.
+func (s Size) capacity(service model.ServiceName, latency time.Duration) float64 {
+	for _, svc := range s.Services {
+		if svc.Name == service {
+			return float64(len(svc.Places)*slots) / latency.Seconds()
+		}
+	}
+	return 0
+}
+
+// Timeouts are the route timeouts by kind.
+type Timeouts struct{ Lookup, Write, Urgent time.Duration }
+
+func (t Timeouts) of(k model.Kind) time.Duration {
+	switch k {
+	case model.KindWrite:
+		return t.Write
+	case model.KindUrgent:
+		return t.Urgent
+	default:
+		return t.Lookup
+	}
+}
+
+// flows is the load at a factor of the capacity of the backend servers.
+func (s Size) flows(factor float64, latency time.Duration, t Timeouts, targets []string) []load.Flow {
+	var out []load.Flow
+	for _, r := range s.Routes {
+		out = append(out, load.Flow{
+			Name: r.Name, Kind: r.Kind, Service: string(r.Service), Method: r.Method, Path: r.Prefix + "/7",
+			Rate: factor * r.Part * s.capacity(r.Service, latency), BodyBytes: bodyBytes(r.Kind),
+			Timeout: t.of(r.Kind), Targets: targets,
+		})
+	}
+	return out
+}
+
+// writeBytes is the size of the body of a write.
+const writeBytes = 256
+
+func bodyBytes(k model.Kind) int {
+	if k == model.KindWrite {
+		return writeBytes
+	}
+	return 0
+}
+
+// noteJSON is the part of a release note that the experiments publish.
+type noteJSON struct {
+	Number   int                  `json:"number"`
+	Title    string               `json:"title"`
+	Services added[serviceJSON]   `json:"services"`
+	Routes   added[routeJSON]     `json:"routes"`
+	Shares   []serviceSharesEntry `json:"shares"`
+}
+
+type added[T any] struct {
+	Added []T `json:"added"`
+}
+
+type serviceJSON struct {
+	Name         model.ServiceName `json:"name"`
+	Slots        int               `json:"slots"`
+	Connections  int               `json:"connections"`
+	QueueLimit   int               `json:"queue_limit"`
+	QueueTimeout string            `json:"queue_timeout"`
+}
+
+type routeJSON struct {
+	Name       string            `json:"name"`
+	PathPrefix string            `json:"path_prefix"`
+	Methods    []string          `json:"methods"`
+	Service    model.ServiceName `json:"service"`
+	Kind       string            `json:"kind"`
+	Timeout    string            `json:"timeout"`
+	MaxRetries int               `json:"max_retries"`
+	Hedge      bool              `json:"hedge"`
+}
+
+type serviceSharesEntry struct {
+	Service model.ServiceName                    `json:"service"`
+	Shares  map[model.ServiceVersion]model.Share `json:"shares"`
+}
+
+// note is the first release note of the size.
+func (s Size) note(t Timeouts, queueTimeout time.Duration) (string, error) {
+	n := noteJSON{Number: 1, Title: "services of " + s.Name}
+	for _, svc := range s.Services {
+		n.Services.Added = append(n.Services.Added, serviceJSON{svc.Name, slots, 100, 40, queueTimeout.String()})
+		n.Shares = append(n.Shares, serviceSharesEntry{svc.Name, map[model.ServiceVersion]model.Share{version: model.ShareAll}})
+	}
+	for _, r := range s.Routes {
+		retries := 2
+		if r.Kind == model.KindWrite {
+			retries = 0
+		}
+		n.Routes.Added = append(n.Routes.Added, routeJSON{
+			Name: r.Name, PathPrefix: r.Prefix, Methods: []string{r.Method}, Service: r.Service, Kind: r.Kind.String(),
+			Timeout: t.of(r.Kind).String(), MaxRetries: retries, Hedge: r.Kind == model.KindLookup,
+		})
+	}
+	b, err := json.Marshal(n)
+	return string(b), err
+}
