experiment: data centre taken out and returned, random faults with checks

Cause: service during an outage of a data centre and the promises on writes had no measurement with real processes. Change: 'bench experiment datacentre' (both sides under the same load at the same time) and 'bench experiment faults' (seeded faults; runs are read from files that outlive a killed stand-in).

--- a/bench/cmd/bench/experiment.go
+++ b/bench/cmd/bench/experiment.go
@@ -8,8 +8,10 @@
 )
 
 type experimentCmd struct {
-	Latency  latencyCmd  `cmd:"" help:"Added latency and calls per core against direct calls and the baseline."`
-	Overload overloadCmd `cmd:"" help:"Goodput by kind at 1, 2 and 4 times the capacity of the backend servers."`
+	Latency    latencyCmd    `cmd:"" help:"Added latency and calls per core against direct calls and the baseline."`
+	Overload   overloadCmd   `cmd:"" help:"Goodput by kind at 1, 2 and 4 times the capacity of the backend servers."`
+	Datacentre datacentreCmd `cmd:"" help:"A data centre taken out and returned under load."`
+	Faults     faultsCmd     `cmd:"" help:"Lookups and writes under random faults; every answer and run is checked."`
 }
 
 // experimentFlags are common to all experiments.
@@ -30,6 +32,19 @@
 // Run runs the experiment.
 func (c *overloadCmd) Run() error { return c.run(0, experiment.Overload) }
 
+type datacentreCmd struct{ experimentFlags }
+
+// Run runs the experiment.
+func (c *datacentreCmd) Run() error { return c.run(0, experiment.DataCentre) }
+
+type faultsCmd struct {
+	experimentFlags
+	Seed uint64 `default:"1" help:"Seed of the faults."`
+}
+
+// Run runs the experiment.
+func (c *faultsCmd) Run() error { return c.run(c.Seed, experiment.Faults) }
+
 // run runs an experiment and writes its figures, also those of a failed run.
 func (f *experimentFlags) run(seed uint64, e func(experiment.Options) (experiment.Result, error)) error {
 	size, err := experiment.SizeOf(f.Size)
--- /dev/null
+++ b/bench/experiment/datacentre.go
@@ -0,0 +1,270 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	outageBackend = 100 * time.Millisecond
+	// outageFactor is the load in parts of the capacity of the whole fleet; the
+	// data centres that stay can bear it.
+	outageFactor  = 0.4
+	outageEntries = 4
+	// The steps, from the start of the load on. The processes of the data centre
+	// are killed powerOff after the notice; the baseline's operator removes its
+	// servers from the list listDelay after it.
+	outageWarmUp = 10 * time.Second
+	powerOff     = 5 * time.Second
+	listDelay    = 10 * time.Second
+	restartAfter = 14 * time.Second
+	returnAfter  = 17 * time.Second
+	outageAfter  = 12 * time.Second
+	// lastWorkBound is the time after which a data centre that is out gets no new work.
+	lastWorkBound = 3 * time.Second
+)
+
+// Phases of the data centre experiment.
+const (
+	phaseBefore   = "before"
+	phaseOut      = "out"
+	phaseReturned = "returned"
+)
+
+// OutageRow is one kind on one side in one phase.
+type OutageRow struct {
+	Phase string `json:"phase"`
+	KindRow
+}
+
+// ReturnRow says how one side treated the servers of the data centre.
+type ReturnRow struct {
+	System string `json:"system"`
+	// LastWork is the time from the notice to the last new request there, at most until the power-off.
+	LastWork float64 `json:"last_new_work_seconds"`
+	// ColdOverload counts the requests beyond what the cold servers could bear
+	// after their return, ColdRequests all requests that they got.
+	ColdOverload int64 `json:"cold_overload"`
+	ColdRequests int64 `json:"cold_requests"`
+	// ColdShed and ColdCanceled are requests shed or given up there.
+	ColdShed     int64 `json:"cold_shed"`
+	ColdCanceled int64 `json:"cold_canceled"`
+	Duplicates   int   `json:"duplicated_writes"`
+}
+
+// OutageResult is the outcome of the data centre experiment.
+type OutageResult struct {
+	Size    string           `json:"size"`
+	Out     model.DataCentre `json:"data_centre"`
+	Rows    []OutageRow      `json:"rows"`
+	Returns []ReturnRow      `json:"returns"`
+}
+
+// WriteTable writes the service by phase and the treatment of the data centre.
+func (r *OutageResult) WriteTable(w io.Writer) error {
+	t := newTable(w, "phase\tsystem\tkind\tsent\tok %\tnot-run\tfailed\tlate\twrong\tp99 ms of the run")
+	for _, x := range r.Rows {
+		t.row("%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%.0f", x.Phase, x.System, x.Kind, x.Sent, percent(x.OK, x.Sent),
+			x.NotRun, x.Failed, x.Late, x.Wrong, x.P99)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	t = newTable(w, "system\tlast new work s\tcold requests\tabove cold limit\tshed\tcancelled\tduplicated writes")
+	for _, x := range r.Returns {
+		t.row("%s\t%.2f\t%d\t%d\t%d\t%d\t%d", x.System, x.LastWork, x.ColdRequests, x.ColdOverload, x.ColdShed, x.ColdCanceled, x.Duplicates)
+	}
+	return t.flush()
+}
+
+// outage is one run of the data centre experiment.
+type outage struct {
+	*system
+	result *OutageResult
+	// began is the start of the load, outAt and backAt are the times of the operators' commands.
+	began, outAt, backAt time.Time
+}
+
+// DataCentre takes a data centre out under load, kills its processes a little
+// later, starts them cold and returns it, on both sides at the same time.
+func DataCentre(o Options) (Result, error) {
+	s, err := startSystem(o, setup{
+		latency: outageBackend, timeouts: Timeouts{Lookup: time.Second, Write: 2 * time.Second, Urgent: 500 * time.Millisecond},
+		queueTimeout: 200 * time.Millisecond, proxies: outageEntries,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer s.kill()
+	d := &outage{system: s, result: &OutageResult{Size: o.Size.Name, Out: o.Size.Out}}
+	reports, err := d.play()
+	if err != nil {
+		return nil, err
+	}
+	d.sumPhases(reports)
+	return d.result, d.check()
+}
+
+// play runs load and steps and returns the reports of the product and of the baseline.
+func (d *outage) play() ([2]*load.Report, error) {
+	d.began = time.Now()
+	reports := [2]*load.Report{load.NewReport(d.began), load.NewReport(d.began)}
+	targets := [2][]string{d.entries(outageEntries, d.Size.Out), d.proxyEntries()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	for i, r := range reports {
+		flows := d.Size.flows(outageFactor, d.latency, d.timeouts, targets[i])
+		wg.Go(func() { load.New(r).Run(ctx, flows) })
+	}
+	err := d.steps()
+	cancel()
+	wg.Wait()
+	return reports, err
+}
+
+// steps takes the data centre out and returns it.
+func (d *outage) steps() error {
+	time.Sleep(outageWarmUp)
+	d.outAt = time.Now()
+	if _, err := d.fleet.CLI("data-centre", "out", string(d.Size.Out)); err != nil {
+		return err
+	}
+	d.say("data centre %s taken out", d.Size.Out)
+	time.Sleep(time.Until(d.outAt.Add(powerOff)))
+	if err := d.switchOff(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(d.outAt.Add(listDelay)))
+	if err := d.setServers(d.Size.Out); err != nil {
+		return err
+	}
+	d.say("operator of the baseline removed the servers from the list")
+	time.Sleep(time.Until(d.outAt.Add(restartAfter)))
+	if err := d.restart(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(d.outAt.Add(returnAfter)))
+	d.backAt = time.Now()
+	if _, err := d.fleet.CLI("data-centre", "return", string(d.Size.Out)); err != nil {
+		return err
+	}
+	if err := d.setServers(""); err != nil {
+		return err
+	}
+	d.say("data centre %s returned", d.Size.Out)
+	time.Sleep(outageAfter)
+	return d.coldLoad()
+}
+
+// inside are the servers of the data centre on one side.
+func (d *outage) inside(all []*demo.BackendServer) []*demo.BackendServer {
+	var out []*demo.BackendServer
+	for _, b := range all {
+		if b.DataCentre == d.Size.Out {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// sidesOf are the servers by side.
+func (d *outage) sidesOf() map[string][]*demo.BackendServer {
+	return map[string][]*demo.BackendServer{Product: d.inside(d.fleet.Servers), Baseline: d.inside(d.plain)}
+}
+
+// switchOff notes the last work of each side and kills the processes of the data centre.
+func (d *outage) switchOff() error {
+	servers := d.sidesOf()
+	for _, name := range []string{Product, Baseline} {
+		row := ReturnRow{System: name}
+		for _, b := range servers[name] {
+			st, err := b.Stats()
+			if err != nil {
+				return err
+			}
+			row.LastWork = max(row.LastWork, st.LastRequest.Sub(d.outAt).Seconds())
+		}
+		d.result.Returns = append(d.result.Returns, row)
+	}
+	for _, all := range servers {
+		for _, b := range all {
+			b.Node.Kill()
+			b.Backend.Kill()
+		}
+	}
+	d.say("processes of %s killed", d.Size.Out)
+	return nil
+}
+
+// restart starts the processes of the data centre cold.
+func (d *outage) restart() error {
+	servers := d.sidesOf()
+	for _, b := range servers[Product] {
+		if err := b.Start(); err != nil {
+			return err
+		}
+	}
+	for _, b := range servers[Baseline] {
+		if err := b.Backend.Start(); err != nil {
+			return err
+		}
+	}
+	d.say("processes of %s started cold", d.Size.Out)
+	return nil
+}
+
+// coldLoad reads what the returned servers got.
+func (d *outage) coldLoad() error {
+	servers := d.sidesOf()
+	for i := range d.result.Returns {
+		row := &d.result.Returns[i]
+		for _, b := range servers[row.System] {
+			st, err := b.Stats()
+			if err != nil {
+				return err
+			}
+			row.ColdOverload += st.ColdOverload
+			row.ColdRequests += st.Requests
+			row.ColdShed += st.Shed
+			row.ColdCanceled += st.Canceled
+		}
+	}
+	return nil
+}
+
+// sumPhases splits the reports at the seconds of the operators' commands.
+func (d *outage) sumPhases(reports [2]*load.Report) {
+	out, back := d.second(d.outAt), d.second(d.backAt)
+	phases := []struct {
+		name     string
+		from, to int64
+	}{{phaseBefore, 0, out}, {phaseOut, out, back}, {phaseReturned, back, allSeconds}}
+	for _, p := range phases {
+		for i, name := range []string{Product, Baseline} {
+			for _, k := range kindRows(name, reports[i].Flows(), p.from, p.to) {
+				d.result.Rows = append(d.result.Rows, OutageRow{Phase: p.name, KindRow: k})
+			}
+		}
+	}
+}
+
+func (d *outage) second(t time.Time) int64 { return int64(t.Sub(d.began) / time.Second) }
+
+// check compares the product with its bounds.
+func (d *outage) check() error {
+	product, baseline := &d.result.Returns[0], &d.result.Returns[1]
+	err := d.countDuplicates(&product.Duplicates, &baseline.Duplicates)
+	if product.LastWork > lastWorkBound.Seconds() {
+		err = errors.Join(err, fmt.Errorf("%s got new work %.2f s after it was taken out, bound %s", d.Size.Out, product.LastWork, lastWorkBound))
+	}
+	return err
+}
--- /dev/null
+++ b/bench/experiment/faults.go
@@ -0,0 +1,255 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	faultsBackend = 5 * time.Millisecond
+	faultsLength  = 112 * time.Second
+	// faultsLookups, faultsWrites and faultsUrgent are requests per second.
+	faultsLookups, faultsWrites, faultsUrgent = 800.0, 150.0, 50.0
+	// faultsRequests is the least number of lookups and writes of a run.
+	faultsRequests = 100_000
+	// faultsResends bounds how often a write of unknown outcome is sent again with its key.
+	faultsResends = 10
+	// recoverLimit is the time after the last repair until every node routes again.
+	recoverLimit = 15 * time.Second
+	// maxViolations bounds the violations that are listed.
+	maxViolations = 40
+)
+
+// FaultCount says how often a fault was injected.
+type FaultCount struct {
+	Fault Fault `json:"fault"`
+	Count int   `json:"count"`
+}
+
+// FaultsResult is the outcome of the experiment under random faults.
+type FaultsResult struct {
+	Size   string       `json:"size"`
+	Seed   uint64       `json:"seed"`
+	Rows   []KindRow    `json:"rows"`
+	Faults []FaultCount `json:"faults"`
+	// Keys are the writes, Answered those that a caller got an answer to,
+	// NotRun those refused as not run at each attempt, Ran those that a stand-in ran.
+	Keys     int `json:"keys"`
+	Answered int `json:"answered"`
+	NotRun   int `json:"not_run"`
+	Ran      int `json:"ran"`
+	// The four counts must be 0.
+	Duplicates     int   `json:"duplicates"`
+	Wrong          int64 `json:"wrong_or_cut"`
+	AnsweredNotRan int   `json:"answered_but_not_run"`
+	UntrueNotRun   int   `json:"untrue_not_run"`
+	// Violations lists everything that must not happen.
+	Violations []string `json:"violations"`
+	// Details are the first requests that were not answered well.
+	Details []string `json:"details"`
+}
+
+// WriteTable writes requests by kind, faults and violations.
+func (r *FaultsResult) WriteTable(w io.Writer) error {
+	t := newTable(w, "kind\tsent\tok %\tnot-run\tfailed or unknown\tlate\twrong\tp99 ms")
+	for _, x := range r.Rows {
+		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d\t%.0f", x.Kind, x.Sent, percent(x.OK, x.Sent), x.NotRun, x.Failed, x.Late, x.Wrong, x.P99)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	t = newTable(w, "fault\tcount")
+	for _, f := range r.Faults {
+		t.row("%s\t%d", f.Fault, f.Count)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	t = newTable(w, "check\tvalue")
+	t.row("seed\t%d", r.Seed)
+	t.row("writes\t%d keys, %d answered, %d not run, %d ran", r.Keys, r.Answered, r.NotRun, r.Ran)
+	t.row("duplicated writes\t%d", r.Duplicates)
+	t.row("wrong or cut answers\t%d", r.Wrong)
+	t.row("answered writes that did not run\t%d", r.AnsweredNotRan)
+	t.row("writes refused as not run that ran\t%d", r.UntrueNotRun)
+	t.row("violations\t%d", len(r.Violations))
+	for _, v := range r.Violations {
+		t.row("  %s", v)
+	}
+	for _, d := range r.Details {
+		t.row("  not ok: %s", strings.TrimSpace(d))
+	}
+	return t.flush()
+}
+
+// Faults runs lookups and writes under random faults and checks every answer
+// and every run. An error means that a check failed.
+func Faults(o Options) (Result, error) {
+	s, err := startSystem(o, setup{
+		latency: faultsBackend, timeouts: Timeouts{Lookup: time.Second, Write: 2 * time.Second, Urgent: 500 * time.Millisecond},
+		queueTimeout: 200 * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer s.kill()
+	res := &FaultsResult{Size: o.Size.Name, Seed: o.Seed}
+	report := load.NewReport(time.Now())
+	j := newInjector(s, o.Seed)
+	ctx, cancel := context.WithTimeout(context.Background(), faultsLength)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { load.New(report).Run(ctx, s.faultFlows()) })
+	wg.Go(func() { j.run(ctx) })
+	wg.Wait()
+	s.say("load and faults ended; all repaired")
+	res.Rows = kindRows(Product, report.Flows(), 0, allSeconds)
+	res.Details = report.Details()
+	for _, f := range faults {
+		res.Faults = append(res.Faults, FaultCount{f, j.counts[f]})
+	}
+	for _, err := range j.errs {
+		res.violate("fault or repair: %v", err)
+	}
+	s.checkRecovered(res)
+	runs, err := s.runs("product")
+	if err != nil {
+		return res, err
+	}
+	res.checkWrites(report.Keys(), runs)
+	res.checkRequests(report)
+	res.checkLogs(o.Dir)
+	if len(res.Violations) > 0 {
+		return res, fmt.Errorf("%d violations", len(res.Violations))
+	}
+	return res, nil
+}
+
+// faultFlows sends to every node and splits the rates over the routes of a kind.
+func (s *system) faultFlows() []load.Flow {
+	flows := s.Size.flows(1, s.latency, s.timeouts, s.entries(len(s.fleet.Servers), ""))
+	count := map[model.Kind]float64{}
+	for _, f := range flows {
+		count[f.Kind]++
+	}
+	rates := map[model.Kind]float64{model.KindLookup: faultsLookups, model.KindWrite: faultsWrites, model.KindUrgent: faultsUrgent}
+	for i := range flows {
+		flows[i].Rate = rates[flows[i].Kind] / count[flows[i].Kind]
+		flows[i].Resends = faultsResends
+	}
+	return flows
+}
+
+func (r *FaultsResult) violate(format string, args ...any) {
+	if len(r.Violations) < maxViolations {
+		r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// checkRecovered waits until every node routes again and asks for violations.
+func (s *system) checkRecovered(r *FaultsResult) {
+	if err := demo.Eventually(recoverLimit, s.routes); err != nil {
+		r.violate("not recovered %s after the last repair: %v", recoverLimit, err)
+	}
+	for _, b := range s.fleet.Servers {
+		st, err := b.Status()
+		switch {
+		case err != nil:
+			r.violate("node %s: %v", b.Host, err)
+		case st.Violations > 0:
+			r.violate("node %s counted %d violations of invariants", b.Host, st.Violations)
+		}
+	}
+	for _, c := range s.fleet.Controls {
+		if !c.Running() {
+			r.violate("control host %s has ended", c.Host)
+		}
+	}
+}
+
+// checkWrites compares what callers were told with what ran.
+func (r *FaultsResult) checkWrites(told map[string]load.KeyReport, runs map[string]int) {
+	r.Keys = len(told)
+	for key, n := range runs {
+		if n > 0 {
+			r.Ran++
+		}
+		if n > 1 {
+			r.Duplicates++
+			r.violate("write %s ran %d times", key, n)
+		}
+	}
+	for key, t := range told {
+		if t.OK {
+			r.Answered++
+		}
+		if t.NotRun {
+			r.NotRun++
+		}
+		if t.OK && runs[key] == 0 {
+			r.AnsweredNotRan++
+			r.violate("write %s was answered and did not run", key)
+		}
+		if t.NotRun && runs[key] > 0 {
+			r.UntrueNotRun++
+			r.violate("write %s was refused as not run and ran", key)
+		}
+	}
+}
+
+// checkRequests checks the number of requests and that no answer was wrong.
+func (r *FaultsResult) checkRequests(report *load.Report) {
+	if r.Wrong = report.Count(load.OutcomeWrong); r.Wrong > 0 {
+		r.violate("%d wrong or cut answers", r.Wrong)
+	}
+	var sent int64
+	for _, x := range r.Rows {
+		if x.Kind != model.KindUrgent.String() {
+			sent += x.Sent
+		}
+	}
+	if sent < faultsRequests {
+		r.violate("%d lookups and writes were sent, fewer than %d", sent, faultsRequests)
+	}
+}
+
+// checkLogs looks for broken invariants and panics in all logs.
+func (r *FaultsResult) checkLogs(dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, file := range files {
+		if err := r.checkLog(file); err != nil {
+			r.violate("%s: %v", filepath.Base(file), err)
+		}
+	}
+}
+
+// maxLogLine bounds a line of a log.
+const maxLogLine = 4 << 20
+
+func (r *FaultsResult) checkLog(file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	sc := bufio.NewScanner(f)
+	sc.Buffer(nil, maxLogLine)
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			r.violate("%s: %s", filepath.Base(file), line)
+		}
+	}
+	return sc.Err()
+}
--- a/bench/experiment/overload.go
+++ b/bench/experiment/overload.go
@@ -67,7 +67,7 @@
 	for _, f := range overloadFactors {
 		for _, side := range []string{Product, Baseline} {
 			r := s.step(side, f, overloadLength)
-			for _, k := range kindRows(side, r) {
+			for _, k := range kindRows(side, r.Flows(), 0, allSeconds) {
 				res.Rows = append(res.Rows, OverloadRow{
 					Factor: f, KindRow: k,
 					OfferedPerSec: float64(k.Sent) / overloadLength.Seconds(), GoodPerSec: float64(k.OK) / overloadLength.Seconds(),
--- a/bench/experiment/result.go
+++ b/bench/experiment/result.go
@@ -46,33 +46,47 @@
 	Failed int64 `json:"failed"`
 	Late   int64 `json:"late"`
 	Wrong  int64 `json:"wrong"`
-	// P99 is the greatest 99th percentile of the flows of the kind, in milliseconds.
+	// P99 is the greatest 99th percentile of the flows of the kind over the
+	// whole report, in milliseconds.
 	P99 float64 `json:"p99_ms"`
 }
 
-// kindRows sums a report by kind, in the order of the first flow of each kind.
-func kindRows(system string, r *load.Report) []KindRow {
+// allSeconds is a bound above the seconds of any run.
+const allSeconds = 1 << 30
+
+// kindRows sums the seconds [from, to) of flows by kind, in the order of the
+// first flow of each kind.
+func kindRows(system string, flows []load.FlowReport, from, to int64) []KindRow {
 	var out []KindRow
 	at := map[string]int{}
-	for _, f := range r.Flows() {
+	for _, f := range flows {
 		i, ok := at[f.Kind]
 		if !ok {
 			i = len(out)
 			at[f.Kind] = i
 			out = append(out, KindRow{System: system, Kind: f.Kind})
 		}
-		k := &out[i]
-		k.Sent += f.Sent
-		k.OK += f.Outcomes[load.OutcomeOK]
-		k.NotRun += f.Outcomes[load.OutcomeNotRun]
-		k.Failed += f.Outcomes[load.OutcomeFailed] + f.Outcomes[load.OutcomeUnknown] + f.Outcomes[load.OutcomeLost]
-		k.Late += f.Outcomes[load.OutcomeLate]
-		k.Wrong += f.Outcomes[load.OutcomeWrong]
-		k.P99 = max(k.P99, f.P99)
+		out[i].P99 = max(out[i].P99, f.P99)
+		for _, s := range f.Seconds {
+			if s.Second >= from && s.Second < to {
+				out[i].add(s.Outcomes)
+			}
+		}
 	}
 	return out
 }
 
+func (k *KindRow) add(o map[load.Outcome]int64) {
+	for _, n := range o {
+		k.Sent += n
+	}
+	k.OK += o[load.OutcomeOK]
+	k.NotRun += o[load.OutcomeNotRun]
+	k.Failed += o[load.OutcomeFailed] + o[load.OutcomeUnknown] + o[load.OutcomeLost]
+	k.Late += o[load.OutcomeLate]
+	k.Wrong += o[load.OutcomeWrong]
+}
+
 // table writes aligned columns.
 type table struct{ tw *tabwriter.Writer }
 
