Bound the log by bytes; lock the data directory before its identity is drawn

Cause: bounds by number of entries allow 16 GB of 1 MB proposals in memory, and two starts in an empty directory could draw two identities.

--- a/mesh/replog/cluster_test.go
+++ b/mesh/replog/cluster_test.go
@@ -76,6 +76,11 @@
 	c := s.others(l.id)[1].eng.core
 	c.Step(s.now, Message{Kind: MsgVote, Cluster: "sim", From: away.id, FromDisk: away.disk, To: s.others(l.id)[1].id,
 		Term: term + 5, Index: 1 << 20, LogTerm: term + 5})
+	c.Step(s.now, Message{Kind: MsgPreVote, Cluster: "sim", From: away.id, FromDisk: away.disk, To: s.others(l.id)[1].id,
+		Term: term + 5, Index: 1 << 20, LogTerm: term + 5})
+	if r := c.Ready(); len(r.Messages) != 1 || !r.Messages[0].Reject {
+		t.Fatalf("a pre-vote under a live leader got %+v", r.Messages)
+	}
 	if c.term != term {
 		t.Fatalf("a vote request raised the term to %d under a live leader", c.term)
 	}
--- a/mesh/replog/config.go
+++ b/mesh/replog/config.go
@@ -38,6 +38,9 @@
 	// SnapshotEntries is the number of entries between snapshots. More entries
 	// cost memory and a longer start, fewer cost disk writes.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the entries between snapshots, whichever of
+	// the two bounds is reached first. A quarter of it is kept behind a snapshot.
+	SnapshotBytes int64
 	// KeepEntries is the number of entries kept in memory behind a snapshot for
 	// slow followers. More cost memory, fewer make snapshot transfers frequent.
 	KeepEntries uint64
@@ -55,6 +58,7 @@
 	DefaultHeartbeat       = 100 * time.Millisecond
 	DefaultMaxEntryBytes   = 1 << 20
 	DefaultSnapshotEntries = 50_000
+	DefaultSnapshotBytes   = 64 << 20
 	DefaultKeepEntries     = 5_000
 )
 
@@ -65,6 +69,8 @@
 	chunkBytes    = 512 << 10
 	// maxUncommitted stops taking proposals until the group keeps up.
 	maxUncommitted = 16_384
+	// maxUncommittedBytes does the same for large proposals.
+	maxUncommittedBytes = 64 << 20
 )
 
 func (c *Config) complete() error {
@@ -80,6 +86,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.KeepEntries == 0 {
 		c.KeepEntries = DefaultKeepEntries
 	}
--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -69,6 +69,8 @@
 	// leaderCommit is the last entry that matches the leader's log and that the
 	// leader has committed; it may not be synced here yet.
 	leaderCommit uint64
+	// uncommittedBytes is the size of this leader's entries after commit.
+	uncommittedBytes int
 	// applied is the last committed entry that Ready handed out.
 	applied  uint64
 	snapshot SnapshotMeta
@@ -299,6 +301,11 @@
 func (c *Core) setCommit(index uint64) {
 	invariant.Check(index >= c.commit, invariant.AcceptedNeverReverts, "a commit index would go back",
 		"commit", c.commit, "to", index)
+	if c.role == Leader {
+		for _, e := range c.log.slice(c.commit+1, index) {
+			c.uncommittedBytes -= e.size()
+		}
+	}
 	c.commit = index
 }
 
@@ -316,6 +323,7 @@
 // appendOwn appends an entry of this leader; Ready sends it.
 func (c *Core) appendOwn(e Entry) {
 	e.Index, e.Term = c.log.last()+1, c.term
+	c.uncommittedBytes += e.size()
 	c.log.entries = append(c.log.entries, e)
 	if e.Kind == EntryMembers {
 		c.membersAppended(e)
--- a/mesh/replog/election.go
+++ b/mesh/replog/election.go
@@ -74,6 +74,10 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.cfg.Self
 	c.progress = map[hostID]*progress{}
+	c.uncommittedBytes = 0
+	for _, e := range c.log.slice(c.commit+1, c.log.last()) {
+		c.uncommittedBytes += e.size()
+	}
 	for _, m := range c.Members() {
 		if m.Host != c.cfg.Self {
 			c.progress[m.Host] = c.newProgress(m.Disk)
--- a/mesh/replog/identity.go
+++ b/mesh/replog/identity.go
@@ -33,9 +33,6 @@
 
 // openIdentity reads the identity of dir, or draws one for an empty directory.
 func openIdentity(fsys wal.FS, dir string, want identity) (DiskID, error) {
-	if err := fsys.MkdirAll(dir); err != nil {
-		return "", diskError(wal.Classify(err))
-	}
 	names, err := fsys.List(dir)
 	if err != nil {
 		return "", diskError(wal.Classify(err))
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -19,6 +19,7 @@
 
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/replog/wal"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Log is this host's part of one group.
@@ -48,6 +49,8 @@
 	snapshotting bool
 	// snapshotRetry is the index before which a failed snapshot is not tried again.
 	snapshotRetry uint64
+	// unsaved is the size of the entries applied since the last snapshot.
+	unsaved int64
 	// drained is the size of the proposals taken since the last synced write,
 	// backlog the number of tasks of the applier at that time.
 	drained, backlog int
@@ -106,15 +109,14 @@
 	if err := cfg.complete(); err != nil {
 		return nil, err
 	}
-	id, err := openIdentity(cfg.FS, cfg.Dir, identity{Cluster: cfg.Cluster, Group: cfg.Group, Host: cfg.Self})
-	if err != nil {
-		return nil, err
+	if err := cfg.FS.MkdirAll(cfg.Dir); err != nil {
+		return nil, diskError(wal.Classify(err))
 	}
 	lock, err := cfg.FS.Lock(filepath.Join(cfg.Dir, lockFile))
 	if err != nil {
 		return nil, eris.Wrapf(ErrDisk, "data directory is in use: %v", err)
 	}
-	l, err := recoverLog(cfg, id, sm, tr)
+	l, err := recoverLog(cfg, sm, tr)
 	if err != nil {
 		_ = lock.Close()
 		return nil, err
@@ -126,7 +128,11 @@
 }
 
 // recoverLog reads the disk and restores the state machine.
-func recoverLog(cfg Config, id DiskID, sm StateMachine, tr Transport) (*Log, error) {
+func recoverLog(cfg Config, sm StateMachine, tr Transport) (*Log, error) {
+	id, err := openIdentity(cfg.FS, cfg.Dir, identity{Cluster: cfg.Cluster, Group: cfg.Group, Host: cfg.Self})
+	if err != nil {
+		return nil, err
+	}
 	d, rec, err := openDisk(cfg.FS, cfg.Dir, cfg.SegmentBytes, initialMembers(cfg.Voters))
 	if err != nil {
 		return nil, err
@@ -157,12 +163,20 @@
 	return l, nil
 }
 
+// droppedIn and droppedOut count messages that found a full queue. Heartbeats
+// repair the loss; growth means that a host or the disk does not keep up.
+var (
+	droppedIn  = telemetry.Counter("replog.messages.dropped.in")
+	droppedOut = telemetry.Counter("replog.messages.dropped.out")
+)
+
 // Deliver takes a message from the transport. It never blocks; a message that
 // finds the queue full is dropped.
 func (l *Log) Deliver(m Message) {
 	select {
 	case l.inbox <- m:
 	default:
+		droppedIn.Inc(1)
 	}
 }
 
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -203,7 +203,7 @@
 func TestAddHostBySnapshot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t)
-		cfg := Config{SnapshotEntries: 20, KeepEntries: 2, SegmentBytes: 300_000}
+		cfg := Config{SnapshotBytes: 2_200_000, SegmentBytes: 300_000}
 		_, _, logs := n.group(t, cfg, threeHosts...)
 		leader := waitLeader(t, logs...)
 		big := strings.Repeat("x", 100_000) // the snapshot needs several chunks
@@ -246,12 +246,14 @@
 			propose(t, leader, fmt.Sprint("before ", i))
 		}
 		disks[leader.cfg.Self].SetFree(5)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
 		for range 3 {
-			if _, err := leader.Propose(t.Context(), []byte("does not fit")); !errors.Is(err, ErrDiskFull) {
+			if _, err := leader.Propose(ctx, []byte("does not fit")); !errors.Is(err, ErrDiskFull) {
 				t.Fatalf("on the full disk: %v", err)
 			}
 		}
-		if _, err := leader.ConfirmLeader(t.Context()); err == nil || !leader.Status().DiskFull {
+		if _, err := leader.ConfirmLeader(ctx); err == nil || ctx.Err() != nil || !leader.Status().DiskFull {
 			t.Fatalf("a host with a full disk confirmed its leadership; %+v", leader.Status())
 		}
 		time.Sleep(5 * time.Second)
@@ -294,10 +296,12 @@
 		_, _, logs := n.group(t, Config{}, threeHosts...)
 		leader := waitLeader(t, logs...)
 		n.setCut(leader.cfg.Self, true)
-		if _, err := leader.Propose(t.Context(), []byte("x")); !errors.Is(err, ErrOutcomeUnknown) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if _, err := leader.Propose(ctx, []byte("x")); !errors.Is(err, ErrOutcomeUnknown) || ctx.Err() != nil {
 			t.Fatalf("got %v", err)
 		}
-		if _, err := leader.ConfirmLeader(t.Context()); err == nil {
+		if _, err := leader.ConfirmLeader(ctx); err == nil {
 			t.Fatal("leadership confirmed behind a partition")
 		}
 		if _, err := leader.Propose(t.Context(), make([]byte, DefaultMaxEntryBytes+1)); !errors.Is(err, ErrTooLarge) {
--- a/mesh/replog/memlog.go
+++ b/mesh/replog/memlog.go
@@ -55,6 +55,19 @@
 	l.stable = min(l.stable, index-1)
 }
 
+// keepAfter returns the index after which entries are kept behind a snapshot at
+// index: at most the given number, of at most the given size.
+func (l *memLog) keepAfter(index, entries uint64, bytes int64) uint64 {
+	i := index
+	for i > l.offset && index-i < entries {
+		if bytes -= int64(l.entries[i-l.offset-1].size()); bytes < 0 {
+			break
+		}
+		i--
+	}
+	return i
+}
+
 // compact drops the entries up to index.
 func (l *memLog) compact(index uint64) {
 	if index <= l.offset {
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -55,7 +55,7 @@
 // state machine is behind.
 func (l *Log) openProposals() chan proposal {
 	core := l.engine.core
-	if core.log.last()-core.commit > maxUncommitted || l.backlog > maxApplyBacklog || l.drained > drainBytes {
+	if core.log.last()-core.commit > maxUncommitted || core.uncommittedBytes > maxUncommittedBytes || l.backlog > maxApplyBacklog || l.drained > drainBytes {
 		return nil
 	}
 	return l.proposals
@@ -159,6 +159,9 @@
 
 // apply passes on what is ready to the state machine and to the callers.
 func (l *Log) apply(r Ready) {
+	for _, e := range r.Committed {
+		l.unsaved += int64(e.size())
+	}
 	if r.Snapshot != nil || len(r.Committed) > 0 {
 		l.applier.push(task{restore: r.Snapshot, entries: r.Committed})
 	}
@@ -215,11 +218,11 @@
 // snapshotIfDue asks the state machine for a snapshot after enough entries.
 func (l *Log) snapshotIfDue() {
 	core := l.engine.core
-	due := max(core.snapshot.Index+l.cfg.SnapshotEntries, l.snapshotRetry)
-	if l.snapshotting || core.applied < due || core.Transferring() {
+	due := core.applied >= core.snapshot.Index+l.cfg.SnapshotEntries || l.unsaved >= l.cfg.SnapshotBytes
+	if l.snapshotting || !due || core.applied < l.snapshotRetry || core.Transferring() {
 		return
 	}
-	l.snapshotting = true
+	l.snapshotting, l.unsaved = true, 0
 	l.applier.push(task{snapshot: &SnapshotMeta{
 		Index: core.applied, Term: core.log.term(core.applied), Members: core.membersAtIndex(core.applied),
 	}})
@@ -234,7 +237,7 @@
 		return
 	}
 	core := l.engine.core
-	core.Compact(s.meta, s.meta.Index-min(s.meta.Index, l.cfg.KeepEntries))
+	core.Compact(s.meta, core.log.keepAfter(s.meta.Index, l.cfg.KeepEntries, l.cfg.SnapshotBytes/4))
 	if err := l.engine.disk.compact(core.snapshot.Index); err != nil {
 		l.cfg.Log.Error("log truncation failed", "group", l.cfg.Group, "error", err.Error())
 	}
--- a/mesh/replog/sender.go
+++ b/mesh/replog/sender.go
@@ -44,6 +44,7 @@
 		select {
 		case q <- m:
 		default:
+			droppedOut.Inc(1)
 		}
 	}
 }
--- a/mesh/replog/sim_test.go
+++ b/mesh/replog/sim_test.go
@@ -206,6 +206,9 @@
 			s.t.Fatalf("%s and %s both lead term %d", other, h.id, c.term)
 		}
 		s.leaders[c.term] = h.id
+		if c.commit == c.log.last() && c.uncommittedBytes != 0 {
+			s.t.Fatalf("%s counts %d uncommitted bytes, but all is committed", h.id, c.uncommittedBytes)
+		}
 	}
 }
 
