--- a/mesh/replog/cluster_test.go
+++ b/mesh/replog/cluster_test.go
@@ -97,8 +97,9 @@
 	c := NewCore(CoreConfig{Cluster: "sim", Self: "a", Disk: "a", ElectionTimeout: simElection, Heartbeat: simBeat,
 		MaxBatchBytes: 1000, MaxInflight: 16, Rand: s.rng}, s.now, CoreState{Hard: HardState{Term: 3},
 		Snapshot: SnapshotMeta{Members: ms}, Entries: []Entry{{Index: 1, Term: 2, Kind: EntryCommand}}})
+	disk := DiskID("b")
 	answer := func(kind MessageKind, term, index uint64) {
-		c.Step(s.now, Message{Kind: kind, Cluster: "sim", From: "b", FromDisk: "b", To: "a", Term: term, Index: index})
+		c.Step(s.now, Message{Kind: kind, Cluster: "sim", From: "b", FromDisk: disk, To: "a", Term: term, Index: index})
 		c.Advance(c.Ready())
 	}
 	c.Tick(s.now.Add(time.Hour))
@@ -114,12 +115,43 @@
 	if c.commit != 0 {
 		t.Fatal("an entry of term 2 was committed by counting copies in term 4")
 	}
+	disk = "former"
+	answer(MsgAppendReply, 4, 2)
+	if c.commit != 0 {
+		t.Fatal("an acknowledgement from another disk was counted")
+	}
+	disk = "b"
 	answer(MsgAppendReply, 4, 2)
 	if c.commit != 2 {
 		t.Fatalf("commit is %d, want 2", c.commit)
 	}
 }
 
+// Guards against messages for a former disk being answered, and against a
+// snapshot that was damaged on its way being installed.
+func TestMessagesThatMustNotCount(t *testing.T) {
+	s := newSim(t, 7, "a", "b")
+	c := s.hosts["a"].eng.core
+	meta, state := snapshotAt(9, 1)
+	m := Message{Kind: MsgSnapshot, Cluster: "sim", From: "b", To: "a", Term: 1, Snapshot: &SnapshotChunk{Meta: meta, Data: state}}
+	m.ToDisk = "former"
+	c.Step(s.now, m)
+	if r := c.Ready(); !r.Empty() {
+		t.Fatalf("a message for a former disk caused %+v", r)
+	}
+	m.ToDisk = ""
+	m.Snapshot.Data = append([]byte("X"), state[1:]...)
+	c.Step(s.now, m)
+	if c.commit != 0 {
+		t.Fatal("a damaged snapshot was installed")
+	}
+	m.Snapshot.Data = state
+	c.Step(s.now, m)
+	if c.commit != 9 {
+		t.Fatal("the whole snapshot was not installed")
+	}
+}
+
 // Guards against a group that is formed twice: as long as the disks are not
 // known, a host with a lost disk looks like the original one.
 func TestGroupFormsOnlyWithAllHosts(t *testing.T) {
@@ -154,6 +186,10 @@
 	s.t.Helper()
 	s.crash(id)
 	h := s.add(id, simHosts)
+	s.steps(electionSteps(3))
+	if n := h.eng.core.log.last(); n != 0 {
+		s.t.Fatalf("%s got %d entries under the identity of its former disk", id, n)
+	}
 	s.await("repair", func() bool {
 		l := s.leader()
 		if l == nil || l.id == id {
--- a/mesh/replog/disk_test.go
+++ b/mesh/replog/disk_test.go
@@ -209,7 +209,7 @@
 	for i := uint64(5); i <= 20; i++ {
 		write(t, d, Ready{Hard: &HardState{Term: 2}, Entries: []Entry{entry(i, 2)}})
 	}
-	for index := uint64(10); index < 20; index++ {
+	for index := uint64(6); index < 20; index++ {
 		meta, state := snapshotAt(index, 2)
 		if err := saveSnapshot(fsys, simDir, meta, state); err != nil {
 			t.Fatal(err)
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -256,6 +256,14 @@
 		if _, err := leader.ConfirmLeader(ctx); err == nil || ctx.Err() != nil || !leader.Status().DiskFull {
 			t.Fatalf("a host with a full disk confirmed its leadership; %+v", leader.Status())
 		}
+		// What was refused must stay refused if there is space before an election.
+		disks[leader.cfg.Self].SetFree(-1)
+		time.Sleep(5 * time.Second)
+		leader = waitLeader(t, logs...)
+		disks[leader.cfg.Self].SetFree(5)
+		if _, err := leader.Propose(ctx, []byte("does not fit")); !errors.Is(err, ErrDiskFull) {
+			t.Fatalf("on the full disk: %v", err)
+		}
 		time.Sleep(5 * time.Second)
 		next := waitLeader(t, slices.DeleteFunc(slices.Clone(logs), func(l *Log) bool { return l == leader })...)
 		propose(t, next, "meanwhile")
