Answer lookups over a fresh connection when a kept-alive one was closed

Cause: after the guard against repeated writes the transport repeated nothing, so that a lookup which met a connection that the backend server had just closed failed, and its lost connection took the concurrency limit to one.

--- a/bench/cmd/bench/faults.go
+++ b/bench/cmd/bench/faults.go
@@ -7,14 +7,14 @@
 	"balsamtrail.org/bench/faults"
 )
 
-type faultsCmd struct {
+type scenariosCmd struct {
 	Names []string `arg:"" optional:"" help:"Scenarios to run; all by default."`
 	Bin   string   `default:"bin" type:"path" help:"Folder of the programs."`
 	Dir   string   `type:"path" help:"Folder of settings, data and logs; a temporary one by default, removed after a good run."`
 }
 
 // Run runs the failure scenarios; an error means that one failed.
-func (c *faultsCmd) Run(ctx context.Context) error {
+func (c *scenariosCmd) Run(ctx context.Context) error {
 	dir := c.Dir
 	if dir == "" {
 		tmp, err := os.MkdirTemp("", "balsamtrail-faults-")
--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -17,7 +17,7 @@
 type cli struct {
 	Backend    backendCmd    `cmd:"" help:"Run a stand-in backend server."`
 	Demo       demoCmd       `cmd:"" help:"Run the system on loopback under load and failures and write a table."`
-	Faults     faultsCmd     `cmd:"" help:"Run failure scenarios on loopback, each with its assertions."`
+	Faults     scenariosCmd  `cmd:"" help:"Run failure scenarios on loopback, each with its assertions."`
 	Proxy      proxyCmd      `cmd:"" help:"Run the naive baseline: a plain HTTP proxy."`
 	Experiment experimentCmd `cmd:"" help:"Run an experiment with real processes and write a table."`
 }
--- a/mesh/node/backend_test.go
+++ b/mesh/node/backend_test.go
@@ -70,8 +70,8 @@
 	}
 	_ = resp.Body.Close()
 	_, err = b.do(context.Background(), writeRequest())
-	if !errors.Is(err, ErrOutcomeUnknown) {
-		t.Errorf("second write: error %v, want %v", err, ErrOutcomeUnknown)
+	if !errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, errStaleConn) {
+		t.Errorf("second write: error %v, want %v on a stale connection", err, ErrOutcomeUnknown)
 	}
 	if n := arrived.Load(); n != 2 {
 		t.Errorf("%d requests arrived for 2 writes", n)
@@ -91,3 +91,23 @@
 		t.Errorf("error %v, want %v", err, ErrNotRun)
 	}
 }
+
+// A lookup on a kept-alive connection that the backend server has closed must be
+// answered over a fresh one: otherwise every idle time-out of the backend server
+// costs a failed try and shrinks the concurrency limit to one.
+func TestLookupSurvivesAClosedConnection(t *testing.T) {
+	base, arrived := lossyServer(t)
+	b := newBackend(backendConfig{base: base, connections: 1, dialTimeout: time.Second})
+	defer b.close()
+	for i := range 4 {
+		resp, err := b.do(context.Background(), backendRequest{method: http.MethodGet, path: "/cabinets/7",
+			header: http.Header{}, timeout: time.Second, idempotent: true})
+		if err != nil {
+			t.Fatalf("lookup %d: %v", i, err)
+		}
+		_ = resp.Body.Close()
+	}
+	if n := arrived.Load(); n <= 4 {
+		t.Errorf("%d requests arrived: no connection was closed", n)
+	}
+}
