Add HandOver for a planned stop of the leader

Cause: a stopped leader left the group without acceptance for 1 to 2 s. Change: the leader refuses new proposals, waits until nothing is pending, and asks the voter furthest in the log to campaign.

--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -87,6 +87,10 @@
 	nextBroadcast time.Time
 	round         uint64
 	reads         []read
+	// handOver is in progress if its target is set.
+	handOver handOver
+	// byRequest: the campaign was asked for by the leader.
+	byRequest bool
 	// incoming is a snapshot being received.
 	incoming *incoming
 
@@ -205,6 +209,8 @@
 		c.stepSnapshot(m)
 	case MsgSnapshotReply:
 		c.stepSnapshotReply(m)
+	case MsgCampaign:
+		c.stepCampaign(m)
 	}
 }
 
@@ -247,7 +253,7 @@
 	switch {
 	case m.Kind == MsgPreVote, m.Kind == MsgPreVoteReply && !m.Reject:
 		return true // asks about a term that nobody has begun
-	case m.Kind == MsgVote && c.leaderAlive():
+	case m.Kind == MsgVote && c.leaderAlive() && !m.HandOver:
 		return false // a host that was cut off must not disturb a live leader
 	}
 	leader := model.HostID("")
@@ -273,7 +279,7 @@
 		c.failReads()
 	}
 	c.role, c.leader = Follower, leader
-	c.progress, c.votes = nil, nil
+	c.progress, c.votes, c.handOver = nil, nil, handOver{}
 	c.resetElectionDeadline()
 }
 
@@ -316,6 +322,9 @@
 	if c.role != Leader {
 		return 0, 0, ErrNotLeader{Leader: c.leader}
 	}
+	if c.handOver.target != "" {
+		return 0, 0, ErrNotLeader{Leader: c.handOver.target}
+	}
 	c.appendOwn(Entry{Kind: EntryCommand, Data: data})
 	return c.log.last(), c.term, nil
 }
--- a/mesh/replog/election.go
+++ b/mesh/replog/election.go
@@ -14,7 +14,8 @@
 	c.votes = map[hostID]ballot{c.cfg.Self: {granted: true, disk: c.cfg.Disk}}
 	for _, m := range c.Members() {
 		if m.Voter && m.Host != c.cfg.Self {
-			c.send(Message{Kind: kind, To: m.Host, ToDisk: m.Disk, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+			c.send(Message{Kind: kind, To: m.Host, ToDisk: m.Disk, Term: term,
+				Index: c.log.last(), LogTerm: c.log.lastTerm(), HandOver: c.byRequest})
 		}
 	}
 	c.countVotes()
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -68,12 +68,14 @@
 	done chan<- outcome
 }
 
-// change is a call of AddHost or RemoveHost.
+// change is a call of AddHost, RemoveHost or HandOver.
 type change struct {
 	host   model.HostID
 	disk   DiskID
 	remove bool
-	done   chan<- outcome
+	// handOver makes it a call of HandOver.
+	handOver bool
+	done     chan<- outcome
 }
 
 // Status describes this host's part of the group.
@@ -266,8 +268,30 @@
 	})
 }
 
-// changeHosts proposes a change and waits until the accepted members satisfy ok.
-func (l *Log) changeHosts(ctx context.Context, c change, ok func(Members) bool) error {
+// HandOver gives the place of this leader to another voter, for a planned stop.
+// It returns when this host no longer leads, at once if it does not.
+func (l *Log) HandOver(ctx context.Context) error {
+	for {
+		st, changed := l.Watch()
+		if st.Role != Leader {
+			return nil
+		}
+		if err := l.request(ctx, change{handOver: true}); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-time.After(l.cfg.ElectionTimeout): // the target did not answer
+		case <-ctx.Done():
+			return eris.Wrap(ErrNotAccepted, ctx.Err().Error())
+		case <-l.stopped:
+			return nil
+		}
+	}
+}
+
+// request passes a change to the owner goroutine and waits until it is taken.
+func (l *Log) request(ctx context.Context, c change) error {
 	done := make(chan outcome, 1)
 	c.done = done
 	select {
@@ -277,8 +301,13 @@
 	case <-l.stop:
 		return ErrClosed
 	}
-	if o := l.wait(ctx, done); o.err != nil {
-		return o.err
+	return l.wait(ctx, done).err
+}
+
+// changeHosts proposes a change and waits until the accepted members satisfy ok.
+func (l *Log) changeHosts(ctx context.Context, c change, ok func(Members) bool) error {
+	if err := l.request(ctx, c); err != nil {
+		return err
 	}
 	for {
 		st, changed := l.Watch()
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -315,3 +315,33 @@
 		}
 	})
 }
+
+// Guards against a planned stop of the leader that interrupts proposals or
+// leaves the group without a leader for an election timeout.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		_, _, logs := n.group(t, Config{}, threeHosts...)
+		leader := waitLeader(t, logs...)
+		results := make(chan error, 50)
+		for i := range cap(results) {
+			go func() { _, err := leader.Propose(t.Context(), fmt.Appendf(nil, "%d", i)); results <- err }()
+		}
+		synctest.Wait()
+		start := time.Now()
+		if err := leader.HandOver(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		n.close(t, leader.cfg.Self)
+		rest := slices.DeleteFunc(logs, func(l *Log) bool { return l == leader })
+		propose(t, waitLeader(t, rest...), "after")
+		if d := time.Since(start); d >= DefaultElectionTimeout/2 {
+			t.Fatalf("the hand-over took %v", d)
+		}
+		for range cap(results) {
+			if err := <-results; err != nil {
+				t.Fatalf("a proposal was interrupted: %v", err)
+			}
+		}
+	})
+}
--- a/mesh/replog/members.go
+++ b/mesh/replog/members.go
@@ -114,7 +114,7 @@
 	switch {
 	case c.role != Leader:
 		return ErrNotLeader{Leader: c.leader}
-	case !c.membersCommitted():
+	case !c.membersCommitted() || c.handOver.target != "":
 		return eris.Wrap(ErrMembers, "another change is in progress")
 	case !c.committedInTerm():
 		return eris.Wrap(ErrMembers, "the leader has not committed an entry of its term yet")
--- a/mesh/replog/message.go
+++ b/mesh/replog/message.go
@@ -72,6 +72,8 @@
 	MsgAppendReply
 	MsgSnapshot
 	MsgSnapshotReply
+	// MsgCampaign asks the recipient to replace the leader that sends it.
+	MsgCampaign
 )
 
 // Message passes between the hosts of one group.
@@ -97,6 +99,8 @@
 	// Hint is the index after which a rejecting follower wants entries.
 	Hint     uint64         `cbor:"15,keyasint,omitempty"`
 	Snapshot *SnapshotChunk `cbor:"16,keyasint,omitempty"`
+	// HandOver marks a MsgVote that the leader itself asked for.
+	HandOver bool `cbor:"17,keyasint,omitempty"`
 }
 
 // SnapshotChunk is a part of a snapshot, or in a reply the next offset wanted.
--- a/mesh/replog/replication.go
+++ b/mesh/replog/replication.go
@@ -45,7 +45,10 @@
 	if c.now.Before(c.nextBroadcast) {
 		return
 	}
-	c.promoteLearner()
+	if c.handOver.target == "" {
+		c.promoteLearner()
+	}
+	c.askCampaign()
 	c.broadcast()
 }
 
@@ -221,6 +224,9 @@
 		p.sending = 0
 	}
 	c.advanceCommit()
+	if c.role == Leader {
+		c.askCampaign()
+	}
 }
 
 // advanceCommit commits what a quorum has synced. An entry of an earlier term
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -117,6 +117,8 @@
 	switch {
 	case l.full:
 		err = ErrDiskFull
+	case c.handOver:
+		err = l.engine.core.HandOver(time.Now())
 	case c.remove:
 		err = l.engine.core.RemoveHost(c.host)
 	default:
--- a/mesh/replog/wal/memfs.go
+++ b/mesh/replog/wal/memfs.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// Clone returns a copy that holds the present content of all files as synced.
+func (m *MemFS) Clone() *MemFS {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := NewMemFS()
+	for name, c := range m.names {
+		out.Put(name, c.data)
+	}
+	return out
+}
+
 // Put replaces the durable content of a file.
 func (m *MemFS) Put(name string, data []byte) {
 	m.mu.Lock()
