Keep retries for the level next to the fault; eject a server that fails alone

Causes, found with calls of 25 levels through 50 nodes: (1) each level kept one try of the call's budget, so that the levels below the second had none when the host next to them died: 129 of 155 calls were answered. (2) an answer that reports an error counted as a good one of a fast server, which drew the calls of its level: 1 of 125 answered. (3) where the failing server is the only one in the data centre, no call went elsewhere. Ruled out for (1): the node's retry bucket, which was not empty. Change: all tries are lent to the next level and come back when the fault is next to this level; a try that did not run needs none of the call's budget; five errors in a row eject a server if the others of its version give good answers meanwhile; a server that keeps failing counts as refusing, so that some calls leave the data centre.

--- a/bench/cmd/bench/experiment.go
+++ b/bench/cmd/bench/experiment.go
@@ -11,6 +11,7 @@
 	Latency    latencyCmd    `cmd:"" help:"Added latency and calls per core against direct calls and the baseline."`
 	Overload   overloadCmd   `cmd:"" help:"Goodput by kind at 1, 2 and 4 times the capacity of the backend servers."`
 	Datacentre datacentreCmd `cmd:"" help:"A data centre taken out and returned under load."`
+	Nested     nestedCmd     `cmd:"" help:"Calls of 25 levels with dead and failing backend servers."`
 	Faults     faultsCmd     `cmd:"" help:"Lookups and writes under random faults; every answer and run is checked."`
 }
 
@@ -37,6 +38,11 @@
 // Run runs the experiment.
 func (c *datacentreCmd) Run() error { return c.run(0, experiment.DataCentre) }
 
+type nestedCmd struct{ experimentFlags }
+
+// Run runs the experiment.
+func (c *nestedCmd) Run() error { return c.run(0, experiment.Nested) }
+
 type faultsCmd struct {
 	experimentFlags
 	Seed uint64 `default:"1" help:"Seed of the faults."`
--- /dev/null
+++ b/bench/experiment/nested.go
@@ -0,0 +1,216 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/model"
+)
+
+const (
+	nestedDepth    = 24 // 25 levels: each answer holds the answers below it
+	nestedPerLevel = 2
+	nestedKilled   = 12 // the level that loses a host
+	nestedBad      = 6  // the level that gets a host which fails every request
+	nestedCallers  = 2
+	nestedLength   = 8 * time.Second
+	nestedLatency  = 2 * time.Millisecond
+	nestedWarmUp   = 4 * time.Second
+)
+
+// NestedRow is one phase of the nested experiment.
+type NestedRow struct {
+	Phase string  `json:"phase"`
+	Calls int     `json:"calls"`
+	OK    int     `json:"ok"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	// Runs are the requests that stand-ins ran for each outer call.
+	Runs float64 `json:"runs_per_call"`
+}
+
+// NestedResult is the outcome of the nested experiment.
+type NestedResult struct {
+	Rows []NestedRow `json:"rows"`
+}
+
+// WriteTable writes one row for each phase.
+func (r *NestedResult) WriteTable(w io.Writer) error {
+	t := newTable(w, "phase\tcalls of 25 levels\tok\tp50 ms\tp99 ms\trequests run for each call")
+	for _, x := range r.Rows {
+		t.row("%s\t%d\t%d\t%.1f\t%.1f\t%.1f", x.Phase, x.Calls, x.OK, x.P50, x.P99, x.Runs)
+	}
+	return t.flush()
+}
+
+// nestedNote has a service and a route for each level.
+func nestedNote() string {
+	n := noteJSON{Number: 1, Title: "nested calls"}
+	for level := range nestedDepth + 1 {
+		service := levelName(level)
+		n.Services.Added = append(n.Services.Added, serviceJSON{service, slots, 100, 40, "500ms"})
+		n.Shares = append(n.Shares, serviceSharesEntry{service, map[model.ServiceVersion]model.Share{version: model.ShareAll}})
+		n.Routes.Added = append(n.Routes.Added, routeJSON{
+			Name: string(service), PathPrefix: fmt.Sprintf("/nested/%d", level), Methods: []string{"GET"},
+			Service: service, Kind: "lookup", Timeout: "3s", MaxRetries: 2,
+		})
+	}
+	b, err := json.Marshal(n)
+	if err != nil {
+		panic(err) // the note holds only encodable types
+	}
+	return string(b)
+}
+
+func levelName(level int) model.ServiceName {
+	return model.ServiceName(fmt.Sprintf("level-%d", level))
+}
+
+// nested is one run of the experiment.
+type nested struct {
+	fleet  *demo.Fleet
+	client *http.Client
+}
+
+// Nested sends calls of 25 levels while all backend servers are well, after two
+// of them were killed, and while one fails every request: the retries of all
+// levels together must stay within the budget that travels with a call.
+func Nested(o Options) (Result, error) {
+	f, err := demo.NewFleet(o.Dir, o.Bin, []model.DataCentre{"thun", "bern-altstadt", "burgdorf"})
+	if err != nil {
+		return nil, err
+	}
+	defer f.KillAll()
+	n := &nested{fleet: f, client: &http.Client{Timeout: 4 * time.Second}}
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	n.phase("warming up", nestedWarmUp)
+	res := &NestedResult{}
+	res.Rows = append(res.Rows, n.phase("all well", nestedLength))
+	killed := f.Servers[nestedKilled*nestedPerLevel]
+	killed.Backend.Kill()
+	killed.Node.Kill()
+	res.Rows = append(res.Rows, n.phase("a host of one level just killed", nestedLength))
+	bad, err := f.Add(n.spec(nestedBad, "--bad", "at-once"))
+	if err != nil {
+		return res, err
+	}
+	if err := bad.Start(); err != nil {
+		return res, err
+	}
+	time.Sleep(2 * time.Second)
+	row := n.phase("1 of 3 hosts of one level fails every request", nestedLength)
+	res.Rows = append(res.Rows, row)
+	// An answer that reports an error is not tried again, so that no level runs
+	// more than once for a call.
+	if most := float64(nestedDepth + 1); row.Runs > most {
+		return res, fmt.Errorf("%.1f requests ran for each call, at most %.0f", row.Runs, most)
+	}
+	return res, nil
+}
+
+func (n *nested) start() error {
+	for _, c := range n.fleet.Controls {
+		if err := c.Start(); err != nil {
+			return err
+		}
+	}
+	for level := range nestedDepth + 1 {
+		for range nestedPerLevel {
+			if _, err := n.fleet.AddAndStart(n.spec(level, "--warm")); err != nil {
+				return err
+			}
+		}
+	}
+	if err := demo.Eventually(startLimit, func() error { _, err := n.fleet.Leader(); return err }); err != nil {
+		return err
+	}
+	if err := n.fleet.Publish(nestedNote()); err != nil {
+		return err
+	}
+	return demo.Eventually(routesLimit, func() error {
+		for _, s := range n.fleet.Servers {
+			if st, err := s.Status(); err != nil || !st.Routable || st.Position.Index == 0 {
+				return fmt.Errorf("node %s does not route yet", s.Host)
+			}
+		}
+		return nil
+	})
+}
+
+// spec describes a stand-in of one level.
+func (n *nested) spec(level int, flags ...string) demo.Spec {
+	dcs := n.fleet.DataCentres
+	return demo.Spec{Service: levelName(level), Version: version, DataCentre: dcs[len(n.fleet.Servers)%len(dcs)],
+		Flags: append(flags, "--latency", nestedLatency.String())}
+}
+
+// phase sends calls of all levels from a few callers and counts what ran for them.
+func (n *nested) phase(name string, length time.Duration) NestedRow {
+	before := n.ran()
+	var mu sync.Mutex
+	var latencies []time.Duration
+	row := NestedRow{Phase: name}
+	var wg sync.WaitGroup
+	end := time.Now().Add(length)
+	for i := range nestedCallers {
+		entry := n.fleet.Servers[i].Caller
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				ok := n.call(entry)
+				mu.Lock()
+				row.Calls++
+				if ok {
+					row.OK++
+					latencies = append(latencies, time.Since(began))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if len(latencies) > 0 {
+		slices.Sort(latencies)
+		row.P50 = float64(latencies[len(latencies)/2].Microseconds()) / 1000
+		row.P99 = float64(latencies[len(latencies)*99/100].Microseconds()) / 1000
+	}
+	row.Runs = float64(n.ran()-before) / float64(max(row.Calls, 1))
+	return row
+}
+
+// call reports whether the answer holds one line for each level.
+func (n *nested) call(entry string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/nested/%d", entry, nestedDepth), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && strings.Count(string(b), "\n") == nestedDepth+1
+}
+
+// ran adds up the requests that the live stand-ins have run.
+func (n *nested) ran() (total int64) {
+	for _, s := range n.fleet.Servers {
+		if st, err := s.Stats(); err == nil {
+			total += st.Requests
+		}
+	}
+	return total
+}
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -62,8 +62,8 @@
 	if ctx.Err() != nil || errors.Is(t.err, errNoServer) {
 		return false
 	}
-	if t.notRun() {
-		c.budget.Return(t.lent)
+	if t.notRun() || t.result == routing.ResultFailed {
+		c.budget.Return(t.lent) // the fault is next to this level
 	}
 	return c.attempts.Retry(time.Now(), t.result, t.notRun()) == routing.Again
 }
--- a/mesh/routing/attempts.go
+++ b/mesh/routing/attempts.go
@@ -67,14 +67,19 @@
 	return Again
 }
 
-// takeRetry uses a try of the budgets. A request that left no byte anywhere
-// adds no load when it is tried again, and when a host dies more calls fail at
-// once than the node's bucket holds; it uses the call's budget only.
+// takeRetry uses a try of the budgets. A try that did not run has run nothing
+// at the levels below, so it needs none of the call's budget. If it left no byte
+// anywhere it adds no load either, and when a host dies more calls fail at once
+// than the node's bucket holds.
 func (a *Attempts) takeRetry(r Result, notRun bool) bool {
-	if notRun && r == ResultFailed {
-		return a.call.Take()
+	switch {
+	case notRun && r == ResultFailed:
+		return true
+	case notRun:
+		return a.node.Take()
+	default:
+		return TakeRetry(a.node, a.call)
 	}
-	return TakeRetry(a.node, a.call)
 }
 
 // Hedge decides whether a second try of a lookup that is still unanswered may
--- a/mesh/routing/budget.go
+++ b/mesh/routing/budget.go
@@ -4,8 +4,8 @@
 
 // Budget is the number of further tries that one call, and all calls nested
 // in it, may still make. All goroutines that serve the call share it. It
-// travels with the call: Lend gives tries to the next level, Return takes back
-// what that level did not use, so the total never grows.
+// travels with the call: Lend gives tries to the next level, Return takes them
+// back if the fault is next to this level.
 type Budget struct {
 	// mu guards left.
 	mu   sync.Mutex
@@ -30,18 +30,21 @@
 	return true
 }
 
-// Lend gives the next level all tries but one, which stays for a fault of that
-// level itself.
+// Lend gives all tries to the next level: of 25 levels the fault is most likely
+// further down, and a try that is kept at each level leaves none for the deep ones.
 func (b *Budget) Lend() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lent := max(b.left-1, 0)
-	b.left -= lent
+	lent := b.left
+	b.left = 0
 	return lent
 }
 
-// Return takes back unused tries that were lent. Pass at most what Lend gave;
-// after an unknown outcome pass nothing.
+// Return takes back tries that were lent: all of them after a try that did not
+// run, and after the connection to the next level was lost, since this level is
+// then the one next to the fault. The level below may have used some of them; each
+// further use needs a lost connection of its own, so that the tries of a call grow
+// at most with a power of its levels that is the budget, not exponentially.
 func (b *Budget) Return(tries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -31,7 +31,9 @@
 // versionView has the backend servers of one version: those of the own data
 // centre and the others.
 type versionView struct {
-	all    []*host
+	all []*host
+	// oks counts the good answers.
+	oks    uint64
 	own    group
 	others group
 }
--- a/mesh/routing/host.go
+++ b/mesh/routing/host.go
@@ -18,6 +18,12 @@
 	zeroLimitLifetime = time.Second
 	// ejectAfter is the number of failures or refusals in a row that ejects.
 	ejectAfter = 5
+	// errorWeight averages the part of errors over about ten answers.
+	errorWeight = 0.1
+	// errorsElsewhere is the part of errors among the other backend servers of the
+	// version up to which a server that keeps failing is ejected. Above it the
+	// fault is common, as that of a bad version or of a level further down.
+	errorsElsewhere = 0.2
 	// ejectBase doubles with each ejection in a row, up to ejectMax.
 	ejectBase = time.Second
 	ejectMax  = time.Minute
@@ -38,8 +44,14 @@
 	// limitAt is when the limit was learned; zero if it is unknown.
 	limitAt time.Time
 	// cold says that it started after this node first saw its service.
-	cold         bool
-	bad          int
+	cold bool
+	bad  int
+	// errors are the answers in a row that report an error, errorRate their part
+	// of the answers over about ten.
+	errors    int
+	errorRate float64
+	// oksBefore are the good answers of the version when the errors in a row began.
+	oksBefore    uint64
 	ejections    int
 	ejectedUntil time.Time
 }
@@ -49,9 +61,16 @@
 	switch o.Result {
 	case ResultCancelled:
 		return false
-	case ResultOK, ResultError:
-		h.bad = 0
+	case ResultOK:
+		h.bad, h.errors = 0, 0
+		h.errorRate -= errorWeight * h.errorRate
 		h.observeLatency(now, o.Latency)
+	case ResultError:
+		// An error says nothing about the latency: a server that fails at once must
+		// not look like the fastest one.
+		h.bad = 0
+		h.errors++
+		h.errorRate += errorWeight * (1 - h.errorRate)
 	case ResultRefused, ResultFailed:
 		h.bad++
 	}
@@ -78,11 +97,26 @@
 
 func (h *host) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// failsAlone reports whether it keeps answering with errors while the others of
+// its version give good answers. A version with one backend server has no others.
+func (h *host) failsAlone(v *versionView) bool {
+	if h.errors < ejectAfter || v.oks < h.oksBefore+ejectAfter {
+		return false
+	}
+	sum := 0.0
+	for _, other := range v.all {
+		if other != h {
+			sum += other.errorRate
+		}
+	}
+	return sum/float64(len(v.all)-1) <= errorsElsewhere
+}
+
 // eject keeps calls away for a time that doubles with each ejection in a row.
 func (h *host) eject(now time.Time) time.Duration {
 	length := min(ejectBase<<min(h.ejections, 10), ejectMax)
 	h.ejections++
-	h.bad = 0
+	h.bad, h.errors = 0, 0
 	h.ejectedUntil = now.Add(length)
 	return length
 }
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -156,7 +156,7 @@
 	for version, pool := range source.pools {
 		view := &versionView{}
 		if o := old[version]; o != nil {
-			view.own.pressure, view.others.pressure = o.own.pressure, o.others.pressure
+			view.own.pressure, view.others.pressure, view.oks = o.own.pressure, o.others.pressure, o.oks
 		}
 		for _, a := range pool {
 			view.add(p.host(a, !first), a.DataCentre == p.cfg.DataCentre)
@@ -302,7 +302,14 @@
 		return
 	}
 	view := v.versions[h.Version]
-	view.groupOf(h, p.cfg.DataCentre).observe(o.Result)
+	switch {
+	case o.Result == ResultOK:
+		view.oks++
+	case h.errors == 1:
+		h.oksBefore = view.oks
+	}
+	view.groupOf(h, p.cfg.DataCentre).observe(pressing(h, o.Result))
+	due = due || !h.ejected(now) && h.failsAlone(view)
 	if due && view.mayEject(now) {
 		length := h.eject(now)
 		telemetry.Counter(MetricEjections).Inc(1)
@@ -311,6 +318,16 @@
 	}
 }
 
+// pressing returns the result as it counts for leaving the data centre. A server
+// that keeps failing counts as one that refuses: some calls must go elsewhere to
+// learn whether the others fail too.
+func pressing(h *host, r Result) Result {
+	if r == ResultError && h.errors >= ejectAfter {
+		return ResultRefused
+	}
+	return r
+}
+
 // Ejected returns the hosts of a service version that are ejected at present.
 func (p *Picker) Ejected(now time.Time, service model.ServiceName, version model.ServiceVersion) []model.HostID {
 	p.mu.Lock()
--- a/mesh/routing/picker_test.go
+++ b/mesh/routing/picker_test.go
@@ -92,6 +92,39 @@
 		}
 	})
 
+	It("ejects a backend server that fails fast while the others do not, and none for a common fault", func() {
+		p := picker(1, config(all), servers("v1", "thun", 3))
+		failures := 0
+		for i := range 3000 {
+			call(p, start.Add(time.Duration(i)*10*time.Millisecond), func(a membership.Announcement) Outcome {
+				if a.Host == "thun-v1-0" {
+					failures++
+					return Outcome{Result: ResultError, Latency: time.Millisecond, Limit: 20}
+				}
+				return okay
+			})
+		}
+		Expect(failures).To(BeNumerically("<", 60), "of 3,000 calls in 30 s")
+		p = picker(1, config(all), append(servers("v1", "thun", 1), servers("v1", "bern", 2)...))
+		failures = 0
+		for i := range 3000 {
+			call(p, start.Add(time.Duration(i)*10*time.Millisecond), func(a membership.Announcement) Outcome {
+				if a.DataCentre == "thun" {
+					failures++
+					return Outcome{Result: ResultError, Latency: time.Millisecond, Limit: 20}
+				}
+				return okay
+			})
+		}
+		Expect(failures).To(BeNumerically("<", 400), "of 3,000 calls whose own data centre has only the failing server")
+		common := picker(1, config(all), servers("v1", "thun", 3))
+		for i := range 300 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			call(common, now, always(Outcome{Result: ResultError, Latency: time.Millisecond, Limit: 20}))
+			Expect(common.Ejected(now, "s", "v1")).To(BeEmpty())
+		}
+	})
+
 	It("does not concentrate load on the fastest backend server", func() {
 		counts := map[model.HostID]int{}
 		list := servers("v1", "thun", 6)
