experiment: callers inside the data centre, restarts despite taken addresses

Cause: entry nodes outside the data centre keep work in their own data centre, so the first runs sent none to the one taken out; a restart failed when another program of the machine had taken the address (bind: address already in use). Change: the callers of the data centre use its nodes until shortly before the power-off and after the return; cold start and steady state are separate phases; a fleet is started up to three times and a restart is repeated; a node that does not stop within 10 s writes its goroutines to its log.

--- a/bench/experiment/datacentre.go
+++ b/bench/experiment/datacentre.go
@@ -17,23 +17,28 @@
 	outageBackend = 100 * time.Millisecond
 	// outageFactor is the load in parts of the capacity of the whole fleet; the
 	// data centres that stay can bear it.
-	outageFactor  = 0.4
+	outageFactor  = 0.45
 	outageEntries = 4
+	outageCold    = 10 * time.Second
 	// The steps, from the start of the load on. The processes of the data centre
 	// are killed powerOff after the notice; the baseline's operator removes its
 	// servers from the list listDelay after it.
-	outageWarmUp = 10 * time.Second
+	outageWarmUp = 16 * time.Second
 	powerOff     = 5 * time.Second
 	listDelay    = 10 * time.Second
 	restartAfter = 14 * time.Second
 	returnAfter  = 17 * time.Second
 	outageAfter  = 12 * time.Second
+	// callersLeave is the time after the notice at which the callers inside the
+	// data centre end.
+	callersLeave = powerOff - time.Second
 	// lastWorkBound is the time after which a data centre that is out gets no new work.
 	lastWorkBound = 3 * time.Second
 )
 
 // Phases of the data centre experiment.
 const (
+	phaseCold     = "all cold"
 	phaseBefore   = "before"
 	phaseOut      = "out"
 	phaseReturned = "returned"
@@ -48,6 +53,8 @@
 // ReturnRow says how one side treated the servers of the data centre.
 type ReturnRow struct {
 	System string `json:"system"`
+	// WorkBefore counts the requests there until the notice.
+	WorkBefore int64 `json:"requests_before"`
 	// LastWork is the time from the notice to the last new request there, at most until the power-off.
 	LastWork float64 `json:"last_new_work_seconds"`
 	// ColdOverload counts the requests beyond what the cold servers could bear
@@ -78,9 +85,9 @@
 	if err := t.flush(); err != nil {
 		return err
 	}
-	t = newTable(w, "system\tlast new work s\tcold requests\tabove cold limit\tshed\tcancelled\tduplicated writes")
+	t = newTable(w, "system\trequests before\tlast new work s\tcold requests\tabove cold limit\tshed\tcancelled\tduplicated writes")
 	for _, x := range r.Returns {
-		t.row("%s\t%.2f\t%d\t%d\t%d\t%d\t%d", x.System, x.LastWork, x.ColdRequests, x.ColdOverload, x.ColdShed, x.ColdCanceled, x.Duplicates)
+		t.row("%s\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d", x.System, x.WorkBefore, x.LastWork, x.ColdRequests, x.ColdOverload, x.ColdShed, x.ColdCanceled, x.Duplicates)
 	}
 	return t.flush()
 }
@@ -113,27 +120,39 @@
 	return d.result, d.check()
 }
 
-// play runs load and steps and returns the reports of the product and of the baseline.
+// play runs load and steps and returns the reports of the product and of the
+// baseline. The callers inside the data centre send through the nodes there and
+// are absent from shortly before the power-off until the return.
 func (d *outage) play() ([2]*load.Report, error) {
 	d.began = time.Now()
 	reports := [2]*load.Report{load.NewReport(d.began), load.NewReport(d.began)}
-	targets := [2][]string{d.entries(outageEntries, d.Size.Out), d.proxyEntries()}
+	inside := float64(len(d.entries(d.Size.Out, true))) / float64(len(d.fleet.Servers))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for i, r := range reports {
-		flows := d.Size.flows(outageFactor, d.latency, d.timeouts, targets[i])
-		wg.Go(func() { load.New(r).Run(ctx, flows) })
+	send := func(ctx context.Context, part float64, targets [2][]string) {
+		for i, r := range reports {
+			flows := d.Size.flows(outageFactor*part, d.latency, d.timeouts, targets[i])
+			wg.Go(func() { load.New(r).Run(ctx, flows) })
+		}
 	}
-	err := d.steps()
+	send(ctx, 1-inside, [2][]string{d.entries(d.Size.Out, false), d.proxyEntries()})
+	insideTargets := [2][]string{d.entries(d.Size.Out, true), d.proxyEntries()}
+	firstCtx, stop := context.WithTimeout(ctx, outageWarmUp+callersLeave)
+	defer stop()
+	send(firstCtx, inside, insideTargets)
+	err := d.steps(func() { send(ctx, inside, insideTargets) })
 	cancel()
 	wg.Wait()
 	return reports, err
 }
 
-// steps takes the data centre out and returns it.
-func (d *outage) steps() error {
+// steps takes the data centre out and returns it, when its callers come back.
+func (d *outage) steps(callersBack func()) error {
 	time.Sleep(outageWarmUp)
+	if err := d.noteWork(); err != nil {
+		return err
+	}
 	d.outAt = time.Now()
 	if _, err := d.fleet.CLI("data-centre", "out", string(d.Size.Out)); err != nil {
 		return err
@@ -161,6 +180,7 @@
 		return err
 	}
 	d.say("data centre %s returned", d.Size.Out)
+	callersBack()
 	time.Sleep(outageAfter)
 	return d.coldLoad()
 }
@@ -181,8 +201,8 @@
 	return map[string][]*demo.BackendServer{Product: d.inside(d.fleet.Servers), Baseline: d.inside(d.plain)}
 }
 
-// switchOff notes the last work of each side and kills the processes of the data centre.
-func (d *outage) switchOff() error {
+// noteWork notes how much work the data centre got before the notice.
+func (d *outage) noteWork() error {
 	servers := d.sidesOf()
 	for _, name := range []string{Product, Baseline} {
 		row := ReturnRow{System: name}
@@ -191,10 +211,26 @@
 			if err != nil {
 				return err
 			}
-			row.LastWork = max(row.LastWork, st.LastRequest.Sub(d.outAt).Seconds())
+			row.WorkBefore += st.Requests
 		}
 		d.result.Returns = append(d.result.Returns, row)
 	}
+	return nil
+}
+
+// switchOff notes the last work of each side and kills the processes of the data centre.
+func (d *outage) switchOff() error {
+	servers := d.sidesOf()
+	for i := range d.result.Returns {
+		row := &d.result.Returns[i]
+		for _, b := range servers[row.System] {
+			st, err := b.Stats()
+			if err != nil {
+				return err
+			}
+			row.LastWork = max(row.LastWork, st.LastRequest.Sub(d.outAt).Seconds())
+		}
+	}
 	for _, all := range servers {
 		for _, b := range all {
 			b.Node.Kill()
@@ -244,10 +280,11 @@
 // sumPhases splits the reports at the seconds of the operators' commands.
 func (d *outage) sumPhases(reports [2]*load.Report) {
 	out, back := d.second(d.outAt), d.second(d.backAt)
+	cold := int64(outageCold / time.Second)
 	phases := []struct {
 		name     string
 		from, to int64
-	}{{phaseBefore, 0, out}, {phaseOut, out, back}, {phaseReturned, back, allSeconds}}
+	}{{phaseCold, 0, cold}, {phaseBefore, cold, out}, {phaseOut, out, back}, {phaseReturned, back, allSeconds}}
 	for _, p := range phases {
 		for i, name := range []string{Product, Baseline} {
 			for _, k := range kindRows(name, reports[i].Flows(), p.from, p.to) {
--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -54,6 +54,9 @@
 	Wrong          int64 `json:"wrong_or_cut"`
 	AnsweredNotRan int   `json:"answered_but_not_run"`
 	UntrueNotRun   int   `json:"untrue_not_run"`
+	// PortsTaken counts restarts that had to be repeated because another program
+	// of the machine held the address meanwhile.
+	PortsTaken int `json:"ports_taken"`
 	// Violations lists everything that must not happen.
 	Violations []string `json:"violations"`
 	// Details are the first requests that were not answered well.
@@ -83,6 +86,7 @@
 	t.row("wrong or cut answers\t%d", r.Wrong)
 	t.row("answered writes that did not run\t%d", r.AnsweredNotRan)
 	t.row("writes refused as not run that ran\t%d", r.UntrueNotRun)
+	t.row("restarts repeated since the address was taken\t%d", r.PortsTaken)
 	t.row("violations\t%d", len(r.Violations))
 	for _, v := range r.Violations {
 		t.row("  %s", v)
@@ -119,6 +123,7 @@
 	for _, f := range faults {
 		res.Faults = append(res.Faults, FaultCount{f, j.counts[f]})
 	}
+	res.PortsTaken = j.portsTaken
 	for _, err := range j.errs {
 		res.violate("fault or repair: %v", err)
 	}
@@ -129,7 +134,7 @@
 	}
 	res.checkWrites(report.Keys(), runs)
 	res.checkRequests(report)
-	res.checkLogs(o.Dir)
+	res.checkLogs(s.Dir)
 	if len(res.Violations) > 0 {
 		return res, fmt.Errorf("%d violations", len(res.Violations))
 	}
@@ -138,7 +143,7 @@
 
 // faultFlows sends to every node and splits the rates over the routes of a kind.
 func (s *system) faultFlows() []load.Flow {
-	flows := s.Size.flows(1, s.latency, s.timeouts, s.entries(len(s.fleet.Servers), ""))
+	flows := s.Size.flows(1, s.latency, s.timeouts, s.allEntries())
 	count := map[model.Kind]float64{}
 	for _, f := range flows {
 		count[f.Kind]++
--- a/bench/experiment/injector.go
+++ b/bench/experiment/injector.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -72,6 +74,8 @@
 	inUse  map[model.ServiceName]int
 	counts map[Fault]int
 	errs   []error
+	// portsTaken counts starts that failed because the address was taken.
+	portsTaken int
 }
 
 // controlGroup counts the control hosts that are hit.
@@ -102,13 +106,13 @@
 	if e.fault == FaultKillControl || e.fault == FaultPauseControl {
 		c := j.s.fleet.Controls[e.target%uint64(len(j.s.fleet.Controls))]
 		if j.take(e.fault, c.Host, controlGroup, 1) {
-			j.wg.Go(func() { j.finish(c.Host, controlGroup, hitProcess(c.Process, e, e.fault == FaultPauseControl)) })
+			j.wg.Go(func() { j.finish(c.Host, controlGroup, j.hitProcess(c.Process, e, e.fault == FaultPauseControl)) })
 		}
 		return
 	}
 	b := j.s.fleet.Servers[e.target%uint64(len(j.s.fleet.Servers))]
 	if j.take(e.fault, b.Host, b.Service, j.bound(b.Service)) {
-		j.wg.Go(func() { j.finish(b.Host, b.Service, hitServer(b, e)) })
+		j.wg.Go(func() { j.finish(b.Host, b.Service, j.hitServer(b, e)) })
 	}
 }
 
@@ -147,27 +151,56 @@
 	}
 }
 
+const (
+	// bindTime is the time within which a process that cannot bind its addresses ends.
+	bindTime = 400 * time.Millisecond
+	// startAgainLimit bounds how long a start is repeated.
+	startAgainLimit = 30 * time.Second
+	// stopBound is the time that a planned stop may take: 1.5 s until the
+	// departure is known, 2 s of the longest route, and a margin for a busy machine.
+	stopBound = 10 * time.Second
+)
+
+// startProcess starts a process, again while another program holds one of its addresses.
+func (j *injector) startProcess(p *demo.Process) error {
+	for end := time.Now().Add(startAgainLimit); ; {
+		if err := p.Start(); err != nil {
+			return err
+		}
+		time.Sleep(bindTime)
+		if p.Running() {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s did not stay up for %s after its restart", p.Name, startAgainLimit)
+		}
+		j.mu.Lock()
+		j.portsTaken++
+		j.mu.Unlock()
+	}
+}
+
 // hitProcess kills and restarts a process, or pauses it.
-func hitProcess(p *demo.Process, e event, pause bool) error {
+func (j *injector) hitProcess(p *demo.Process, e event, pause bool) error {
 	if pause {
 		if err := p.Signal(syscall.SIGSTOP); err != nil {
-			return err
+			return fmt.Errorf("pause of %s: %w", p.Name, err)
 		}
 		time.Sleep(e.pause)
 		return p.Signal(syscall.SIGCONT)
 	}
 	p.Kill()
 	time.Sleep(e.down)
-	return p.Start()
+	return j.startProcess(p)
 }
 
 // hitServer brings a fault about at a backend server or its node and repairs it.
-func hitServer(b *demo.BackendServer, e event) error {
+func (j *injector) hitServer(b *demo.BackendServer, e event) error {
 	switch e.fault {
 	case FaultKillNode, FaultPauseNode:
-		return hitProcess(b.Node, e, e.fault == FaultPauseNode)
+		return j.hitProcess(b.Node, e, e.fault == FaultPauseNode)
 	case FaultKillBackend, FaultPauseBackend:
-		return hitProcess(b.Backend, e, e.fault == FaultPauseBackend)
+		return j.hitProcess(b.Backend, e, e.fault == FaultPauseBackend)
 	case FaultCold:
 		return post("http://"+b.BackendAddress+"/_standin/cold", nil)
 	case FaultDrain:
@@ -177,10 +210,29 @@
 		time.Sleep(drainTime)
 	}
 	// An error of the stop is reported after the node has been started again.
-	err := b.Node.Stop()
+	err := stopNode(b.Node)
 	time.Sleep(e.down)
-	if serr := b.Node.Start(); serr != nil {
-		return serr
+	return errors.Join(err, j.startProcess(b.Node))
+}
+
+// stopNode stops a node by plan. One that does not end in time is made to write
+// its goroutines to its log.
+func stopNode(p *demo.Process) error {
+	began := time.Now()
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop of %s: %w", p.Name, err)
+	}
+	err := demo.Eventually(stopBound, func() error {
+		if p.Running() {
+			return fmt.Errorf("%s did not end within %s of SIGTERM", p.Name, stopBound)
+		}
+		return nil
+	})
+	if err == nil {
+		return nil
 	}
-	return err
+	_ = p.Signal(syscall.SIGQUIT)
+	time.Sleep(bindTime)
+	p.Kill()
+	return fmt.Errorf("%w at %s; its goroutines are in its log", err, began.UTC().Format(time.TimeOnly))
 }
--- a/bench/experiment/latency.go
+++ b/bench/experiment/latency.go
@@ -127,7 +127,7 @@
 	}
 	return []*side{
 		{direct, servers, newSamples()},
-		{Product, s.entries(len(s.fleet.Servers), ""), newSamples()},
+		{Product, s.allEntries(), newSamples()},
 		{Baseline, s.proxyEntries(), newSamples()},
 	}
 }
--- a/bench/experiment/overload.go
+++ b/bench/experiment/overload.go
@@ -81,7 +81,7 @@
 
 // step loads one side at a factor of the capacity.
 func (s *system) step(side string, factor float64, length time.Duration) *load.Report {
-	targets := s.entries(overloadEntries, "")
+	targets := s.allEntries()
 	if side == Baseline {
 		targets = s.proxyEntries()
 	}
--- a/bench/experiment/system.go
+++ b/bench/experiment/system.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -61,18 +62,43 @@
 	_, _ = fmt.Fprintf(s.Out, "%5.1f s  %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// startSystem starts all processes; the caller ends them with kill, also after an error.
+// startTries bounds how often a fleet is started. Its addresses are chosen
+// before the processes bind them, so another program can take one meanwhile.
+const startTries = 3
+
+// startSystem starts all processes; the caller ends them with kill.
 func startSystem(o Options, st setup) (*system, error) {
+	began := time.Now()
+	dir := o.Dir
+	for try := 1; ; try++ {
+		o.Dir = filepath.Join(dir, fmt.Sprintf("try-%d", try))
+		s, err := startOnce(o, st)
+		if err == nil {
+			s.start = began
+			s.say("%s: %d control hosts, %d nodes, %d proxies of the baseline", o.Size.Name, len(s.fleet.Controls),
+				len(s.fleet.Servers), len(s.proxies))
+			return s, nil
+		}
+		if try == startTries {
+			return nil, err
+		}
+		_, _ = fmt.Fprintf(o.Out, "start %d failed: %v\n", try, err)
+	}
+}
+
+func startOnce(o Options, st setup) (*system, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
 	f, err := demo.NewFleet(o.Dir, o.Bin, o.Size.DataCentres)
 	if err != nil {
 		return nil, err
 	}
-	s := &system{Options: o, setup: st, fleet: f, start: time.Now()}
+	s := &system{Options: o, setup: st, fleet: f}
 	if err := s.startAll(); err != nil {
 		s.kill()
 		return nil, err
 	}
-	s.say("%s: %d control hosts, %d nodes, %d proxies of the baseline", o.Size.Name, len(f.Controls), len(f.Servers), len(s.proxies))
 	return s, nil
 }
 
@@ -189,17 +215,20 @@
 	return nil
 }
 
-// entries are the caller addresses of up to n nodes outside a data centre.
-func (s *system) entries(n int, without model.DataCentre) []string {
+// entries are the caller addresses of the nodes inside or outside a data centre.
+func (s *system) entries(dc model.DataCentre, inside bool) []string {
 	var out []string
 	for _, b := range s.fleet.Servers {
-		if b.DataCentre != without && len(out) < n {
+		if (b.DataCentre == dc) == inside {
 			out = append(out, b.Caller)
 		}
 	}
 	return out
 }
 
+// allEntries are the caller addresses of all nodes.
+func (s *system) allEntries() []string { return s.entries("", false) }
+
 // proxyEntries are the addresses of the baseline.
 func (s *system) proxyEntries() []string {
 	var out []string
