peer: close connections that were replaced while they were dialled

Cause: two calls to one address that name different identities (a host, or only a role) at the same time each dial. The second replaces the first in the map of connections, the first lives on by its keep-alive, and nothing closes it when the endpoint stops: Serve waits for it for ever and a planned stop of the node does not end. Change: the endpoint keeps all outbound connections and closes all of them.

--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -62,7 +62,10 @@
 	mu      sync.Mutex
 	methods map[string]method
 	conns   map[string]*outbound
-	closed  bool
+	// live are all outbound connections and attempts, also those that another
+	// one has replaced in conns.
+	live   map[*outbound]struct{}
+	closed bool
 }
 
 // Listen opens the socket. Register methods before calling Serve.
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
 	}
-	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}}
+	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}, live: map[*outbound]struct{}{}}
 	e.transport = &quic.Transport{Conn: sock}
 	e.listener, err = e.transport.Listen(cfg.Credentials.ServerTLS(protocol), e.quicConfig())
 	if err != nil {
--- a/mesh/peer/endpoint_test.go
+++ b/mesh/peer/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,6 +73,24 @@
 		Expect(errors.Is(err, peer.ErrIdentity)).To(BeTrue(), "%v", err)
 	})
 
+	// Guards against a connection that is replaced while it is dialled and then
+	// forgotten: Serve of the node, which the clean-up waits for, would never end.
+	It("ends connections to one address that were dialled for different identities", func() {
+		var wg sync.WaitGroup
+		for i := range 8 {
+			want := control1
+			if i%2 == 1 {
+				want.Host = ""
+			}
+			wg.Go(func() {
+				defer GinkgoRecover()
+				_, err := call(want, "echo")
+				Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		wg.Wait()
+	})
+
 	It("refuses a peer whose certificate another authority signed", func() {
 		stranger := endpoint(GinkgoT().TempDir(), node1)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
@@ -42,6 +44,7 @@
 	if o == nil || !o.usable(want) {
 		o = &outbound{addr: addr, want: want, ready: make(chan struct{})}
 		e.conns[addr] = o
+		e.live[o] = struct{}{}
 		e.wg.Go(func() { e.run(o) })
 	}
 	e.mu.Unlock()
@@ -101,6 +104,7 @@
 func (e *Endpoint) forget(o *outbound) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	delete(e.live, o)
 	if e.conns[o.addr] == o {
 		delete(e.conns, o.addr)
 	}
@@ -110,10 +114,10 @@
 func (e *Endpoint) closeOutbound() {
 	e.mu.Lock()
 	e.closed = true
-	conns := e.conns
+	live := slices.Collect(maps.Keys(e.live))
 	e.conns = map[string]*outbound{}
 	e.mu.Unlock()
-	for _, o := range conns {
+	for _, o := range live {
 		<-o.ready
 		if o.conn != nil {
 			_ = o.conn.CloseWithError(connClosed, "shutting down")
