control: report claim groups without a leader among the problems of status

In bench faults disk-loss a control host lost its disk before claim group 3 had its first leader. Such a group needs all of its voters, so control-host add waited for it until the command ended, and status did not tell why. The status now names the group, and that it was never formed. Scenarios begin once no control host reports a problem.

--- a/bench/cmd/bench/faults.go
+++ b/bench/cmd/bench/faults.go
@@ -11,6 +11,7 @@
 	Names []string `arg:"" optional:"" help:"Scenarios to run; all by default."`
 	Bin   string   `default:"bin" type:"path" help:"Folder of the programs."`
 	Dir   string   `type:"path" help:"Folder of settings, data and logs; a temporary one by default, removed after a good run."`
+	Keep  bool     `help:"Keep the folders of scenarios that passed."`
 }
 
 // Run runs the failure scenarios; an error means that one failed.
@@ -23,8 +24,8 @@
 		}
 		dir = tmp
 	}
-	err := faults.Run(ctx, faults.Options{Bin: c.Bin, Dir: dir, Names: c.Names, Out: os.Stdout})
-	if err == nil && c.Dir == "" {
+	err := faults.Run(ctx, faults.Options{Bin: c.Bin, Dir: dir, Names: c.Names, Keep: c.Keep, Out: os.Stdout})
+	if err == nil && c.Dir == "" && !c.Keep {
 		return os.RemoveAll(dir)
 	}
 	return err
--- a/bench/faults/env.go
+++ b/bench/faults/env.go
@@ -168,10 +168,32 @@
 	if err := demo.Eventually(startLimit, e.allServe); err != nil {
 		return err
 	}
+	if err := demo.Eventually(startLimit, e.noProblems); err != nil {
+		return err
+	}
 	e.say("%d control hosts and %d nodes run", len(e.Controls), len(e.Servers))
 	return nil
 }
 
+// noProblems returns an error if a control host reports a problem, such as a
+// group without a leader.
+func (e *env) noProblems() error {
+	for _, h := range e.Controls {
+		c, err := e.client(h)
+		if err != nil {
+			return err
+		}
+		st, err := c.Status(e.ctx)
+		if err != nil {
+			return err
+		}
+		if len(st.Status.Problems) > 0 {
+			return fmt.Errorf("%s reports: %s", h.Host, strings.Join(st.Status.Problems, "; "))
+		}
+	}
+	return nil
+}
+
 // place lists backend servers of one version.
 func place(service model.ServiceName, version model.ServiceVersion, dcs []model.DataCentre) []demo.Spec {
 	var out []demo.Spec
--- a/bench/faults/faults.go
+++ b/bench/faults/faults.go
@@ -20,7 +20,9 @@
 	Bin, Dir string
 	// Names selects scenarios; empty runs all of them.
 	Names []string
-	Out   io.Writer
+	// Keep keeps the folders of scenarios that passed.
+	Keep bool
+	Out  io.Writer
 }
 
 // scenario is one failure with its assertions.
@@ -114,7 +116,7 @@
 	}
 	_, _ = fmt.Fprintf(o.Out, "%s %s (%.0f s): %s\n\n", verdict, s.name, time.Since(e.start).Seconds(),
 		strings.Join(e.figures, "; "))
-	if err == nil {
+	if err == nil && !o.Keep {
 		return os.RemoveAll(dir)
 	}
 	return err
--- a/mesh/control/backend.go
+++ b/mesh/control/backend.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -320,6 +322,7 @@
 	if st.Leader == "" {
 		out = append(out, "no leader: notes and writes are not accepted")
 	}
+	out = append(out, c.claimProblems()...)
 	if st.DiskFull {
 		out = append(out, "the disk of this control host is full")
 	}
@@ -333,6 +336,30 @@
 	return out
 }
 
+// claimProblems lists the claim groups that cannot serve, as seen from here.
+func (c *Control) claimProblems() []string {
+	var out []string
+	logs := c.transport.all()
+	for _, g := range slices.Sorted(maps.Keys(logs)) {
+		st := logs[g].Status()
+		if g == configGroup || st.Leader != "" {
+			continue
+		}
+		reason := ""
+		if !formed(st.Members) {
+			reason = "; it was never formed, for which all of its voters must run"
+		}
+		out = append(out, fmt.Sprintf("claim group %d has no leader: writes with its keys are refused%s", g, reason))
+	}
+	return out
+}
+
+// formed reports whether the group has had a leader: the first one records the
+// disks of the voters.
+func formed(members replog.Members) bool {
+	return !slices.ContainsFunc(members, func(m replog.Member) bool { return m.Voter && m.Disk == "" })
+}
+
 // Nodes implements operator.Backend.
 func (b operatorBackend) Nodes(ctx context.Context, service model.ServiceName) ([]operator.NodeView, operator.Read, error) {
 	r := b.read(ctx)
