--- a/bench/faults/disk.go
+++ b/bench/faults/disk.go
@@ -53,6 +53,9 @@
 		return err
 	}
 	repaired := time.Since(began)
+	if second, err = e.leaderOrOther("c4"); err != nil {
+		return err
+	}
 	second.Kill()
 	if err := os.RemoveAll(e.data(second.Host)); err != nil {
 		return err
@@ -79,6 +82,16 @@
 	return nil
 }
 
+// leaderOrOther returns the leader, or another control host if the leader is
+// the one that must stay.
+func (e *env) leaderOrOther(stay model.HostID) (*demo.ControlHost, error) {
+	leader, err := e.Leader()
+	if err != nil || leader.Host != stay {
+		return leader, err
+	}
+	return e.Controls[0], nil
+}
+
 func (e *env) data(host model.HostID) string { return filepath.Join(e.dir, string(host)+"-data") }
 
 // wipe kills a control host and removes its data directory.
