--- a/bench/faults/env.go
+++ b/bench/faults/env.go
@@ -38,6 +38,8 @@
 	// reportStart is where the seconds of the report count from.
 	reportStart time.Time
 	stopLoad    func()
+	// pace multiplies the rates of the load; 0 stands for 1.
+	pace float64
 	// ended counts the runs by key of stand-ins that were ended.
 	ended   map[string]int
 	clients []*operator.Client
@@ -166,10 +168,32 @@
 	if err := demo.Eventually(startLimit, e.allServe); err != nil {
 		return err
 	}
+	if err := demo.Eventually(startLimit, e.noProblems); err != nil {
+		return err
+	}
 	e.say("%d control hosts and %d nodes run", len(e.Controls), len(e.Servers))
 	return nil
 }
 
+// noProblems returns an error if a control host reports a problem, such as a
+// group without a leader.
+func (e *env) noProblems() error {
+	for _, h := range e.Controls {
+		c, err := e.client(h)
+		if err != nil {
+			return err
+		}
+		st, err := c.Status(e.ctx)
+		if err != nil {
+			return err
+		}
+		if len(st.Status.Problems) > 0 {
+			return fmt.Errorf("%s reports: %s", h.Host, strings.Join(st.Status.Problems, "; "))
+		}
+	}
+	return nil
+}
+
 // place lists backend servers of one version.
 func place(service model.ServiceName, version model.ServiceVersion, dcs []model.DataCentre) []demo.Spec {
 	var out []demo.Spec
@@ -223,7 +247,7 @@
 		targets = append(targets, s.Caller)
 	}
 	flow := func(name string, kind model.Kind, service, method, path string, rate float64) load.Flow {
-		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate,
+		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate * max(e.pace, 1),
 			BodyBytes: 256, Timeout: time.Second, Targets: targets, Resends: 5}
 	}
 	flows := []load.Flow{
--- a/bench/faults/faults.go
+++ b/bench/faults/faults.go
@@ -20,7 +20,9 @@
 	Bin, Dir string
 	// Names selects scenarios; empty runs all of them.
 	Names []string
-	Out   io.Writer
+	// Keep keeps the folders of scenarios that passed.
+	Keep bool
+	Out  io.Writer
 }
 
 // scenario is one failure with its assertions.
@@ -96,7 +98,10 @@
 	ctx, cancel := context.WithTimeout(ctx, scenarioLimit)
 	defer cancel()
 	dir := filepath.Join(o.Dir, s.name)
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return err
+	}
+	if err := os.Mkdir(dir, 0o755); err != nil { // data of an earlier run would be taken for this one's
 		return err
 	}
 	_, _ = fmt.Fprintf(o.Out, "== %s: %s\n", s.name, s.about)
@@ -111,7 +116,7 @@
 	}
 	_, _ = fmt.Fprintf(o.Out, "%s %s (%.0f s): %s\n\n", verdict, s.name, time.Since(e.start).Seconds(),
 		strings.Join(e.figures, "; "))
-	if err == nil {
+	if err == nil && !o.Keep {
 		return os.RemoveAll(dir)
 	}
 	return err
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -33,7 +33,7 @@
 // spread evenly.
 func (n *Node) controlHosts() []distribute.Parent {
 	var out []distribute.Parent
-	for _, h := range n.cfg.ControlHosts {
+	for _, h := range n.directory.Hosts() {
 		out = append(out, distribute.Parent{Host: h.Host, Role: peer.RoleControl, DataCentre: h.DataCentre, Address: h.Peer})
 	}
 	weight := func(p distribute.Parent) uint64 {
@@ -320,7 +320,7 @@
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		peers = peers[:min(len(peers), floorPeers)]
 		answers := n.askPositions(ctx, append(n.controlHosts(), peers...))
-		if floor, ok := distribute.Floor(answers, len(n.cfg.ControlHosts), len(peers)); ok {
+		if floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), len(peers)); ok {
 			n.acceptor.SetFloor(floor)
 			n.floor.Store(&floor)
 			n.log.Info("floor learned", "position", floor.String(), "answers", len(answers))
