Match routes on the cleaned path and pass paths on unchanged

A path such as /cabinets/../restocks was answered by a redirect of the HTTP router; on its way to the backend server, URL resolution removed dot segments, and a path with two leading slashes named another host to call. The router is passed over now, routes are matched on the cleaned path, and a path of which another reading (dot segments kept, slashes kept encoded) has another route is refused with 400 as not run. Everything else reaches the backend server as it came. backend.url with a path, which had no effect, is refused.

--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -94,14 +94,18 @@
 }
 
 func (b *backend) newRequest(ctx context.Context, r backendRequest) (*http.Request, error) {
-	target, err := b.base.Parse(r.path)
+	// Resolving the path against the base would remove dot segments and take the
+	// first segment of a path that begins with two slashes as a host.
+	target, err := url.ParseRequestURI(r.path)
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, r.method, target.String(), nil)
+	target.Scheme, target.Host = b.base.Scheme, b.base.Host
+	req, err := http.NewRequestWithContext(ctx, r.method, b.base.String(), nil)
 	if err != nil {
 		return nil, err
 	}
+	req.URL = target
 	req.Header = r.header
 	// http.Transport sends a request again after a lost connection if it has no
 	// body and carries an Idempotency-Key. A body without GetBody prevents that.
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -66,7 +66,7 @@
 		return
 	}
 	defer e.calls.Release(1)
-	route, err := table.Match(r.Method, r.URL.Path)
+	route, err := matchPath(table, r.Method, r.URL)
 	if err != nil {
 		notRun(w, routeStatus(err), err.Error())
 		return
@@ -83,10 +83,14 @@
 }
 
 func routeStatus(err error) int {
-	if errors.Is(err, routing.ErrMethodNotAllowed) {
+	switch {
+	case errors.Is(err, errAmbiguousPath):
+		return http.StatusBadRequest
+	case errors.Is(err, routing.ErrMethodNotAllowed):
 		return http.StatusMethodNotAllowed
+	default:
+		return http.StatusNotFound
 	}
-	return http.StatusNotFound
 }
 
 func bodyStatus(err error) int {
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -35,8 +35,10 @@
 func (n *Node) newHTTPServer(name, address string, h http.Handler) *httpServer {
 	// The timeout of kratos is off: the deadline of a call is that of its caller
 	// and its route.
-	srv := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
-	srv.HandlePrefix("/", h)
+	// The router of kratos is passed over, since it answers a path with dot
+	// segments or empty segments by a redirect.
+	direct := func(http.Handler) http.Handler { return h }
+	srv := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(direct))
 	srv.ReadHeaderTimeout = n.cfg.Timeouts.HeaderRead
 	srv.MaxHeaderBytes = n.cfg.Limits.HeaderBytes
 	return &httpServer{name: name, srv: srv}
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"net/url"
+	"strings"
 	"time"
 
 	"balsamtrail.org/mesh/model"
@@ -61,7 +63,7 @@
 	Service model.ServiceName `json:"service" validate:"required,name"`
 	// Version is its version.
 	Version model.ServiceVersion `json:"version" validate:"required,name"`
-	// URL is where it answers, such as http://127.0.0.1:8080.
+	// URL is where it answers, such as http://127.0.0.1:8080; it has no path.
 	URL string `json:"url" validate:"required,http_url"`
 	// Slots is the number of requests that it runs at a time. A number above the
 	// true one overloads it, a lower one wastes capacity.
@@ -153,6 +155,9 @@
 		return invalid("timeouts.lease_renew", "%s is more than a third of endpoint_lease %s",
 			n.Timeouts.LeaseRenew, n.Timeouts.EndpointLease)
 	}
+	if u, err := url.Parse(n.Backend.URL); err != nil || u.User != nil || u.RawQuery != "" || strings.Trim(u.Path, "/") != "" {
+		return invalid("backend.url", "%q is not scheme and host alone", n.Backend.URL)
+	}
 	for i, h := range n.ControlHosts {
 		if h.Host == n.Host {
 			return invalid(index("control_hosts", i)+".host", "%q is this node", h.Host)
--- a/mesh/settings/settings_test.go
+++ b/mesh/settings/settings_test.go
@@ -97,6 +97,7 @@
 		Entry("no slots", `"slots": 20,`, ``, "backend.slots"),
 		Entry("fewer connections than slots", `100`, `10`, "backend.connections"),
 		Entry("bad URL", `http://127`, `127`, "backend.url"),
+		Entry("URL with a path", `9001"`, `9001/app"`, "backend.url"),
 		Entry("renewal against lease", `"500ms"`, `"1s"`, "timeouts.lease_renew"),
 		Entry("nothing to advertise", `127.0.0.1:8004`, `:8004`, "advertise.call"),
 		Entry("itself as control host", `{"host": "n1",`, `{"host": "c1",`, "control_hosts[0].host"),
