Let a follower's status count the nodes of all control hosts

Only the leader hears which nodes the other control hosts serve, so that a follower's status showed the nodes of other hosts as behind (6 of 10 in a mesh at rest), and a lagging node that was counted was not shown at all. A follower asks the leader now, and a least position below the newest counts as at least one node behind.

Tested: table for the count; status of a follower with real processes.

--- a/mesh/control/backend.go
+++ b/mesh/control/backend.go
@@ -305,11 +305,9 @@
 	})
 	slices.Sort(v.DataCentresOut)
 	v.Nodes = len(b.c.alive())
-	nodes := b.c.lead.gatherNodes(time.Now())
+	nodes := b.c.fleetNodes(ctx)
 	v.InForce = nodes.Least
-	if nodes.Nodes < v.Nodes || nodes.Least.Less(r.Position) {
-		v.Behind = max(v.Nodes-nodes.Nodes, 0)
-	}
+	v.Behind = nodesBehind(v.Nodes, nodes, r.Position)
 	v.Problems = b.c.problems(st)
 	return v, r, nil
 }
--- /dev/null
+++ b/mesh/control/fleet.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+// methodNodes asks the leader for the nodes of all control hosts.
+const methodNodes = "control.nodes"
+
+type nodesRequest struct{}
+
+type nodesReply struct {
+	Nodes distribute.SubtreeReport `cbor:"1,keyasint"`
+}
+
+func (c *Control) handleNodes(context.Context, peer.Identity, nodesRequest) (nodesReply, error) {
+	return nodesReply{Nodes: c.lead.gatherNodes(time.Now())}, nil
+}
+
+// fleetNodes sums up the nodes that all control hosts serve. Only the leader
+// hears from the others, so a follower asks it; without a leader it knows of its own nodes only.
+func (c *Control) fleetNodes(ctx context.Context) distribute.SubtreeReport {
+	if leader, ok := c.findHost(c.config.Status().Leader); ok && !c.leads() {
+		var reply nodesReply
+		if c.call(ctx, leader, methodNodes, nodesRequest{}, &reply) == nil {
+			return reply.Nodes
+		}
+	}
+	return c.lead.gatherNodes(time.Now())
+}
+
+// nodesBehind returns how many of the live nodes are not known to have reached
+// the position: those that no control host hears of, and at least one if the
+// least position in force is older.
+func nodesBehind(alive int, known distribute.SubtreeReport, newest model.Position) int {
+	behind := max(alive-known.Nodes, 0)
+	if known.Least.Less(newest) && alive > 0 {
+		behind = max(behind, 1)
+	}
+	return behind
+}
--- a/mesh/control/members.go
+++ b/mesh/control/members.go
@@ -16,6 +16,7 @@
 	peer.HandleCall(c.ep, methodSubmit, onlyControl, c.handleSubmit)
 	peer.HandleCall(c.ep, methodStatus, onlyControl, c.handleStatus)
 	peer.HandleCall(c.ep, methodConfirm, onlyControl, c.handleConfirm)
+	peer.HandleCall(c.ep, methodNodes, onlyControl, c.handleNodes)
 	peer.HandleCall(c.ep, methodDisk, onlyControl, c.handleDisk)
 	peer.HandleCall(c.ep, methodMember, onlyControl, c.handleMember)
 }
