Keep outcome headers of backend servers from callers

A backend server that passed on the headers of a nested call could make its own answer look like a refusal that did not run. Both outcome headers are removed from answers.

Tested: answer with both headers at the serving side.

--- a/mesh/node/backend_test.go
+++ b/mesh/node/backend_test.go
@@ -10,6 +10,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
 )
 
 // lossyServer answers the first request of each connection and closes the
@@ -91,3 +95,17 @@
 		t.Errorf("error %v, want %v", err, ErrNotRun)
 	}
 }
+
+// An answer of a backend server that passes on the headers of a nested call
+// must not look to the caller as if its own request had not run.
+func TestAnswerDoesNotClaimAnOutcome(t *testing.T) {
+	gate := admission.NewGate(admission.Config{Service: note.Service{Slots: 1, QueueLimit: 1}})
+	s := &serving{gate: gate, position: func() model.Position { return model.Position{} }}
+	resp := s.answer(&http.Response{
+		StatusCode: http.StatusInternalServerError, Body: http.NoBody,
+		Header: http.Header{HeaderNotRun: {"nested"}, HeaderOutcome: {"not-run"}, "X-Other": {"kept"}},
+	}, func(admission.Outcome) {}, admission.Outcome{})
+	if h := http.Header(resp.Header); len(h) != 1 || h.Get("X-Other") != "kept" {
+		t.Errorf("headers %v", h)
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -122,8 +122,13 @@
 
 func (s *serving) answer(resp *http.Response, release func(admission.Outcome), o admission.Outcome) *callmux.Response {
 	s.answered.Add(1)
+	header := forwardable(resp.Header)
+	// What nodes say of an outcome must not come from a backend server, which may
+	// pass on the headers of a nested call.
+	header.Del(HeaderNotRun)
+	header.Del(HeaderOutcome)
 	return &callmux.Response{
-		Status: resp.StatusCode, Header: forwardable(resp.Header),
+		Status: resp.StatusCode, Header: header,
 		Position: s.position(), Limit: s.gate.Limit(),
 		BodyLength: max(resp.ContentLength, 0),
 		Body:       &slotBody{ReadCloser: resp.Body, release: func() { release(o) }},
