--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PKGS = ./mesh/... ./bench/...
 
-.PHONY: all build test demo fmt lint soak fuzz
+.PHONY: all build test demo walkthrough fmt lint soak fuzz
 
 all: build
 
@@ -15,6 +15,9 @@
 demo: build
 	./bin/bench demo --bin bin
 
+walkthrough: build
+	./examples/walkthrough.sh
+
 fmt:
 	gofmt -l -w mesh bench
 
