--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PKGS = ./mesh/... ./bench/...
 
-.PHONY: all build test demo faults fmt lint soak fuzz
+.PHONY: all build test demo faults walkthrough fmt lint soak fuzz
 
 all: build
 
@@ -35,6 +35,9 @@
 experiment-faults: build
 	./bin/bench experiment faults --bin bin
 
+walkthrough: build
+	./examples/walkthrough.sh
+
 fmt:
 	gofmt -l -w mesh bench
 
