--- /dev/null
+++ b/bench/capacity/claims.go
@@ -0,0 +1,210 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+)
+
+const (
+	claimTime  = 5 * time.Second
+	claimRoute = model.RouteName("route-0000-1")
+	// claimBody is the size of a recorded answer's body.
+	claimBody = 100
+)
+
+// Claims measures claims and completions against the number of groups and of
+// callers, on three control processes.
+func Claims(ctx context.Context, w io.Writer, bin string, groups, callers []int) error {
+	for _, g := range groups {
+		if err := claimsOf(ctx, w, bin, g, callers); err != nil {
+			return fmt.Errorf("%d groups: %w", g, err)
+		}
+	}
+	return nil
+}
+
+func claimsOf(ctx context.Context, w io.Writer, bin string, groups int, callers []int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newFleet(bin, groups)
+	defer f.close()
+	if err != nil {
+		return err
+	}
+	if f.pids, err = children(); err != nil {
+		return err
+	}
+	client, err := f.claimClient(ctx)
+	if err != nil {
+		return err
+	}
+	load := &claimLoad{client: client}
+	if err := load.run(ctx, 8, time.Second); err != nil {
+		return err
+	}
+	p := newPlot("records")
+	cpu := newPlot("writes/s")
+	for _, n := range callers {
+		if err := f.measureClaims(ctx, w, p, cpu, load, groups, n); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(w, "%d groups:\n", groups)
+	if err := p.write(w, 1_000_000); err != nil {
+		return err
+	}
+	return cpu.write(w, 1_000)
+}
+
+func (f *fleet) measureClaims(ctx context.Context, w io.Writer, p, cpu *plot, load *claimLoad, groups, callers int) error {
+	before := map[model.HostID]Usage{}
+	bytesBefore := map[model.HostID]int64{}
+	var err error
+	for _, c := range f.Controls {
+		if before[c.Host], err = f.usageOf(c.Host); err != nil {
+			return err
+		}
+		t, err := f.trafficOf("https://" + c.Operator)
+		if err != nil {
+			return err
+		}
+		bytesBefore[c.Host] = t.total()
+	}
+	count, start := load.done, time.Now()
+	load.claim, load.complete = newMicros(), newMicros()
+	if err := load.run(ctx, callers, claimTime); err != nil {
+		return err
+	}
+	took, writes := time.Since(start), load.done-count
+	rate := float64(writes) / took.Seconds()
+	var spent time.Duration
+	var anonymous, bytes float64
+	for _, c := range f.Controls {
+		u, err := f.usageOf(c.Host)
+		if err != nil {
+			return err
+		}
+		t, err := f.trafficOf("https://" + c.Operator)
+		if err != nil {
+			return err
+		}
+		bytes += float64(t.total() - bytesBefore[c.Host])
+		spent += u.Minus(before[c.Host]).CPU
+		anonymous += float64(u.Anonymous) / float64(len(f.Controls))
+	}
+	p.add("memory of a control host", "B", float64(load.done), anonymous)
+	cpu.add("CPU of three control hosts", "% of a core", rate, spent.Seconds()/took.Seconds()*100)
+	fmt.Fprintf(w, "groups %d, callers %d: %.0f writes/s, failed %d; claim p50 %d µs p99 %d µs; complete p50 %d µs; three control hosts %.0f µs CPU and %.0f B of frames a write\n",
+		groups, callers, rate, load.failed, load.claim.ValueAtQuantile(50), load.claim.ValueAtQuantile(99),
+		load.complete.ValueAtQuantile(50), micros(spent, max(1, writes)), bytes/float64(max(1, writes)))
+	return nil
+}
+
+func newMicros() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+// claimClient returns a client with the certificate of a node.
+func (f *fleet) claimClient(ctx context.Context) (*claim.Client, error) {
+	ca, err := peer.OpenDevCA(filepath.Join(f.dir, "ca"))
+	if err != nil {
+		return nil, err
+	}
+	files, err := ca.Issue(peer.Identity{Role: peer.RoleNode, DataCentre: centres[0], Host: "claimer"})
+	if err != nil {
+		return nil, err
+	}
+	creds, err := peer.LoadCredentials(files)
+	if err != nil {
+		return nil, err
+	}
+	ep, err := peer.Listen(peer.Config{Listen: "127.0.0.1:0", Credentials: creds, Log: quiet})
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = ep.Serve(ctx) }()
+	addresses, err := f.controlAddresses()
+	if err != nil {
+		return nil, err
+	}
+	return claim.NewClient(claim.ClientConfig{
+		Caller: ep, Hosts: func() []claim.ControlHost { return addresses }, Groups: uint32(f.claims),
+		Incarnation: func() uint64 { return 1 }, TryTimeout: 2 * time.Second,
+	}), nil
+}
+
+func (f *fleet) controlAddresses() ([]claim.ControlHost, error) {
+	var out []claim.ControlHost
+	for _, c := range f.Controls {
+		err := f.change(string(c.Host), func(s map[string]any) {
+			out = append(out, claim.ControlHost{Host: c.Host, Address: s["listen"].(map[string]any)["peer"].(string)})
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// claimLoad makes writes in a closed loop. mu guards the counts.
+type claimLoad struct {
+	client *claim.Client
+
+	mu              sync.Mutex
+	done, failed    int
+	next            int
+	claim, complete *hdrhistogram.Histogram
+}
+
+func (l *claimLoad) run(ctx context.Context, callers int, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				l.write(ctx)
+			}
+		})
+	}
+	wg.Wait()
+	if l.done == 0 {
+		return fmt.Errorf("no claim was granted, %d failed", l.failed)
+	}
+	return nil
+}
+
+func (l *claimLoad) write(ctx context.Context) {
+	l.mu.Lock()
+	l.next++
+	key := fmt.Sprintf("%d-capacity-%020d", time.Now().Unix(), l.next)
+	l.mu.Unlock()
+	start := time.Now()
+	g, err := l.client.Claim(ctx, key, claim.DigestOf([]byte(key)), claimRoute, 5*time.Second)
+	granted := time.Now()
+	if err == nil {
+		err = l.client.Complete(ctx, g, claim.NewAnswer(200, nil, make([]byte, claimBody)))
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failed++
+		return
+	}
+	l.done++
+	if l.claim != nil {
+		_ = l.claim.RecordValue(granted.Sub(start).Microseconds())
+		_ = l.complete.RecordValue(time.Since(granted).Microseconds())
+	}
+}
--- /dev/null
+++ b/bench/capacity/fleet.go
@@ -0,0 +1,213 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/standin"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+var centres = []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}
+
+const (
+	startLimit = 90 * time.Second
+	askLimit   = 3 * time.Second
+)
+
+// fleet is a set of real processes: three control hosts and nodes that share
+// one stand-in in this process.
+type fleet struct {
+	*demo.Fleet
+	dir     string
+	backend string
+	claims  int
+	pids    map[string]int
+	https   *http.Client
+}
+
+// newFleet starts the control hosts with the given number of claim groups.
+func newFleet(bin string, claims int) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "balsamtrail-capacity-")
+	if err != nil {
+		return nil, err
+	}
+	d, err := demo.NewFleet(dir, bin, centres)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{Fleet: d, dir: dir, claims: claims}
+	for _, c := range f.Controls {
+		if err := f.change(string(c.Host), func(s map[string]any) { s["claim_groups"] = claims }); err != nil {
+			return f, err
+		}
+		if err := c.Start(); err != nil {
+			return f, err
+		}
+	}
+	ca, err := os.ReadFile(filepath.Join(dir, "ca", "ca.pem"))
+	if err != nil {
+		return f, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca)
+	f.https = &http.Client{Timeout: askLimit, Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}
+	return f, demo.Eventually(startLimit, func() error { _, err := f.Leader(); return err })
+}
+
+// close ends the processes and removes their files.
+func (f *fleet) close() {
+	if f != nil {
+		f.KillAll()
+		_ = os.RemoveAll(f.dir)
+	}
+}
+
+// change edits a settings file that demo.Fleet has written.
+func (f *fleet) change(name string, edit func(map[string]any)) error {
+	file := filepath.Join(f.dir, name+".json")
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var s map[string]any
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.UseNumber()
+	if err := d.Decode(&s); err != nil {
+		return err
+	}
+	edit(s)
+	if b, err = json.Marshal(s); err != nil {
+		return err
+	}
+	return os.WriteFile(file, b, 0o600)
+}
+
+// startBackend starts the stand-in that all nodes share.
+func (f *fleet) startBackend(ctx context.Context, address string) {
+	cfg := standin.DefaultConfig()
+	cfg.Listen, cfg.Service, cfg.Version, cfg.Host = address, string(serviceName(0)), "v1", "shared"
+	cfg.Slots, cfg.Latency, cfg.WarmAfter = 1000, 5*time.Millisecond, 0
+	f.backend = "http://" + address
+	go func() { _ = standin.New(cfg).Run(ctx) }()
+}
+
+// addNode prepares a node; the stand-in beside it is the shared one.
+func (f *fleet) addNode(ctx context.Context, s demo.Spec) (*demo.BackendServer, error) {
+	b, err := f.Add(s)
+	if err != nil {
+		return nil, err
+	}
+	if f.backend == "" {
+		f.startBackend(ctx, b.BackendAddress)
+	}
+	err = f.change(string(b.Host), func(s map[string]any) {
+		s["claim_groups"] = f.claims
+		s["backend"].(map[string]any)["url"] = f.backend
+	})
+	return b, err
+}
+
+// startNodes starts n nodes of as many services as given, half of the nodes of the
+// first service with version v2, and waits until all of them route.
+func (f *fleet) startNodes(ctx context.Context, n, services int) error {
+	if err := f.publishServices(services); err != nil {
+		return err
+	}
+	for i := range n {
+		s := demo.Spec{Service: serviceName(i % services), Version: "v1", DataCentre: centres[i%len(centres)]}
+		if i%services == 0 && i/services%2 == 1 {
+			s.Version = "v2"
+		}
+		b, err := f.addNode(ctx, s)
+		if err != nil {
+			return err
+		}
+		if err := b.Node.Start(); err != nil {
+			return err
+		}
+	}
+	err := demo.Eventually(startLimit, func() error {
+		for _, b := range f.Servers {
+			if s, err := b.Status(); err != nil || !s.Routable {
+				return fmt.Errorf("%s does not route", b.Host)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	f.pids, err = children()
+	return err
+}
+
+func (f *fleet) publishServices(n int) error {
+	x := note.Note{Number: 1, Title: "services"}
+	for i := range n {
+		x.Services.Added = append(x.Services.Added, service(i))
+		x.Routes.Added = append(x.Routes.Added, routesOf(i, 0)...)
+		x.Shares = append(x.Shares, note.ServiceShares{Service: serviceName(i), Shares: note.Shares{"v1": model.ShareAll}})
+	}
+	return f.publishNote(x)
+}
+
+func (f *fleet) publishNote(n note.Note) error {
+	b, err := json.Marshal(n)
+	if err != nil {
+		return err
+	}
+	return f.Publish(string(b))
+}
+
+func (f *fleet) usageOf(host model.HostID) (Usage, error) {
+	pid, ok := f.pids[filepath.Join(f.dir, string(host)+".json")]
+	if !ok {
+		return Usage{}, fmt.Errorf("no process of %s", host)
+	}
+	return usage(pid)
+}
+
+// traffic is the control bytes of a process by method, both directions.
+type traffic map[string]int64
+
+func (t traffic) total() (sum int64) {
+	for _, n := range t {
+		sum += n
+	}
+	return sum
+}
+
+func (f *fleet) trafficOf(base string) (traffic, error) {
+	resp, err := f.https.Get(base + "/metrics") //nolint:noctx // the client has a timeout
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var m map[string]struct {
+		Count int64 `json:"count"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&m); err != nil {
+		return nil, err
+	}
+	t := traffic{}
+	for name, c := range m {
+		for _, prefix := range []string{"peer.sent.", "peer.received."} {
+			if method, ok := strings.CutPrefix(name, prefix); ok {
+				t[method] += c.Count
+			}
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/bench/capacity/notes.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+// servicesPerNote keeps the setup notes below 1,024 entries.
+const servicesPerNote = 250
+
+// Notes measures the replicated note state against the number of accepted notes
+// that each change the routes of one service, over 1,500 services.
+func Notes(w io.Writer, sizes []int, repeat int) error {
+	p := newPlot("notes")
+	for range repeat {
+		for _, n := range sizes {
+			if err := measureNotes(p, n); err != nil {
+				return err
+			}
+		}
+	}
+	return p.write(w, 15_000)
+}
+
+// publisher applies notes in order.
+type publisher struct {
+	s    *note.State
+	head uint64
+	err  error
+}
+
+func (p *publisher) publish(n note.Note) {
+	p.head++
+	n.Number, n.Title = p.head, fmt.Sprintf("note %d", p.head)
+	c := note.Command{
+		Operator: "capacity", Operation: model.OperationID(fmt.Sprintf("operation-%08d", p.head)),
+		Time: time.Unix(1_800_000_000+int64(p.head), 0), Publish: &note.Publish{Note: n},
+	}
+	if r := p.s.Apply(c, model.Position{Epoch: 1, Index: p.head}); r.Err() != nil && p.err == nil {
+		p.err = r.Err()
+	}
+}
+
+func (p *publisher) setUp(services int) {
+	for first := 0; first < services; first += servicesPerNote {
+		var n note.Note
+		for i := first; i < min(first+servicesPerNote, services); i++ {
+			n.Services.Added = append(n.Services.Added, service(i))
+			n.Routes.Added = append(n.Routes.Added, routesOf(i, 0)...)
+			n.Shares = append(n.Shares, note.ServiceShares{Service: serviceName(i), Shares: note.Shares{"v1": model.ShareAll}})
+		}
+		p.publish(n)
+	}
+}
+
+func measureNotes(p *plot, n int) error {
+	before := heap()
+	pub := &publisher{s: note.NewState()}
+	pub.setUp(TargetServices)
+	start := ownCPU()
+	for i := range n {
+		var x note.Note
+		x.Routes.Changed = routesOf(i%TargetServices, i+1)
+		pub.publish(x)
+	}
+	x := float64(n)
+	p.add("note state apply, each note", "µs", x, micros(ownCPU()-start, n))
+	p.add("note state heap", "B", x, heap()-before)
+	var snapshot []byte
+	p.add("note state snapshot", "µs", x, cost(3, func() { snapshot, _ = pub.s.Snapshot() }))
+	p.add("note state snapshot size", "B", x, float64(len(snapshot)))
+	var err error
+	p.add("note state restore", "µs", x, cost(1, func() { err = note.NewState().Restore(snapshot) }))
+	runtime.KeepAlive(pub)
+	if pub.err != nil {
+		return pub.err
+	}
+	return err
+}
--- /dev/null
+++ b/bench/capacity/rest.go
@@ -0,0 +1,211 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+)
+
+const (
+	settleTime  = 8 * time.Second
+	phaseTime   = 10 * time.Second
+	actionCount = 10
+	moveRate    = 200
+	// fleetServices is the number of services of the measured fleets.
+	fleetServices = 10
+)
+
+// sampleOf is the state of all processes at one time.
+type sampleOf struct {
+	at      time.Time
+	usage   map[model.HostID]Usage
+	traffic map[model.HostID]traffic
+}
+
+// role groups the processes whose mean is reported.
+type role string
+
+const (
+	roleNode     role = "node"
+	roleLeader   role = "leader"
+	roleFollower role = "follower"
+)
+
+// Fleet measures real processes against the number of nodes: at rest, while ten
+// notes are published, while ten nodes restart, and during a move under load.
+func Fleet(ctx context.Context, w io.Writer, bin string, sizes []int) error {
+	p := newPlot("nodes")
+	for _, n := range sizes {
+		if err := measureFleet(ctx, w, p, bin, n); err != nil {
+			return fmt.Errorf("%d nodes: %w", n, err)
+		}
+	}
+	return p.write(w, TargetNodes)
+}
+
+func measureFleet(ctx context.Context, w io.Writer, p *plot, bin string, n int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newFleet(bin, 4)
+	defer f.close()
+	if err != nil {
+		return err
+	}
+	if err := f.startNodes(ctx, n, fleetServices); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	phases := []struct {
+		name string
+		do   func() error
+	}{
+		{"rest", func() error { time.Sleep(phaseTime); return nil }},
+		{"ten notes", f.publishChanges},
+		{"ten restarts", f.restartNodes},
+		{"move", f.move},
+	}
+	for _, ph := range phases {
+		if err := f.phase(w, p, n, ph.name, ph.do); err != nil {
+			return fmt.Errorf("%s: %w", ph.name, err)
+		}
+	}
+	return nil
+}
+
+// phase runs one phase and adds the means of each role to the plot.
+func (f *fleet) phase(w io.Writer, p *plot, n int, name string, do func() error) error {
+	leader, err := f.Leader()
+	if err != nil {
+		return err
+	}
+	before, err := f.sample()
+	if err != nil {
+		return err
+	}
+	if err := do(); err != nil {
+		return err
+	}
+	after, err := f.sample()
+	if err != nil {
+		return err
+	}
+	took := after.at.Sub(before.at)
+	roles := map[role][]model.HostID{roleLeader: {leader.Host}}
+	for _, c := range f.Controls {
+		if c.Host != leader.Host {
+			roles[roleFollower] = append(roles[roleFollower], c.Host)
+		}
+	}
+	for _, b := range f.steady() {
+		roles[roleNode] = append(roles[roleNode], b.Host)
+	}
+	for _, r := range []role{roleNode, roleFollower, roleLeader} {
+		add := func(what, unit string, y float64) {
+			p.add(fmt.Sprintf("%s, %s: %s", name, r, what), unit, float64(n), y)
+		}
+		var cpu, bytes, anon, resident float64
+		methods := traffic{}
+		for _, h := range roles[r] {
+			u := after.usage[h].Minus(before.usage[h])
+			cpu += u.CPU.Seconds() / took.Seconds() * 100
+			anon, resident = anon+float64(u.Anonymous)/(1<<20), resident+float64(u.Resident)/(1<<20)
+			bytes += float64(after.traffic[h].total()-before.traffic[h].total()) / took.Seconds()
+			for m, b := range after.traffic[h] {
+				methods[m] += b - before.traffic[h][m]
+			}
+		}
+		count := float64(len(roles[r]))
+		add("CPU", "% of a core", cpu/count)
+		add("frames", "B/s", bytes/count)
+		add("memory (anonymous)", "MB", anon/count)
+		add("memory (resident)", "MB", resident/count)
+		fmt.Fprintf(w, "%d nodes, %s, %s, %.1f s, B/s by method:", n, name, r, took.Seconds())
+		for _, m := range slices.Sorted(maps.Keys(methods)) {
+			fmt.Fprintf(w, " %s %.0f", m, float64(methods[m])/took.Seconds()/count)
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
+// steady returns the nodes that no phase restarts.
+func (f *fleet) steady() []*demo.BackendServer { return f.Servers[:len(f.Servers)-actionCount] }
+
+func (f *fleet) sample() (sampleOf, error) {
+	s := sampleOf{at: time.Now(), usage: map[model.HostID]Usage{}, traffic: map[model.HostID]traffic{}}
+	bases := map[model.HostID]string{}
+	for _, c := range f.Controls {
+		bases[c.Host] = "https://" + c.Operator
+	}
+	for _, b := range f.steady() {
+		bases[b.Host] = b.Admin
+	}
+	var err error
+	for h := range bases {
+		if s.usage[h], err = f.usageOf(h); err != nil {
+			return s, err
+		}
+	}
+	for h, base := range bases {
+		if s.traffic[h], err = f.trafficOf(base); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// paced runs f ten times in a phase.
+func paced(f func(i int) error) error {
+	start := time.Now()
+	for i := range actionCount {
+		if err := f(i); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(start.Add(time.Duration(i+1) * phaseTime / actionCount)))
+	}
+	return nil
+}
+
+func (f *fleet) publishChanges() error {
+	return paced(func(i int) error {
+		n := note.Note{Number: uint64(i + 2), Title: "routes of one service"}
+		n.Routes.Changed = routesOf(i%fleetServices, i+1)
+		return f.publishNote(n)
+	})
+}
+
+func (f *fleet) restartNodes() error {
+	last := f.Servers[len(f.Servers)-actionCount:]
+	return paced(func(i int) error {
+		last[i].Node.Kill()
+		return last[i].Node.Start()
+	})
+}
+
+// move moves the first service to v2 under load for one phase.
+func (f *fleet) move() error {
+	n := note.Note{Number: actionCount + 2, Title: "move", Moves: []note.Move{{
+		Service: serviceName(0), To: "v2", By: time.Now().Add(time.Minute).UTC().Truncate(time.Second), WatchFor: time.Minute}}}
+	if err := f.publishNote(n); err != nil {
+		return err
+	}
+	var targets []string
+	for _, b := range f.steady() {
+		targets = append(targets, b.Caller)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), phaseTime)
+	defer cancel()
+	load.New(load.NewReport(time.Now())).Run(ctx, []load.Flow{{
+		Name: "lookup", Kind: model.KindLookup, Service: string(serviceName(0)), Method: "GET",
+		Path: routesOf(0, 1)[0].PathPrefix, Rate: moveRate, Timeout: time.Second, Targets: targets,
+	}})
+	return nil
+}
--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -17,8 +17,9 @@
 )
 
 type cli struct {
-	Backend backendCmd `cmd:"" help:"Run a stand-in backend server."`
-	Demo    demoCmd    `cmd:"" help:"Run the system on loopback under load and failures and write a table."`
+	Backend  backendCmd  `cmd:"" help:"Run a stand-in backend server."`
+	Demo     demoCmd     `cmd:"" help:"Run the system on loopback under load and failures and write a table."`
+	Capacity capacityCmd `cmd:"" help:"Measure what each role costs against its size."`
 }
 
 type backendCmd struct {
