--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -20,6 +20,7 @@
 	Faults     scenariosCmd  `cmd:"" help:"Run failure scenarios on loopback, each with its assertions."`
 	Proxy      proxyCmd      `cmd:"" help:"Run the naive baseline: a plain HTTP proxy."`
 	Experiment experimentCmd `cmd:"" help:"Run an experiment with real processes and write a table."`
+	Capacity   capacityCmd   `cmd:"" help:"Measure what each role costs against its size."`
 }
 
 type demoCmd struct {
