--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -102,7 +102,8 @@
 
 // Announce renews the node's lease over one stream every RenewInterval and at
 // once on each change. It returns nil when the node has left and an error when
-// the caller should try another control host.
+// the caller should try another control host. A node runs one Announce at a
+// time: a former lease holder that hears the newer record would lapse it later.
 func Announce(ctx context.Context, p *Publisher, c *Contact, st peer.Stream) error {
 	defer context.AfterFunc(ctx, st.Abort)()
 	p.reannounce()
--- a/mesh/membership/announce_test.go
+++ b/mesh/membership/announce_test.go
@@ -140,7 +140,8 @@
 		for _, h := range []Holder{first, second} {
 			ctx, cancel := context.WithCancel(t.Context())
 			st, _ := serve(ctx, h, nodeID)
-			go func() { _ = Announce(ctx, p, &Contact{}, st) }()
+			ended := make(chan struct{})
+			go func() { defer close(ended); _ = Announce(ctx, p, &Contact{}, st) }()
 			for range 40 {
 				time.Sleep(TickInterval)
 				if n := len(first.Sweep(time.Now(), nil)) + len(second.Sweep(time.Now(), nil)); n != 0 {
@@ -148,6 +149,7 @@
 				}
 			}
 			cancel()
+			<-ended // a node has one announce stream at a time
 		}
 	})
 }
