Give every node of a starting fleet a place in the tree

In measurements with 400 nodes, 3 to 13 of them were without a version after 20 s. Nodes that attach while few others are known take the places of low ranks, and a refused node asked its busy first candidate for ever, because the back-off outlasted the time that this candidate was passed over.

Nodes and the source now tell planned children from others and keep places for them; a refused planned child makes the others move on. A node takes the candidate that failed least, uses the alternatives of a busy parent for 2 s instead of 10 s, since restarted nodes change their addresses, and gives up a connection attempt after 500 ms.

--- a/mesh/distribute/admission.go
+++ b/mesh/distribute/admission.go
@@ -13,11 +13,12 @@
 	// Children bounds the streams. More children make the tree flatter and cost
 	// the parent more bytes.
 	Children int
-	// PerDataCentre bounds the streams to planned children of one data centre; 0
-	// means no bound. The source uses it to keep its cost independent of the fleet.
+	// PerDataCentre bounds the streams to planned children of one data centre. On
+	// the source it keeps the cost independent of the fleet.
 	PerDataCentre int
-	// Spare bounds the streams to other children of one data centre where
-	// PerDataCentre is set. They are for nodes that find no parent elsewhere.
+	// Spare bounds the streams to other children of one data centre. They are for
+	// nodes that find no planned parent. More of them let a starting fleet attach
+	// faster and leave less room for the planned children, which come later.
 	Spare int
 	// Snapshots bounds the concurrent transfers. More finish a herd sooner and
 	// delay the deltas of the other children.
@@ -30,6 +31,7 @@
 // Defaults of AdmissionConfig.
 const (
 	MaxChildren         = 8
+	NodeSpare           = 3
 	SourceChildren      = 96
 	SourcePerDataCentre = 2 * firstLevel
 	SourceSpare         = 2
@@ -39,7 +41,8 @@
 
 // NodeAdmission is the configuration of a node.
 func NodeAdmission() AdmissionConfig {
-	return AdmissionConfig{Children: MaxChildren, Snapshots: maxSnapshots, RetryAfter: defaultRetryAfter}
+	return AdmissionConfig{Children: MaxChildren, PerDataCentre: MaxChildren, Spare: NodeSpare,
+		Snapshots: maxSnapshots, RetryAfter: defaultRetryAfter}
 }
 
 // SourceAdmission is the configuration of a control host.
@@ -58,6 +61,7 @@
 	perCentre map[class]int
 	snapshots int
 	refused   uint64
+	contested chan struct{}
 	within    time.Duration
 	draining  chan struct{}
 	drained   bool
@@ -71,7 +75,8 @@
 
 // NewAdmission returns an admission without children.
 func NewAdmission(cfg AdmissionConfig) *Admission {
-	return &Admission{cfg: cfg, perCentre: map[class]int{}, draining: make(chan struct{})}
+	return &Admission{cfg: cfg, perCentre: map[class]int{}, draining: make(chan struct{}),
+		contested: make(chan struct{})}
 }
 
 // Admit takes a child or says why not. planned marks a child that the tree
@@ -90,17 +95,30 @@
 		reason = "stopping"
 	case a.children >= a.cfg.Children:
 		reason = "all children slots taken"
-	case a.cfg.PerDataCentre > 0 && a.perCentre[c] >= limit:
-		reason = "all children slots of the data centre taken"
+	case a.perCentre[c] >= limit:
+		reason = "all slots for such children of the data centre taken"
 	default:
 		a.children++
 		a.perCentre[c]++
 		return "", true
 	}
 	a.refused++
+	if planned && !a.drained {
+		close(a.contested)
+		a.contested = make(chan struct{})
+	}
 	return reason, false
 }
 
+// Contested returns a channel that is closed when a planned child is refused,
+// so that children which do not belong here make room. When a fleet starts,
+// the first nodes attach before the others are known and take their places.
+func (a *Admission) Contested() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.contested
+}
+
 // Release ends the admission of a child.
 func (a *Admission) Release(dc model.DataCentre, planned bool) {
 	a.mu.Lock()
--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -18,9 +19,9 @@
 
 // The times of Attach.
 const (
-	// openTimeout bounds the connection to a candidate, so that a silent parent
-	// is replaced within a second of the loss.
-	openTimeout = time.Second
+	// openTimeout bounds the connection to a candidate. It covers a handshake
+	// between regions; a longer one holds up a node whose candidates restarted.
+	openTimeout = 500 * time.Millisecond
 	// firstBackoff and maxBackoff bound the jittered delay between candidates.
 	firstBackoff = 30 * time.Millisecond
 	maxBackoff   = 3 * time.Second
@@ -40,8 +41,11 @@
 	// with a preferred parent tries to move there. It doubles with each failure.
 	firstImprove = 5 * time.Second
 	maxImprove   = 5 * time.Minute
+	// maxFails bounds the candidates whose failures are counted.
+	maxFails = 256
 	// alternativesLife is how long the alternatives of a busy parent are used.
-	alternativesLife = 10 * time.Second
+	// While a fleet restarts, its addresses are out of date within a second.
+	alternativesLife = 2 * time.Second
 )
 
 // AttachOptions are the settings of Attach.
@@ -61,8 +65,11 @@
 // chooser decides which candidate comes next. It is used by one goroutine.
 type chooser struct {
 	self model.HostID
-	// until holds the candidates to pass over and the end of that time.
-	until        map[model.HostID]time.Time
+	// until holds the candidates to pass over and the end of that time. A
+	// candidate with a new address is another one.
+	until map[Parent]time.Time
+	// fails counts the failures of each candidate since a stream last settled.
+	fails        map[Parent]int
 	alternatives []Parent
 	altUntil     time.Time
 	delays       *backoff.ExponentialBackOff
@@ -72,7 +79,7 @@
 func newChooser(self model.HostID) *chooser {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstBackoff, maxBackoff
-	return &chooser{self: self, until: map[model.HostID]time.Time{}, delays: b, patience: firstPatience}
+	return &chooser{self: self, until: map[Parent]time.Time{}, fails: map[Parent]int{}, delays: b, patience: firstPatience}
 }
 
 // all returns the candidates and the alternatives that are still in use.
@@ -84,11 +91,14 @@
 }
 
 // next returns the best candidate that is not passed over and how long to wait
-// for it. If all are passed over, it is the one whose time ends first.
+// for it. If all are passed over, it is the one whose time ends first. Among
+// equal ones it is the one that failed least: the back-off outlasts the time
+// that a busy first candidate is passed over, and the others would never have
+// their turn.
 func (c *chooser) next(now time.Time, candidates []Parent) (p Parent, wait time.Duration, ok bool) {
-	for h, t := range c.until {
+	for p, t := range c.until {
 		if !now.Before(t) {
-			delete(c.until, h)
+			delete(c.until, p)
 		}
 	}
 	candidates = slices.DeleteFunc(slices.Clone(candidates), func(p Parent) bool {
@@ -98,9 +108,9 @@
 		return p, 0, false
 	}
 	best := slices.MinFunc(candidates, func(a, b Parent) int {
-		return c.until[a.Host].Compare(c.until[b.Host])
+		return cmp.Or(c.until[a].Compare(c.until[b]), cmp.Compare(c.fails[a], c.fails[b]))
 	})
-	return best, max(0, c.until[best.Host].Sub(now)), true
+	return best, max(0, c.until[best].Sub(now)), true
 }
 
 // failed notes why a parent was lost and returns the delay before the next try.
@@ -116,13 +126,17 @@
 	if lived >= settled {
 		c.delays.Reset()
 	}
+	if lived >= settled || len(c.fails) >= maxFails {
+		clear(c.fails)
+	}
+	c.fails[p]++
 	if errors.Is(err, ErrStale) {
 		penalty = stalePenalty
 		c.patience = min(2*c.patience, maxPatience)
 	} else if lived > 2*c.patience {
 		c.patience = firstPatience
 	}
-	c.until[p.Host] = now.Add(penalty)
+	c.until[p] = now.Add(penalty)
 	return c.delays.NextBackOff()
 }
 
@@ -265,7 +279,7 @@
 	}
 	next, err := at.connect(ctx, p)
 	if err != nil {
-		at.c.until[p.Host] = time.Now().Add(failurePenalty)
+		at.c.until[p] = time.Now().Add(failurePenalty)
 		at.o.Log.Info("parent kept", "parent", l.parent.Host, "candidate", p.Host, "reason", err.Error())
 		return nil, err
 	}
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -151,6 +151,46 @@
 	})
 }
 
+// TestAttachTriesAll guards against a node that asks its busy first candidate
+// for ever, while another one would take it.
+func TestAttachTriesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		n.attach(nodes[0], root)
+		time.Sleep(time.Second)
+		source.serve.Admission.Drain(time.Hour)
+		unreachable := Parent{Host: "absent", Role: peer.RoleControl}
+		n.silent[all[1].Host] = true
+		n.attach(nodes[2], root, unreachable, all[1], all[0])
+		time.Sleep(3 * time.Second)
+		expectPosition(t, nodes[2], 1)
+	})
+}
+
+// TestAttachYields guards against a node of the first level that stays outside
+// because a node that came earlier holds its place at the source.
+func TestAttachYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, source, nodes, root, all := threeNodes(t)
+		source.serve.Planned = func(child peer.Identity) (bool, []Parent) { return child == nodes[0].id, nil }
+		source.serve.Admission = NewAdmission(AdmissionConfig{Children: 1, PerDataCentre: 1, Spare: 1, Snapshots: 1, RetryAfter: defaultRetryAfter})
+		publish(t, source, 1, configOf(route("r", "ledger", 0)))
+		n.attach(nodes[1], root, all[0])
+		time.Sleep(time.Second)
+		expectPosition(t, nodes[1], 1)
+		n.attach(nodes[0], root)
+		time.Sleep(10 * time.Second)
+		publish(t, source, 2, configOf(route("r", "ledger", 1)))
+		time.Sleep(time.Second)
+		expectPosition(t, nodes[0], 2)
+		expectPosition(t, nodes[1], 2)
+		if nodes[0].serve.Admission.Children() != 1 {
+			t.Fatal("the earlier node did not move below the planned one")
+		}
+	})
+}
+
 // TestAttachImproves guards against a node that stays for ever with a parent
 // which it took while its planned one was full, and against a gap in the move.
 func TestAttachImproves(t *testing.T) {
@@ -214,7 +254,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, source, nodes, root, all := threeNodes(t)
 		source.serve.Planned = func(child peer.Identity) (bool, []Parent) { return false, all }
-		source.serve.Admission = NewAdmission(AdmissionConfig{Children: 1, Snapshots: 1, RetryAfter: defaultRetryAfter})
+		source.serve.Admission = NewAdmission(AdmissionConfig{Children: 1, PerDataCentre: 1, Spare: 1, Snapshots: 1, RetryAfter: defaultRetryAfter})
 		publish(t, source, 1, configOf(route("r", "ledger", 0)))
 		for _, p := range nodes {
 			n.attach(p, root)
--- a/mesh/distribute/fleet_test.go
+++ b/mesh/distribute/fleet_test.go
@@ -186,6 +186,7 @@
 // startNode starts a node that knows only the source.
 func (f *fleet) startNode(i int) *fleetNode {
 	n := &fleetNode{process: newProcess(nodeIdentity(fmt.Sprintf("node-%d", i)))}
+	n.serve.Planned = NodePlan(n.id.Host, n.eps)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n.cancel = cancel
 	ep, wait := f.listen(ctx, n.process)
--- a/mesh/distribute/plan.go
+++ b/mesh/distribute/plan.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +14,8 @@
 // a whole data centre reconnects, each child would cost a scan of the table.
 const planLife = 500 * time.Millisecond
 
-// sourcePlan tells which children the tree gives to the source. One mutex guards it.
-type sourcePlan struct {
+// plan knows the nodes of each data centre. One mutex guards it.
+type plan struct {
 	eps *membership.Table
 
 	mu    sync.Mutex
@@ -22,25 +23,34 @@
 	at    map[model.DataCentre]time.Time
 }
 
+func newPlan(eps *membership.Table) *plan {
+	return &plan{eps: eps, nodes: map[model.DataCentre][]Parent{}, at: map[model.DataCentre]time.Time{}}
+}
+
 // SourcePlan returns ServeOptions.Planned for a control host: children of the
 // first level are planned, and each child is told its parents among the nodes.
 func SourcePlan(eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
-	p := &sourcePlan{eps: eps, nodes: map[model.DataCentre][]Parent{}, at: map[model.DataCentre]time.Time{}}
-	return p.planned
+	p := newPlan(eps)
+	return func(child peer.Identity) (bool, []Parent) {
+		nodes := p.nodesOf(child.DataCentre, time.Now())
+		lower := lowerNodes(child.Host, child.DataCentre, nodes)
+		return Level(len(lower)) == 1, Parents(child.Host, child.DataCentre, nodes, nil)
+	}
 }
 
-func (p *sourcePlan) planned(child peer.Identity) (bool, []Parent) {
-	nodes := p.nodesOf(child.DataCentre, time.Now())
-	rank := 0
-	for _, n := range nodes {
-		if n.Host != child.Host && below(n.Host, child.Host) {
-			rank++
-		}
+// NodePlan returns ServeOptions.Planned for a node: the children that prefer
+// it are planned, and each child is told its other parents.
+func NodePlan(self model.HostID, eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
+	p := newPlan(eps)
+	return func(child peer.Identity) (bool, []Parent) {
+		isSelf := func(p Parent) bool { return p.Host == self }
+		nodes := p.nodesOf(child.DataCentre, time.Now())
+		planned := slices.ContainsFunc(Preferred(child.Host, child.DataCentre, nodes, nil), isSelf)
+		return planned, slices.DeleteFunc(Parents(child.Host, child.DataCentre, nodes, nil), isSelf)
 	}
-	return Level(rank) == 1, Parents(child.Host, child.DataCentre, nodes, nil)
 }
 
-func (p *sourcePlan) nodesOf(dc model.DataCentre, now time.Time) []Parent {
+func (p *plan) nodesOf(dc model.DataCentre, now time.Time) []Parent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if at, ok := p.at[dc]; !ok || now.Sub(at) >= planLife {
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -38,12 +38,11 @@
 	// 1.7% of a core in a burst of changes, while a short series is not delayed.
 	pushInterval = 250 * time.Millisecond
 	pushBurst    = 8
-	// replanInterval is how often a parent asks whether a child still belongs to
-	// it. When a fleet starts, the source meets nodes before it knows all of
-	// them, and these would keep the places of the first level.
-	replanInterval = 3 * time.Second
-	// replanSpread spreads the moves of children that do not belong.
-	replanSpread = time.Second
+	// yieldInterval bounds how often a child that does not belong here is asked
+	// to make room for one that does.
+	yieldInterval = 3 * time.Second
+	// yieldSpread spreads the moves of such children.
+	yieldSpread = 500 * time.Millisecond
 	// snapshotWait is how long a child waits for a transfer slot before it is
 	// told to retry elsewhere.
 	snapshotWait = time.Second
@@ -55,7 +54,7 @@
 	Freshness *Freshness
 	Admission *Admission
 	// Planned reports whether the tree gives the child to this parent and names
-	// alternatives for one that is refused; nil on nodes.
+	// alternatives for one that is refused; see SourcePlan and NodePlan.
 	Planned func(child peer.Identity) (planned bool, alternatives []Parent)
 	// Confirm returns a position that includes everything accepted before the
 	// call; nil on nodes.
@@ -78,6 +77,7 @@
 	lastPush time.Time
 	pushes   *rate.Limiter
 	waiting  time.Time
+	yielded  time.Time
 }
 
 func newChildWriter(st peer.Stream, s *Store, eps *membership.Table, o ServeOptions) *childWriter {
@@ -182,11 +182,9 @@
 func (w *childWriter) run(ctx context.Context, asks <-chan helloFrame) error {
 	beat := time.NewTicker(HeartbeatInterval)
 	defer beat.Stop()
-	replan := time.NewTicker(replanInterval)
-	defer replan.Stop()
 	due := time.NewTimer(0)
 	defer due.Stop()
-	draining := w.o.Admission.Draining()
+	draining, contested := w.o.Admission.Draining(), w.o.Admission.Contested()
 	if err := w.heartbeat(); err != nil {
 		return err
 	}
@@ -217,10 +215,9 @@
 		case <-draining:
 			draining = nil
 			err = w.handoff(w.o.Admission.handoffDelay())
-		case <-replan.C:
-			if planned, _ := w.o.plan(w.st.Peer()); !planned {
-				err = w.handoff(rand.N(replanSpread))
-			}
+		case <-contested:
+			contested = w.o.Admission.Contested()
+			err = w.yield(time.Now())
 		}
 		if errors.Is(err, ErrBusy) {
 			return sendBusy(w.st, w.o, "all snapshot slots taken", nil)
@@ -235,6 +232,15 @@
 	return send(w.st, downFrame{Handoff: &handoffFrame{After: after}})
 }
 
+// yield asks a child that the tree gives to another parent to move there.
+func (w *childWriter) yield(now time.Time) error {
+	if planned, _ := w.o.plan(w.st.Peer()); planned || now.Sub(w.yielded) < yieldInterval {
+		return nil
+	}
+	w.yielded = now
+	return w.handoff(rand.N(yieldSpread))
+}
+
 func (w *childWriter) changes() (config, endpoints <-chan struct{}) {
 	if !w.hello.EndpointsOnly {
 		config = w.store.Changed(w.sent)
--- a/mesh/distribute/tree.go
+++ b/mesh/distribute/tree.go
@@ -20,8 +20,9 @@
 	plannedFanOut = 5
 	// levelCandidates is the number of candidates one level above.
 	levelCandidates = 3
-	// spareCandidates is the number of candidates of any lower rank.
-	spareCandidates = 2
+	// spareCandidates is the number of candidates of any lower rank. Most of
+	// them are leaves with room, for a node whose preferred parents are full.
+	spareCandidates = 4
 )
 
 // Parent is a process that can serve a child.
--- a/mesh/distribute/tree_test.go
+++ b/mesh/distribute/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,6 +75,49 @@
 	return depth, children["c1"] + children["c2"], refused
 }
 
+// arrived is a child and the class that it was admitted in.
+type arrived struct {
+	Parent
+	planned bool
+}
+
+// arrivals models the admission of nodes that arrive one after the other.
+type arrivals struct{ children map[model.HostID][]arrived }
+
+// place attaches n to its first candidate with room. If a planned place is
+// refused, the children that do not belong there are moved to left.
+func (m *arrivals) place(n Parent, known []Parent, left *[]Parent) bool {
+	best := Preferred(n.Host, "thun", known, roots[:1])
+	for _, c := range Parents(n.Host, "thun", known, roots[:1]) {
+		limits := map[bool]int{true: MaxChildren, false: NodeSpare}
+		total, class, planned := len(m.children[c.Host]), 0, slices.Contains(best, c)
+		for _, child := range m.children[c.Host] {
+			class += b2i(child.planned == planned)
+		}
+		if c.Role == peer.RoleControl {
+			limits, total = map[bool]int{true: SourcePerDataCentre, false: SourceSpare}, 0
+		}
+		if total < MaxChildren && class < limits[planned] {
+			m.children[c.Host] = append(m.children[c.Host], arrived{n, planned})
+			return true
+		}
+		if planned && left != nil {
+			m.yield(c, known, left)
+		}
+	}
+	return false
+}
+
+func (m *arrivals) yield(c Parent, known []Parent, left *[]Parent) {
+	m.children[c.Host] = slices.DeleteFunc(m.children[c.Host], func(child arrived) bool {
+		belongs := slices.Contains(Preferred(child.Host, "thun", known, roots[:1]), c)
+		if !belongs {
+			*left = append(*left, child.Parent)
+		}
+		return !belongs
+	})
+}
+
 var _ = Describe("Parents", func() {
 	DescribeTable("keeps the tree flat and the source's children few as the data centre grows",
 		func(n, maxDepth int) {
@@ -86,6 +130,25 @@
 		Entry("200 nodes", 200, 5), Entry("684 nodes, the planned size", 684, 6), Entry("1,000 nodes", 1000, 7),
 	)
 
+	It("has a place for every node although the nodes arrive one by one and know only the earlier ones", func() {
+		m := &arrivals{children: map[model.HostID][]arrived{}}
+		nodes := nodeParents(400)
+		var left []Parent
+		for i, n := range nodes {
+			if !m.place(n, nodes[:i], nil) {
+				left = append(left, n)
+			}
+		}
+		for steps := 0; len(left) > 0; steps++ {
+			Expect(steps).To(BeNumerically("<", 2*len(nodes)), "%d nodes have no place", len(left))
+			n := left[0]
+			left = left[1:]
+			if !m.place(n, nodes, &left) {
+				left = append(left, n)
+			}
+		}
+	})
+
 	It("prefers roots of the own data centre and never offers the node itself", func() {
 		Expect(Parents("node-0", "thun", nodeParents(1), roots)).To(Equal([]Parent{roots[1], roots[0]}))
 	})
