Move the measured fleet into a package of its own

It uses only exported names now, as the node and control roles will; the flag-gated run stays in its test file.

Tested with go test ./mesh/distribute/fleet -run TestMeasure -v -measure.

--- a/mesh/distribute/measure_test.go
+++ b/mesh/distribute/fleet/measure_test.go
@@ -1,8 +1,9 @@
-package distribute
+package fleet
 
 import (
 	"flag"
 	"fmt"
+	"os"
 	"runtime"
 	"slices"
 	"strconv"
@@ -10,40 +11,21 @@
 	"testing"
 	"time"
 
-	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
 )
 
 var (
-	measure          = flag.Bool("measure", false, "run the measurements over real sockets")
-	measureNodes     = flag.String("measure.nodes", "50", "fleet sizes, separated by commas")
-	measureModes     = flag.String("measure.modes", "tree,poll,push", "ways of distribution to compare")
-	measureKeepAlive = flag.Duration("measure.keepalive", peer.DefaultKeepAlive, "keep-alive of the connections")
-	measureChanges   = flag.Int("measure.changes", 20, "number of published changes")
-	measureGap       = flag.Duration("measure.gap", 150*time.Millisecond, "time between two changes")
-	measureHerd      = flag.Bool("measure.herd", false, "measure the restart of all nodes instead of changes")
+	measure        = flag.Bool("measure", false, "run the measurements over real sockets")
+	measureNodes   = flag.String("measure.nodes", "50", "fleet sizes, separated by commas")
+	measureModes   = flag.String("measure.modes", "tree,poll,push", "ways of distribution to compare")
+	measureChanges = flag.Int("measure.changes", 20, "number of published changes")
+	measureGap     = flag.Duration("measure.gap", 150*time.Millisecond, "time between two changes")
+	measureHerd    = flag.Bool("measure.herd", false, "measure the restart of all nodes instead of changes")
 )
 
 // measureIdle is how long the traffic without changes is observed.
 const measureIdle = 3 * time.Second
 
-// measureConfig has 200 services and 400 routes; i changes one route.
-func measureConfig(i int) note.Config {
-	c := note.NewConfig()
-	for s := range 200 {
-		name := fmt.Sprintf("s%d", s)
-		c.Services[service(name).Name] = service(name)
-		for r := range 2 {
-			x := route(fmt.Sprintf("r%d-%d", s, r), name, 0)
-			c.Routes[x.Name] = x
-		}
-	}
-	x := route("r0-0", "s0", i%3)
-	x.PathPrefix = fmt.Sprintf("/changed-%d", i)
-	c.Routes[x.Name] = x
-	return c
-}
-
 // TestMeasure compares the tree with two naive ways. It is no check: it runs
 // only with -measure and guards nothing but a fleet that does not converge.
 func TestMeasure(t *testing.T) {
@@ -67,10 +49,21 @@
 	}
 }
 
-func settle(t *testing.T, mode string, n int) *fleet {
-	f := newFleet(t, mode, n)
-	publish(t, f.source, 1, measureConfig(0))
-	if missing := f.waitAll(at(1), 20*time.Second); missing > 0 {
+func publish(t *testing.T, f *Fleet, index uint64) {
+	t.Helper()
+	if err := f.Publish(index, Config(int(index))); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func settle(t *testing.T, mode string, n int) *Fleet {
+	f, err := New(t.Context(), t.TempDir(), Mode(mode), n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Wait)
+	publish(t, f, 1)
+	if missing := f.waitAll(position(1), 20*time.Second); missing > 0 {
 		t.Fatalf("%d of %d nodes got no version", missing, n)
 	}
 	time.Sleep(2 * time.Second)
@@ -85,20 +78,19 @@
 	start, began := f.traffic(), time.Now()
 	published := map[uint64]time.Time{}
 	for i := range uint64(*measureChanges) {
-		c := measureConfig(int(i + 1))
 		published[i+2] = time.Now()
-		publish(t, f.source, i+2, c)
+		publish(t, f, i+2)
 		time.Sleep(*measureGap)
 	}
-	if missing := f.waitAll(at(uint64(*measureChanges)+1), 10*time.Second); missing > 0 {
+	if missing := f.waitAll(position(uint64(*measureChanges)+1), 10*time.Second); missing > 0 {
 		t.Errorf("%d of %d nodes did not converge", missing, n)
 	}
 	took := time.Since(began)
 	cost := f.traffic().minus(start)
 	var times []time.Duration
 	for i, when := range published {
-		for _, node := range f.nodes {
-			if reached, ok := node.reached(at(i)); ok {
+		for _, node := range f.Nodes {
+			if reached, ok := node.reached(position(i)); ok {
 				times = append(times, reached.Sub(when))
 			}
 		}
@@ -121,30 +113,34 @@
 // measureRestart stops all nodes and starts them within a second without state.
 func measureRestart(t *testing.T, mode string, n int) {
 	f := settle(t, mode, n)
-	for _, node := range f.nodes {
+	for _, node := range f.Nodes {
 		node.cancel()
 	}
-	for _, node := range f.nodes {
+	for _, node := range f.Nodes {
 		node.done.Wait()
 	}
 	start, began := f.traffic(), time.Now()
 	starts := make([]time.Time, n)
-	for i := range f.nodes {
+	for i := range f.Nodes {
 		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(n))))
 		starts[i] = time.Now()
-		f.nodes[i] = f.startNode(i)
+		node, err := f.StartNode(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Nodes[i] = node
 	}
-	missing := f.waitAll(at(1), 20*time.Second)
+	missing := f.waitAll(position(1), 20*time.Second)
 	var times []time.Duration
-	for i, node := range f.nodes {
-		if reached, ok := node.reached(at(1)); ok {
+	for i, node := range f.Nodes {
+		if reached, ok := node.reached(position(1)); ok {
 			times = append(times, reached.Sub(starts[i]))
 		}
 	}
 	whole := time.Duration(0)
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && whole == 0; time.Sleep(10 * time.Millisecond) {
 		d := f.source.eps.Digest()
-		if !slices.ContainsFunc(f.nodes, func(node *fleetNode) bool { return node.eps.Digest() != d }) {
+		if !slices.ContainsFunc(f.Nodes, func(node *Node) bool { return node.eps.Digest() != d }) {
 			whole = time.Since(began)
 		}
 	}
@@ -159,7 +155,7 @@
 // counts are running totals of the traffic.
 type counts struct{ all, frames, bytes, loopback, packets int64 }
 
-func (f *fleet) traffic() counts {
+func (f *Fleet) traffic() counts {
 	sent, _ := peer.Traffic()
 	lo, packets := loopback()
 	return counts{sent, f.frames.Load(), f.bytes.Load(), lo, packets}
@@ -183,3 +179,14 @@
 	}
 	return fmt.Sprintf("p50 %s p99 %s max %s", q(0.5), q(0.99), q(1))
 }
+
+// loopback returns the bytes and packets that the machine sent over loopback.
+func loopback() (bytes, packets int64) {
+	b, _ := os.ReadFile("/proc/net/dev")
+	for line := range strings.Lines(string(b)) {
+		if name, rest, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "lo" {
+			_, _ = fmt.Sscan(rest, &bytes, &packets)
+		}
+	}
+	return bytes, packets
+}
