--- /dev/null
+++ b/mesh/peer/credentials_test.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// A renewed certificate must come into use without a restart, and a damaged file
+// must leave the former one in force.
+func TestCredentialsFollowTheirFile(t *testing.T) {
+	ca, err := OpenDevCA(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := Identity{Role: RoleNode, DataCentre: "thun", Host: "n1"}
+	files, err := ca.Issue(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadCredentials(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _ := c.current()
+	touch := func(write func()) *[]byte {
+		write()
+		later := time.Now().Add(time.Hour)
+		if err := os.Chtimes(files.Certificate, later, later); err != nil {
+			t.Fatal(err)
+		}
+		c.mu.Lock()
+		c.loaded = time.Time{} // the next look is due
+		c.mu.Unlock()
+		cert, _ := c.current()
+		return &cert.Certificate[0]
+	}
+	renewed := touch(func() {
+		if _, err := ca.Issue(id); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if bytes.Equal(*renewed, first.Certificate[0]) {
+		t.Error("the renewed certificate is not in use")
+	}
+	kept := touch(func() {
+		if err := os.WriteFile(files.Certificate, []byte("damaged"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if !bytes.Equal(*kept, *renewed) {
+		t.Error("a damaged file replaced the certificate in force")
+	}
+}
+
+// FuzzReadFrame guards the decoder of everything that a peer sends: it must
+// neither panic nor allocate more than the bound of a frame.
+func FuzzReadFrame(f *testing.F) {
+	var good bytes.Buffer
+	if err := writeFrame(&good, hello{Method: "echo"}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Add([]byte{0, 0, 0, 2, 0xa1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h hello
+		if err := readFrame(bytes.NewReader(b), &h); err != nil {
+			return
+		}
+		if _, err := cbor.Marshal(h); err != nil {
+			t.Errorf("decoded value does not encode: %v", err)
+		}
+	})
+}
