--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -47,7 +48,8 @@
 	mu      sync.Mutex
 	start   time.Time
 	flows   map[string]*FlowReport
-	details []string
+	// details counts the answers that were not ok by their text.
+	details map[string]int
 	keys    map[string]KeyReport
 }
 
@@ -81,7 +83,7 @@
 
 // NewReport returns an empty report whose seconds count from start.
 func NewReport(start time.Time) *Report {
-	return &Report{start: start, flows: map[string]*FlowReport{}, keys: map[string]KeyReport{}}
+	return &Report{start: start, flows: map[string]*FlowReport{}, keys: map[string]KeyReport{}, details: map[string]int{}}
 }
 
 func (r *Report) add(f Flow, res result, due time.Time) {
@@ -106,8 +108,8 @@
 		second.Versions[res.version]++
 		_ = fr.hist.RecordValue(max(res.latency.Microseconds(), minLatencyMicros))
 	}
-	if res.outcome != OutcomeOK && len(r.details) < maxDetails {
-		r.details = append(r.details, fmt.Sprintf("%s %s status %d: %s", f.Name, res.outcome, res.status, res.detail))
+	if res.outcome != OutcomeOK {
+		r.detail(fmt.Sprintf("%s %s status %d: %s", f.Name, res.outcome, res.status, strings.TrimSpace(res.detail)))
 	}
 }
 
@@ -139,11 +141,22 @@
 	return out
 }
 
-// Details returns the first answers that were not ok.
+// detail counts an answer that was not ok; texts beyond the bound are left out.
+func (r *Report) detail(text string) {
+	if _, known := r.details[text]; known || len(r.details) < maxDetails {
+		r.details[text]++
+	}
+}
+
+// Details returns the answers that were not ok, with their number.
 func (r *Report) Details() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.details)
+	var out []string
+	for _, text := range slices.Sorted(maps.Keys(r.details)) {
+		out = append(out, fmt.Sprintf("%d x %s", r.details[text], text))
+	}
+	return out
 }
 
 // Count sums one outcome over all flows.
--- /dev/null
+++ b/bench/standin/server_test.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func testConfig() Config {
+	c := DefaultConfig()
+	c.Service, c.Version, c.Latency, c.WarmAfter = "ledger", "v1", time.Millisecond, 0
+	return c
+}
+
+func send(t *testing.T, h http.Handler, method, path, key string) *httptest.ResponseRecorder {
+	t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader("crate"))
+	r.Header.Set(HeaderNonce, "n1")
+	if key != "" {
+		r.Header.Set(HeaderIdempotencyKey, key)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// The demo trusts the stand-in to notice a second run of a write.
+func TestStandinCountsRunsByKey(t *testing.T) {
+	s := New(testConfig())
+	for range 2 {
+		if w := send(t, s.Handler(), http.MethodPost, "/restocks", "1-abcdefgh"); w.Code != http.StatusOK {
+			t.Fatalf("status %d", w.Code)
+		}
+	}
+	if st := s.ledger.snapshot(); st.DuplicateKeys != 1 || st.MaxRunsPerKey != 2 {
+		t.Errorf("stats %+v", st)
+	}
+}
+
+// A stand-in that sheds must say so before anything runs.
+func TestStandinShedsAsNotRun(t *testing.T) {
+	c := testConfig()
+	c.Slots, c.Backlog, c.Latency = 1, 0, 200*time.Millisecond
+	s := New(c)
+	var wg sync.WaitGroup
+	codes := make(chan *httptest.ResponseRecorder, 4)
+	for range 4 {
+		wg.Go(func() { codes <- send(t, s.Handler(), http.MethodPost, "/restocks", "") })
+	}
+	wg.Wait()
+	shed := 0
+	for range 4 {
+		if w := <-codes; w.Code == http.StatusServiceUnavailable && w.Header().Get(HeaderNotRun) != "" {
+			shed++
+		}
+	}
+	if st := s.ledger.snapshot(); shed != 3 || st.Requests != 1 || st.Shed != 3 {
+		t.Errorf("%d refused as not run, stats %+v", shed, st)
+	}
+}
+
+// Each way of being bad must show in the answers, or the rollout experiments prove nothing.
+func TestStandinMisbehaves(t *testing.T) {
+	for _, bad := range []Badness{BadAtOnce, BadLater, BadOneRoute} {
+		c := testConfig()
+		c.Bad, c.BadAfter, c.BadRoute = bad, time.Nanosecond, "/cabinets"
+		s := New(c)
+		time.Sleep(time.Millisecond)
+		if w := send(t, s.Handler(), http.MethodGet, "/cabinets/7", ""); w.Code != http.StatusInternalServerError {
+			t.Errorf("%s: status %d", bad, w.Code)
+		}
+		if w := send(t, s.Handler(), http.MethodGet, "/other", ""); (w.Code == http.StatusOK) != (bad == BadOneRoute) {
+			t.Errorf("%s on another route: status %d", bad, w.Code)
+		}
+	}
+}
