--- a/bench/cmd/bench/capacity.go
+++ b/bench/cmd/bench/capacity.go
@@ -14,8 +14,11 @@
 	Versions versionsCmd `cmd:"" help:"Versions and snapshots against the number of services."`
 	Notes    notesCmd    `cmd:"" help:"Replicated note state against the number of notes."`
 	Fleet    fleetCmd    `cmd:"" help:"Node and control processes against the number of nodes."`
+	Tree     treeCmd     `cmd:"" help:"Tree parents against the number of their children."`
 	Calls    callsCmd    `cmd:"" help:"Entry and serving node against the rate of calls."`
 	Claims   claimsCmd   `cmd:"" help:"Claims on three control processes against groups and callers."`
+
+	ClaimState claimStateCmd `cmd:"" help:"Replicated claim state against the number of records."`
 }
 
 type tablesCmd struct {
@@ -52,6 +55,16 @@
 	return capacity.Fleet(ctx, os.Stdout, c.Bin, c.Sizes)
 }
 
+type treeCmd struct {
+	Bin   string `default:"bin" type:"path" help:"Folder of the programs."`
+	Nodes int    `default:"90" help:"Number of nodes."`
+}
+
+// Run measures tree parents.
+func (c *treeCmd) Run(ctx context.Context) error {
+	return capacity.Tree(ctx, os.Stdout, c.Bin, c.Nodes)
+}
+
 type callsCmd struct {
 	Bin    string `default:"bin" type:"path" help:"Folder of the programs."`
 	Rates  []int  `default:"100,400,1000" help:"Calls a second."`
@@ -71,10 +84,19 @@
 type claimsCmd struct {
 	Bin     string `default:"bin" type:"path" help:"Folder of the programs."`
 	Groups  []int  `default:"1,2,4" help:"Numbers of claim groups."`
+	Rates   []int  `default:"50,200,600" help:"Writes a second for the slopes."`
 	Callers []int  `default:"4,16,64" help:"Callers in a closed loop."`
 }
 
 // Run measures claims.
 func (c *claimsCmd) Run(ctx context.Context) error {
-	return capacity.Claims(ctx, os.Stdout, c.Bin, c.Groups, c.Callers)
+	return capacity.Claims(ctx, os.Stdout, c.Bin, c.Groups, c.Rates, c.Callers)
 }
+
+type claimStateCmd struct {
+	Sizes  []int `default:"10000,50000,200000" help:"Numbers of records."`
+	Repeat int   `default:"2" help:"Runs of each size."`
+}
+
+// Run measures the claim state.
+func (c *claimStateCmd) Run() error { return capacity.ClaimState(os.Stdout, c.Sizes, c.Repeat) }
