Measure a node process against the number of known endpoints

A stand-in control host in the bench process serves any number of announcements to one real node, since 13,000 node processes do not fit on one machine. go vet passes; not yet run.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 # The slopes behind docs/CAPACITY.md; about 15 minutes.
 capacity: build
 	./bin/bench capacity tables
+	./bin/bench capacity node --bin bin
 	./bin/bench capacity versions
 	./bin/bench capacity notes
 	./bin/bench capacity claim-state
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -165,11 +165,11 @@
 		if b.Node.Running() {
 			continue
 		}
-		f.Servers = slices.DeleteFunc(f.Servers, func(s *demo.BackendServer) bool { return s == b })
 		again, err := f.addNode(ctx, demo.Spec{Service: b.Service, Version: b.Version, DataCentre: b.DataCentre})
 		if err != nil {
 			return err
 		}
+		f.Servers = slices.DeleteFunc(f.Servers, func(s *demo.BackendServer) bool { return s == b })
 		if err := again.Node.Start(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/bench/capacity/source.go
@@ -0,0 +1,228 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/rollout"
+)
+
+const (
+	// nodeCentre holds only the measured node: it finds no partners or parents
+	// among the announcements, which no process stands behind.
+	nodeCentre = model.DataCentre("thun")
+	nodePhase  = 6 * time.Second
+)
+
+// source is a stand-in control host in this process. It serves a configuration
+// and an endpoint table of any size to one real node.
+type source struct {
+	store *distribute.Store
+	eps   *membership.Table
+	fresh *distribute.Freshness
+	index uint64
+}
+
+// Node measures one node process against the number of known endpoints, with
+// 1,500 services and 3,000 routes: at rest, with one endpoint change a second
+// and with one change of a route a second.
+func Node(ctx context.Context, w io.Writer, bin string, sizes []int) error {
+	p := newPlot("endpoints")
+	for _, n := range sizes {
+		if err := measureNode(ctx, w, p, bin, n); err != nil {
+			return fmt.Errorf("%d endpoints: %w", n, err)
+		}
+	}
+	return p.write(w, TargetNodes)
+}
+
+func measureNode(ctx context.Context, w io.Writer, p *plot, bin string, n int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "balsamtrail-capacity-")
+	if err != nil {
+		return err
+	}
+	d, err := demo.NewFleet(dir, bin, []model.DataCentre{nodeCentre})
+	if err != nil {
+		return err
+	}
+	f := &fleet{Fleet: d, dir: dir, claims: 4}
+	defer f.close()
+	s := &source{store: distribute.NewStore(), eps: membership.NewTable(), fresh: &distribute.Freshness{}}
+	s.eps.MergeAll(announcements(n, TargetServices))
+	if err := s.publish(0); err != nil {
+		return err
+	}
+	if err := s.listen(ctx, f); err != nil {
+		return err
+	}
+	b, err := f.addNode(ctx, demo.Spec{Service: serviceName(0), Version: "v1", DataCentre: nodeCentre})
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := b.Node.Start(); err != nil {
+		return err
+	}
+	err = demo.Eventually(startLimit, func() error {
+		if s, err := b.Status(); err != nil || !s.Routable {
+			return fmt.Errorf("does not route: %+v, %w, log: %s", s, err, f.logEnd(b.Host))
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if f.pids, err = children(); err != nil {
+		return err
+	}
+	st, _ := b.Status()
+	u, err := f.usageOf(b.Host)
+	if err != nil {
+		return err
+	}
+	p.add("start: CPU", "ms", float64(n), float64(u.CPU.Milliseconds()))
+	fmt.Fprintf(w, "%d endpoints: routes after %.2f s, received %d B so far\n", n, time.Since(start).Seconds(), st.BytesReceived)
+	time.Sleep(2 * time.Second)
+	st, _ = b.Status()
+	p.add("start: received", "B", float64(n), float64(st.BytesReceived))
+	phases := []struct {
+		name string
+		do   func(i int) error
+	}{
+		{"rest", func(int) error { return nil }},
+		{"1 endpoint change/s", func(i int) error { s.eps.Merge(announcement(i, TargetServices, uint64(i+2))); return nil }},
+		{"1 route change/s", func(i int) error { return s.publish(i + 1) }},
+	}
+	for _, ph := range phases {
+		if err := f.nodePhase(p, n, b, ph.name, ph.do); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) nodePhase(p *plot, n int, b *demo.BackendServer, name string, do func(i int) error) error {
+	before, err := f.usageOf(b.Host)
+	if err != nil {
+		return err
+	}
+	old, err := b.Status()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	for i := range int(nodePhase / time.Second) {
+		if err := do(i); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(start.Add(time.Duration(i+1) * time.Second)))
+	}
+	after, err := f.usageOf(b.Host)
+	if err != nil {
+		return err
+	}
+	now, err := b.Status()
+	if err != nil {
+		return err
+	}
+	took := time.Since(start).Seconds()
+	x := float64(n)
+	p.add(name+": CPU", "% of a core", x, after.Minus(before).CPU.Seconds()/took*100)
+	p.add(name+": frames", "B/s", x, float64(now.BytesSent+now.BytesReceived-old.BytesSent-old.BytesReceived)/took)
+	p.add(name+": memory (anonymous)", "MB", x, float64(after.Anonymous)/(1<<20))
+	p.add(name+": memory (resident)", "MB", x, float64(after.Resident)/(1<<20))
+	return nil
+}
+
+// publish makes a configuration current in which one service has other routes.
+func (s *source) publish(revision int) error {
+	cfg := config(TargetServices)
+	if revision > 0 {
+		for _, r := range routesOf(revision, revision) {
+			cfg.Routes[r.Name] = r
+		}
+	}
+	s.index++
+	return s.store.Publish(model.Position{Epoch: 1, Index: s.index}, cfg)
+}
+
+// listen serves the peer methods of a control host at its address in the settings.
+func (s *source) listen(ctx context.Context, f *fleet) error {
+	addresses, err := f.controlAddresses()
+	if err != nil {
+		return err
+	}
+	ca, err := peer.OpenDevCA(filepath.Join(f.dir, "ca"))
+	if err != nil {
+		return err
+	}
+	files, err := ca.Issue(peer.Identity{Role: peer.RoleControl, DataCentre: nodeCentre, Host: addresses[0].Host})
+	if err != nil {
+		return err
+	}
+	creds, err := peer.LoadCredentials(files)
+	if err != nil {
+		return err
+	}
+	ep, err := peer.Listen(peer.Config{Listen: addresses[0].Address, Credentials: creds, Log: quiet})
+	if err != nil {
+		return err
+	}
+	s.register(ep)
+	go func() { _ = ep.Serve(ctx) }()
+	go s.keepFresh(ctx)
+	return nil
+}
+
+func (s *source) register(ep *peer.Endpoint) {
+	position := func(context.Context) (model.Position, error) { return s.store.Position(), nil }
+	options := distribute.ServeOptions{
+		Subtree: distribute.NewSubtree(nil), Freshness: s.fresh, Log: quiet, Confirm: position,
+		Admission: distribute.NewAdmission(distribute.SourceAdmission()),
+	}
+	holder := membership.Holder{Table: s.eps, Keeper: membership.NewLeaseKeeper(), Log: quiet,
+		Status: func() (model.Position, bool) { return s.store.Position(), true }}
+	nodes := []peer.Role{peer.RoleNode}
+	ep.Handle(distribute.MethodWatch, nodes, func(ctx context.Context, st peer.Stream) error {
+		return distribute.Serve(ctx, s.store, s.eps, st, options)
+	})
+	ep.Handle(distribute.MethodExchange, nodes, func(ctx context.Context, st peer.Stream) error {
+		return distribute.ServeExchange(ctx, s.store, s.eps, st, options)
+	})
+	ep.Handle(membership.MethodAnnounce, nodes, func(ctx context.Context, st peer.Stream) error {
+		return membership.ServeAnnounce(ctx, holder, st)
+	})
+	ep.Handle(rollout.MethodEvidence, nodes, func(ctx context.Context, st peer.Stream) error {
+		if err := st.Send(rollout.EvidenceDown{}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+}
+
+// keepFresh counts as the source's own word, so that the node does not hold its
+// parent for cut off.
+func (s *source) keepFresh(ctx context.Context) {
+	tick := time.NewTicker(membership.TickInterval)
+	defer tick.Stop()
+	for {
+		s.fresh.Heard(time.Now(), 0)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/bench/capacity/tables.go
+++ b/bench/capacity/tables.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
@@ -114,6 +116,9 @@
 	b := routing.NewBuilder(cfg)
 	b.Announce(eps.All()...)
 	b.Table()
+	if encoded, err := cbor.Marshal(eps.All()); err == nil {
+		p.add("endpoint table as sent", "B", x, float64(len(encoded)))
+	}
 	incarnation := uint64(1)
 	p.add("routing change by Builder", "µs", x, cost(rounds*10, func() {
 		incarnation++
--- a/bench/cmd/bench/capacity.go
+++ b/bench/cmd/bench/capacity.go
@@ -11,6 +11,7 @@
 // capacityCmd measures the slopes of docs/CAPACITY.md.
 type capacityCmd struct {
 	Tables   tablesCmd   `cmd:"" help:"Tables of one node against the number of endpoints."`
+	Node     nodeCmd     `cmd:"" help:"A node process against the number of endpoints."`
 	Versions versionsCmd `cmd:"" help:"Versions and snapshots against the number of services."`
 	Notes    notesCmd    `cmd:"" help:"Replicated note state against the number of notes."`
 	Fleet    fleetCmd    `cmd:"" help:"Node and control processes against the number of nodes."`
@@ -100,3 +101,13 @@
 
 // Run measures the claim state.
 func (c *claimStateCmd) Run() error { return capacity.ClaimState(os.Stdout, c.Sizes, c.Repeat) }
+
+type nodeCmd struct {
+	Bin   string `default:"bin" type:"path" help:"Folder of the programs."`
+	Sizes []int  `default:"500,2000,8000,13000" help:"Numbers of endpoints."`
+}
+
+// Run measures a node process.
+func (c *nodeCmd) Run(ctx context.Context) error {
+	return capacity.Node(ctx, os.Stdout, c.Bin, c.Sizes)
+}
