--- a/bench/capacity/calls.go
+++ b/bench/capacity/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"time"
 
@@ -84,11 +83,11 @@
 		p.add(name+" memory (anonymous)", "MB", flow.Rate, float64(u.Anonymous)/(1<<20))
 	}
 	p.add("three control hosts CPU", "% of a core", flow.Rate, control)
-	fmt.Fprintf(w, "%s %.0f/s: sent %d, outcomes %v, p50 %.2f ms, p99 %.2f ms\n", flow.Method, flow.Rate,
+	printf(w, "%s %.0f/s: sent %d, outcomes %v, p50 %.2f ms, p99 %.2f ms\n", flow.Method, flow.Rate,
 		flows[0].Sent, flows[0].Outcomes, flows[0].P50, flows[0].P99)
 	for i, d := range report.Details() {
 		if i < 2 {
-			fmt.Fprintln(w, "  ", d)
+			printf(w, "  %s\n", d)
 		}
 	}
 	return nil
--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -45,7 +45,7 @@
 // Write prints the points, the fitted line and its value at the target size.
 func (s *Series) Write(w io.Writer, target float64) error {
 	for i := range s.x {
-		fmt.Fprintf(w, "  %-34s %s=%-8g %.4g %s\n", s.Name, s.Size, s.x[i], s.y[i], s.Unit)
+		printf(w, "  %-34s %s=%-8g %.4g %s\n", s.Name, s.Size, s.x[i], s.y[i], s.Unit)
 	}
 	l, err := Fit(s.x, s.y)
 	if err != nil {
@@ -86,3 +86,6 @@
 
 // micros returns d for each of n operations in microseconds.
 func micros(d time.Duration, n int) float64 { return float64(d.Nanoseconds()) / 1e3 / float64(n) }
+
+// printf writes a line of the report; a report that cannot be written shows itself.
+func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
--- a/bench/capacity/claims.go
+++ b/bench/capacity/claims.go
@@ -114,7 +114,7 @@
 	memory.add("memory of a control host", "B", float64(load.done), anonymous)
 	cpu.add("CPU of three control hosts", "% of a core", rate, spent.Seconds()/took.Seconds()*100)
 	cpu.add("frames of three control hosts", "B/s", rate, bytes/took.Seconds())
-	fmt.Fprintf(w, "%s: %.0f writes/s, failed %d; claim p50 %d µs p99 %d µs; complete p50 %d µs; three control hosts %.0f µs CPU and %.0f B of frames a write\n",
+	printf(w, "%s: %.0f writes/s, failed %d; claim p50 %d µs p99 %d µs; complete p50 %d µs; three control hosts %.0f µs CPU and %.0f B of frames a write\n",
 		name, rate, load.failed, load.claim.ValueAtQuantile(50), load.claim.ValueAtQuantile(99),
 		load.complete.ValueAtQuantile(50), micros(spent, max(1, writes)), bytes/float64(max(1, writes)))
 	return nil
--- a/bench/capacity/rest.go
+++ b/bench/capacity/rest.go
@@ -65,7 +65,7 @@
 	if err := f.startNodes(ctx, n, fleetServices); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "%d nodes: all route after %.1f s\n", n, time.Since(start).Seconds())
+	printf(w, "%d nodes: all route after %.1f s\n", n, time.Since(start).Seconds())
 	time.Sleep(settleTime)
 	phases := []struct {
 		name string
@@ -131,11 +131,11 @@
 		add("frames", "B/s", bytes/count)
 		add("memory (anonymous)", "MB", anon/count)
 		add("memory (resident)", "MB", resident/count)
-		fmt.Fprintf(w, "%d nodes, %s, %s, %.1f s, B/s by method:", n, name, r, took.Seconds())
+		printf(w, "%d nodes, %s, %s, %.1f s, B/s by method:", n, name, r, took.Seconds())
 		for _, m := range slices.Sorted(maps.Keys(methods)) {
-			fmt.Fprintf(w, " %s %.0f", m, float64(methods[m])/took.Seconds()/count)
+			printf(w, " %s %.0f", m, float64(methods[m])/took.Seconds()/count)
 		}
-		fmt.Fprintln(w)
+		printf(w, "\n")
 	}
 	return nil
 }
--- a/bench/capacity/source.go
+++ b/bench/capacity/source.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	p.add("start: CPU", "ms", float64(n), float64(u.CPU.Milliseconds()))
-	fmt.Fprintf(w, "%d endpoints: routes after %.2f s, received %d B so far\n", n, time.Since(start).Seconds(), st.BytesReceived)
+	printf(w, "%d endpoints: routes after %.2f s, received %d B so far\n", n, time.Since(start).Seconds(), st.BytesReceived)
 	time.Sleep(2 * time.Second)
 	st, _ = b.Status()
 	p.add("start: received", "B", float64(n), float64(st.BytesReceived))
--- a/bench/capacity/tree.go
+++ b/bench/capacity/tree.go
@@ -45,10 +45,10 @@
 	}
 	for _, name := range p.order {
 		if l, err := Fit(p.series[name].x, p.series[name].y); err == nil {
-			fmt.Fprintf(w, "fit %-28s %.4g + %.4g %s per child, R2 %.3f (%d nodes); at 8: %.4g\n",
+			printf(w, "fit %-28s %.4g + %.4g %s per child, R2 %.3f (%d nodes); at 8: %.4g\n",
 				name, l.Offset, l.Slope, p.series[name].Unit, l.R2, len(p.series[name].x), l.At(8))
 		} else {
-			fmt.Fprintf(w, "no fit of %s: %v\n", name, err)
+			printf(w, "no fit of %s: %v\n", name, err)
 		}
 	}
 	return nil
@@ -93,7 +93,7 @@
 		p.add(name+": all frames", "B/s", float64(n), float64(all.total()-old.total())/took)
 		p.add(name+": memory (anonymous)", "MB", float64(n), float64(after.usage[b.Host].Anonymous)/(1<<20))
 	}
-	fmt.Fprintf(w, "%s: nodes by number of children %v of %d\n", name, spread, len(had))
+	printf(w, "%s: nodes by number of children %v of %d\n", name, spread, len(had))
 	return nil
 }
 
