--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -45,9 +45,9 @@
 
 // Report collects the results of all flows; the mutex guards every field.
 type Report struct {
-	mu      sync.Mutex
-	start   time.Time
-	flows   map[string]*FlowReport
+	mu    sync.Mutex
+	start time.Time
+	flows map[string]*FlowReport
 	// details counts the answers that were not ok by their text.
 	details map[string]int
 	keys    map[string]KeyReport
