node: keep known peers in the cache file for a restart in an outage

After a restart it asks the control hosts, then up to 16 of the peers, and takes versions and endpoints from the one with the greatest position. The peers are not put into the endpoint table, since they may have left meanwhile.

A floor needs answers of half of the peers that are asked. Half of all nodes of the data centre could never answer where it has more than ten, because five were asked.

--- a/bench/faults/control.go
+++ b/bench/faults/control.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -16,6 +17,7 @@
 	"balsamtrail.org/bench/load"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/operator"
+	"balsamtrail.org/mesh/settings"
 )
 
 // gauge reads one number of a control host's metrics.
@@ -330,7 +332,7 @@
 // sourceOutage stops all control hosts for a while, and a backend server
 // restarts meanwhile.
 func sourceOutage(e *env) error {
-	if err := e.startMesh(sevenPlaces, threePlaces); err != nil {
+	if err := e.startWithCaches(); err != nil {
 		return err
 	}
 	entries, others := e.entries()
@@ -361,6 +363,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.nodeRestart(others[1]); err != nil {
+		return err
+	}
 	time.Sleep(time.Until(began.Add(outageTime)))
 	back := time.Now()
 	if err := e.startControls(); err != nil {
@@ -387,3 +392,56 @@
 	}
 	return nil
 }
+
+// startWithCaches starts a mesh whose nodes keep their peers in cache files.
+func (e *env) startWithCaches() error {
+	for _, s := range append(place("ledger", "v1", sevenPlaces), place("roster", "v1", threePlaces)...) {
+		b, err := e.Add(s)
+		if err != nil {
+			return err
+		}
+		n, err := settings.LoadNode(e.file(b.Host))
+		if err != nil {
+			return err
+		}
+		n.CacheFile = filepath.Join(e.dir, string(b.Host)+".peers")
+		if err := e.save(b.Host, n); err != nil {
+			return err
+		}
+	}
+	return e.startAll()
+}
+
+const peersLimit = 5 * time.Second
+
+// nodeRestart kills a node during the outage and starts it again: it must learn
+// its floor from peers and route by no older version.
+func (e *env) nodeRestart(s *demo.BackendServer) error {
+	before, err := s.Status()
+	if err != nil {
+		return err
+	}
+	s.Node.Kill()
+	if err := s.Node.Start(); err != nil {
+		return err
+	}
+	took, err := until(peersLimit, func() error {
+		code, err := get(s.Caller + "/rosters/3")
+		if err == nil && code != http.StatusOK {
+			err = fmt.Errorf("node %s answers %d", s.Host, code)
+		}
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("a node restarted during the outage does not route: %w", err)
+	}
+	after, err := s.Status()
+	if err != nil {
+		return err
+	}
+	if after.Position.Index < before.Position.Index {
+		return fmt.Errorf("a restarted node routes by index %d after it served %d", after.Position.Index, before.Position.Index)
+	}
+	e.measured("a node restarted in the outage routes after %s", seconds(took))
+	return nil
+}
--- /dev/null
+++ b/bench/faults/judge_test.go
@@ -0,0 +1,46 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/operator"
+)
+
+func steps(shares ...model.Share) operator.MoveView {
+	var v operator.MoveView
+	for i, s := range shares {
+		v.Steps = append(v.Steps, operator.StepView{At: time.Unix(int64(i), 0), Share: s})
+	}
+	return v
+}
+
+// Guards against a leader-kill scenario that passes although a share fell back
+// or accepted steps were replaced.
+func TestShareWatchFindsStepsBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		reads []operator.MoveView
+		bad   bool
+	}{
+		"steps go on":          {[]operator.MoveView{steps(100), steps(100, 500), steps(100)}, false},
+		"share falls":          {[]operator.MoveView{steps(100, 500, 100)}, true},
+		"a step is replaced":   {[]operator.MoveView{steps(100, 500), steps(100, 600)}, true},
+		"the first one is new": {[]operator.MoveView{steps(100, 500), steps(200)}, true},
+	} {
+		w := &shareWatch{}
+		for _, r := range c.reads {
+			w.saw(r)
+		}
+		if (w.err != nil) != c.bad {
+			t.Errorf("%s: %v", name, w.err)
+		}
+	}
+}
+
+// Guards against a misspelt name that runs nothing and passes.
+func TestUnknownScenarioIsRefused(t *testing.T) {
+	if _, err := choose([]string{"herd", "hert"}); err == nil {
+		t.Fatal("accepted")
+	}
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -186,6 +186,7 @@
 	g.Go(func() error { return ignoreEnd(life, n.catchUp(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.reportEvidence(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.followDirectory(life)) })
+	g.Go(func() error { return ignoreEnd(life, n.keepPeers(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.claims.Run(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.view.run(life)) })
 	g.Go(func() error { return ignoreEnd(life, n.watchBackend(life)) })
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -307,17 +307,28 @@
 
 const floorRetry = 300 * time.Millisecond
 
-// learnFloor asks control hosts and known peers until it knows the least
-// position by which this node may route, then returns.
+// learnFloor asks control hosts, and peers if those do not settle it, until it
+// knows the least position by which this node may route. While the source is out
+// it takes versions and endpoints from a peer, since no parent may be known.
 func (n *Node) learnFloor(ctx context.Context) error {
+	cached, err := readPeers(n.cfg.CacheFile)
+	if err != nil {
+		n.log.Warn("kept peers not read", "file", n.cfg.CacheFile, "reason", err.Error())
+	}
 	for ctx.Err() == nil {
-		peers := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
-		peers = slices.DeleteFunc(peers, func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
-		answers := n.askPositions(ctx, append(n.controlHosts(), peers[:min(len(peers), floorPeers)]...))
-		if floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), len(peers)); ok {
+		answers := n.askPositions(ctx, n.controlHosts())
+		floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), 0)
+		var peers []distribute.Parent
+		if !ok {
+			peers = n.floorSample(cached)
+			answers = append(answers, n.askPositions(ctx, peers)...)
+			floor, ok = distribute.Floor(answers, len(n.directory.Hosts()), len(peers))
+		}
+		if ok {
 			n.acceptor.SetFloor(floor)
 			n.floor.Store(&floor)
 			n.log.Info("floor learned", "position", floor.String(), "answers", len(answers))
+			n.pullFrom(ctx, answers, peers)
 			return nil
 		}
 		wait(ctx, floorRetry)
@@ -325,8 +336,10 @@
 	return ctx.Err()
 }
 
-// floorPeers bounds the peers asked for a floor.
-const floorPeers = 5
+// floorPeers bounds the peers asked for a floor. At least half of those asked
+// must answer: asking half of a large data centre would cost it more than the
+// restart is worth.
+const floorPeers = 16
 
 func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
 	ctx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
