--- a/mesh/control/confirm.go
+++ b/mesh/control/confirm.go
@@ -55,5 +55,5 @@
 	if err := c.catchUp(ctx); err != nil {
 		return model.Position{}, err
 	}
-	return c.store.Position(), nil
+	return c.machine.Position(), nil
 }
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -157,6 +157,7 @@
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = c.ep.Serve(serveCtx) })
 	g.Go(func() error { return c.serveOperators(gctx) })
+	g.Go(func() error { return c.machine.publishChanges(gctx) })
 	g.Go(func() error { return c.keepLeases(gctx) })
 	g.Go(func() error { return c.followHosts(gctx) })
 	g.Go(func() error { return c.watchOwners(gctx) })
--- a/mesh/control/machine.go
+++ b/mesh/control/machine.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -18,7 +20,8 @@
 
 // Machine is the replicated state of group 0: notes, data centres, moves and
 // the addresses of the control hosts. It implements replog.StateMachine and is
-// deterministic. Each change of the configuration is published to the store.
+// deterministic. Changes of the configuration are published to the store
+// by a goroutine of their own.
 type Machine struct {
 	epoch uint64
 	store *distribute.Store
@@ -30,13 +33,15 @@
 	rollouts *rollout.State
 	hosts    map[model.HostID]HostAddress
 	changed  chan struct{}
+	// dirty holds a token while the configuration is not published.
+	dirty chan struct{}
 }
 
 // NewMachine returns the state before the first entry.
 func NewMachine(epoch uint64, store *distribute.Store, log *slog.Logger) *Machine {
 	return &Machine{
 		epoch: epoch, store: store, log: log, notes: note.NewState(), rollouts: rollout.NewState(),
-		hosts: map[model.HostID]HostAddress{}, changed: make(chan struct{}),
+		hosts: map[model.HostID]HostAddress{}, changed: make(chan struct{}), dirty: make(chan struct{}, 1),
 	}
 }
 
@@ -82,7 +87,7 @@
 		m.followMoves(rollout.InstantOf(c.Time), index)
 	}
 	if r.Changed {
-		m.publish()
+		m.markDirty()
 	}
 	return r
 }
@@ -134,13 +139,47 @@
 	return r
 }
 
-// publish hands the configuration in force to the store.
+func (m *Machine) markDirty() {
+	select {
+	case m.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// publishGap is the least time between two publications. Publishing compares the
+// whole configuration, 4 ms at 1,500 services, so that a burst of 500 changes/s
+// must be merged; a lone change is published at once.
+const publishGap = 25 * time.Millisecond
+
+// publishChanges hands the configuration in force to the store until ctx ends.
+func (m *Machine) publishChanges(ctx context.Context) error {
+	for {
+		select {
+		case <-m.dirty:
+			m.publish()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		pause(ctx, publishGap)
+	}
+}
+
 func (m *Machine) publish() {
-	if err := m.store.Publish(m.notes.Position(), m.notes.Config()); err != nil {
-		m.log.Debug("configuration not published", "position", m.notes.Position().String(), "reason", err.Error())
+	m.mu.Lock()
+	pos, cfg := m.notes.Position(), m.notes.Config()
+	m.mu.Unlock()
+	if err := m.store.Publish(pos, cfg); err != nil {
+		m.log.Debug("configuration not published", "position", pos.String(), "reason", err.Error())
 	}
 }
 
+// Position returns the position of the newest accepted change.
+func (m *Machine) Position() model.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.notes.Position()
+}
+
 // Snapshot implements replog.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
@@ -186,7 +225,7 @@
 	defer m.mu.Unlock()
 	m.notes, m.rollouts, m.hosts = notes, moves, hosts
 	if !notes.Position().IsZero() {
-		m.publish()
+		m.markDirty()
 	}
 	m.wake()
 	return nil
--- a/mesh/control/machine_test.go
+++ b/mesh/control/machine_test.go
@@ -94,6 +94,8 @@
 	if _, ok := other.m.Host("c4"); !ok {
 		t.Error("address of c4 is lost")
 	}
+	r.m.publish()
+	other.m.publish()
 	a, b := r.m.store.Current(), other.m.store.Current()
 	if a.Position != b.Position || a.Sum != b.Sum {
 		t.Errorf("published %s sum %x, restored %s sum %x", a.Position, a.Sum, b.Position, b.Sum)
@@ -111,11 +113,11 @@
 func TestMachineIgnoresAMalformedEntry(t *testing.T) {
 	r := newMachineRun(t)
 	r.publish()
-	before := r.m.store.Position()
+	before := r.m.Position()
 	if _, ok := r.apply([]byte{0xff, 0x01}, nil).(error); !ok {
 		t.Error("no error for a malformed entry")
 	}
-	if r.m.store.Position() != before {
+	if r.m.Position() != before {
 		t.Error("a malformed entry changed the configuration")
 	}
 }
--- a/mesh/distribute/cache.go
+++ b/mesh/distribute/cache.go
@@ -15,6 +15,7 @@
 	"github.com/google/renameio/v2"
 	"github.com/rotisserie/eris"
 
+	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 )
 
@@ -109,17 +110,30 @@
 	return Cache{Version: v, Peers: b.Peers}, err
 }
 
-// KeepCache writes each new version of the store, at most one a second, until
-// ctx ends. A failed write is logged, counted and tried again at the next change.
-func KeepCache(ctx context.Context, path string, s *Store, peers func() []Parent, log *slog.Logger) error {
-	seen := s.Position()
+// peersInterval is the least time between a change of the endpoints and a write:
+// peers only help to find others after a restart.
+const peersInterval = 10 * time.Second
+
+// KeepCache writes each new version of the store, at most one a second, and the
+// peers after changes of the endpoint table, until ctx ends. A failed write is
+// logged, counted and tried again at the next change.
+func KeepCache(ctx context.Context, path string, s *Store, eps *membership.Table, peers func() []Parent, log *slog.Logger) error {
+	seen, cursor := s.Position(), eps.Sequence()
 	for {
 		select {
 		case <-s.Changed(seen):
+		case <-eps.Changed(cursor):
+			if !sleep(ctx, peersInterval) {
+				return ctx.Err()
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		cursor = eps.Sequence()
 		v := s.Current()
+		if v == nil {
+			continue
+		}
 		seen = v.Position
 		if err := WriteCache(path, Cache{Version: v, Peers: peers()}); err != nil {
 			log.Warn("cache file not written", "reason", err.Error())
--- a/mesh/distribute/cache_test.go
+++ b/mesh/distribute/cache_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"balsamtrail.org/mesh/membership"
 )
 
 var _ = Describe("Cache file", func() {
@@ -62,7 +64,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() {
-			done <- KeepCache(ctx, path, s, func() []Parent { writes++; return nil }, quiet)
+			done <- KeepCache(ctx, path, s, membership.NewTable(), func() []Parent { writes++; return nil }, quiet)
 		}()
 		for i := range uint64(100) {
 			if err := s.Publish(at(i+1), configOf(route("r", "ledger", int(i%3)))); err != nil {
--- a/mesh/node/cache.go
+++ b/mesh/node/cache.go
@@ -9,6 +9,9 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/telemetry"
 )
 
@@ -42,18 +45,48 @@
 	if n.cfg.CacheFile == "" {
 		return nil
 	}
-	peers := func() []distribute.Parent {
-		return slices.DeleteFunc(n.knownNodes(), func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
-	}
-	return distribute.KeepCache(ctx, n.cfg.CacheFile, n.acceptor.Store(), peers, n.log)
+	return distribute.KeepCache(ctx, n.cfg.CacheFile, n.acceptor.Store(), n.endpoints, n.keptPeers, n.log)
 }
 
-// knownNodes returns the live nodes of the data centre. While none is known,
+// maxKeptPeers bounds the peers in the cache file. The own data centre comes
+// first; peers elsewhere help when that one has fewer than a floor needs.
+const maxKeptPeers = 32
+
+// keptPeers returns the live nodes to ask after a restart. While none is known,
 // as after a start without the source, it returns those of the cache file.
+func (n *Node) keptPeers() []distribute.Parent {
+	peers := choosePeers(n.cfg.Host, n.cfg.DataCentre, n.endpoints.All())
+	if len(peers) < len(n.cachedPeers) {
+		return slices.Clone(n.cachedPeers)
+	}
+	return peers
+}
+
+// knownNodes returns the live nodes of the data centre. While none is known, as
+// after a start without the source, it returns those of the cache file.
 func (n *Node) knownNodes() []distribute.Parent {
 	nodes := distribute.NodesOf(n.cfg.DataCentre, n.endpoints.All())
-	if len(nodes) == 0 {
-		return slices.Clone(n.cachedPeers)
+	if len(nodes) > 0 {
+		return nodes
+	}
+	return slices.DeleteFunc(slices.Clone(n.cachedPeers), func(p distribute.Parent) bool {
+		return p.DataCentre != n.cfg.DataCentre
+	})
+}
+
+// choosePeers returns the live nodes to keep, those of the own data centre first.
+func choosePeers(self model.HostID, dc model.DataCentre, known []membership.Announcement) []distribute.Parent {
+	var own, others []distribute.Parent
+	for _, a := range known {
+		p := distribute.Parent{Host: a.Host, Role: peer.RoleNode, DataCentre: a.DataCentre, Address: a.PeerAddress}
+		switch {
+		case !a.Alive() || a.Host == self:
+		case a.DataCentre == dc:
+			own = append(own, p)
+		default:
+			others = append(others, p)
+		}
 	}
-	return nodes
+	all := append(own, others...)
+	return all[:min(len(all), maxKeptPeers)]
 }
--- /dev/null
+++ b/mesh/node/cache_test.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+)
+
+func announced(i int, dc model.DataCentre, s membership.State) membership.Announcement {
+	return membership.Announcement{Host: model.HostID(fmt.Sprintf("n%d", i)), DataCentre: dc, PeerAddress: fmt.Sprintf("127.0.0.1:%d", i), State: s}
+}
+
+// Guards against a cache of peers that cannot be asked, without those of the own
+// data centre, or without a bound.
+func TestChoosePeersKeepsLiveNodesOwnDataCentreFirst(t *testing.T) {
+	known := []membership.Announcement{announced(0, "thun", membership.StateServing), announced(1, "thun", membership.StateLapsed)}
+	for i := range 2 * maxKeptPeers {
+		known = append(known, announced(2+i, "burgdorf", membership.StateServing))
+	}
+	known = append(known, announced(900, "thun", membership.StateServing))
+	got := choosePeers("n0", "thun", known)
+	if len(got) != maxKeptPeers || got[0].Host != "n900" || got[1].DataCentre != "burgdorf" {
+		t.Fatalf("%d peers: %+v", len(got), got[:min(len(got), 2)])
+	}
+}
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -294,14 +294,8 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	from := distribute.Parent{Host: a.Host, Role: peer.RoleNode, DataCentre: a.DataCentre, Address: a.PeerAddress}
-	st, err := n.open(ctx, from, distribute.MethodExchange)
-	if err == nil {
-		defer st.Abort()
-		_, err = distribute.Exchange(ctx, n.acceptor, n.endpoints, st, true, n.log)
-	}
+	err := n.exchangeWith(ctx, from)
 	if err != nil {
 		n.log.Info("catch-up from peer failed", "peer", string(p.host), "reason", err.Error())
 		return
@@ -311,19 +305,24 @@
 
 const floorRetry = 300 * time.Millisecond
 
-// learnFloor asks control hosts and known peers until it knows the least
-// position by which this node may route, then returns.
+// learnFloor asks control hosts, and peers if those do not settle it, until it
+// knows the least position by which this node may route. While the source is out
+// it takes versions and endpoints from a peer, since no parent may be known.
 func (n *Node) learnFloor(ctx context.Context) error {
 	for ctx.Err() == nil {
-		peers := n.knownNodes()
-		peers = slices.DeleteFunc(peers, func(p distribute.Parent) bool { return p.Host == n.cfg.Host })
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		peers = peers[:min(len(peers), floorPeers)]
-		answers := n.askPositions(ctx, append(n.controlHosts(), peers...))
-		if floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), len(peers)); ok {
+		answers := n.askPositions(ctx, n.controlHosts())
+		floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), 0)
+		var peers []distribute.Parent
+		if !ok {
+			peers = n.floorSample()
+			answers = append(answers, n.askPositions(ctx, peers)...)
+			floor, ok = distribute.Floor(answers, len(n.directory.Hosts()), len(peers))
+		}
+		if ok {
 			n.acceptor.SetFloor(floor)
 			n.floor.Store(&floor)
 			n.log.Info("floor learned", "position", floor.String(), "answers", len(answers))
+			n.pullFrom(ctx, answers, peers)
 			return nil
 		}
 		wait(ctx, floorRetry)
@@ -331,9 +330,46 @@
 	return ctx.Err()
 }
 
-// floorPeers bounds the peers asked for a floor; the floor is the greatest
-// position among at least half of those asked.
-const floorPeers = 5
+// floorPeers bounds the peers asked for a floor. At least half of those asked
+// must answer: asking half of a large data centre would cost it more than the
+// restart is worth.
+const floorPeers = 16
+
+// floorSample returns peers to ask for a floor, in random order.
+func (n *Node) floorSample() []distribute.Parent {
+	peers := n.keptPeers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), floorPeers)]
+}
+
+// pullFrom takes versions and endpoints from the peer with the greatest position.
+func (n *Node) pullFrom(ctx context.Context, answers []distribute.FloorAnswer, peers []distribute.Parent) {
+	slices.SortFunc(answers, func(a, b distribute.FloorAnswer) int { return b.Position.Compare(a.Position) })
+	for _, a := range answers {
+		i := slices.IndexFunc(peers, func(p distribute.Parent) bool { return p.Host == a.From.Host })
+		if i < 0 {
+			continue
+		}
+		err := n.exchangeWith(ctx, peers[i])
+		if err == nil {
+			return
+		}
+		n.log.Info("nothing taken from peer", "peer", string(a.From.Host), "reason", err.Error())
+	}
+}
+
+// exchangeWith pulls the versions and endpoints that a peer has and this node lacks.
+func (n *Node) exchangeWith(ctx context.Context, p distribute.Parent) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	st, err := n.open(ctx, p, distribute.MethodExchange)
+	if err != nil {
+		return err
+	}
+	defer st.Abort()
+	_, err = distribute.Exchange(ctx, n.acceptor, n.endpoints, st, true, n.log)
+	return err
+}
 
 func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
 	ctx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -24,6 +24,9 @@
 	// IdleLimit is the silence after which a connection counts as lost. It must
 	// cover a few keep-alives; a shorter one reconnects needlessly under load.
 	IdleLimit time.Duration
+	// UnusedLimit is how long a connection without streams is kept. A shorter one
+	// saves heartbeats and costs handshakes, of several kilobytes each.
+	UnusedLimit time.Duration
 	// Log receives one line for each connection that is made, lost or refused.
 	Log *slog.Logger
 }
@@ -76,6 +79,9 @@
 	if cfg.IdleLimit == 0 {
 		cfg.IdleLimit = DefaultIdleLimit
 	}
+	if cfg.UnusedLimit == 0 {
+		cfg.UnusedLimit = unusedLimit
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
@@ -203,15 +209,18 @@
 // Open opens a stream for the method on the connection to addr, which is made
 // if there is none. The peer's identity must match want.
 func (e *Endpoint) Open(ctx context.Context, addr string, want Identity, name string) (Stream, error) {
-	conn, id, err := e.connect(ctx, addr, want)
+	o, err := e.connect(ctx, addr, want)
 	if err != nil {
+		e.release(o)
 		return nil, err
 	}
-	st, err := conn.OpenStreamSync(ctx)
+	st, err := o.conn.OpenStreamSync(ctx)
 	if err != nil {
+		e.release(o)
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
-	s := &quicStream{st: st, peer: id, method: trafficOf(name)}
+	context.AfterFunc(st.Context(), func() { e.release(o) })
+	s := &quicStream{st: st, peer: o.peer, method: trafficOf(name)}
 	if err := s.Send(hello{Method: name}); err != nil {
 		s.Abort()
 		return nil, err
--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
@@ -20,6 +21,10 @@
 	conn  *quic.Conn
 	peer  Identity
 	err   error
+	// users counts the open streams and the calls that are about to open one;
+	// idleSince is when the last of them ended. The endpoint's mutex guards both.
+	users     int
+	idleSince time.Time
 }
 
 // usable reports whether calls to want may use o or wait for it.
@@ -32,13 +37,14 @@
 	}
 }
 
-// connect returns the connection to addr; calls that arrive while it is dialled
-// share the attempt.
-func (e *Endpoint) connect(ctx context.Context, addr string, want Identity) (*quic.Conn, Identity, error) {
+// connect returns the connection to addr as used by one more stream; calls that
+// arrive while it is dialled share the attempt. The caller must release it, also
+// after an error.
+func (e *Endpoint) connect(ctx context.Context, addr string, want Identity) (*outbound, error) {
 	e.mu.Lock()
 	if e.closed {
 		e.mu.Unlock()
-		return nil, Identity{}, eris.Wrap(ErrClosed, "endpoint is closed")
+		return nil, eris.Wrap(ErrClosed, "endpoint is closed")
 	}
 	o := e.conns[addr]
 	if o == nil || !o.usable(want) {
@@ -47,12 +53,58 @@
 		e.live[o] = struct{}{}
 		e.wg.Go(func() { e.run(o) })
 	}
+	o.users++
 	e.mu.Unlock()
 	select {
 	case <-o.ready:
-		return o.conn, o.peer, o.err
+		return o, o.err
 	case <-ctx.Done():
-		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", addr, ctx.Err())
+		return o, eris.Wrapf(ErrUnreachable, "%s: %v", addr, ctx.Err())
+	}
+}
+
+// release ends one use of a connection.
+func (e *Endpoint) release(o *outbound) {
+	if o == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o.users--
+	o.idleSince = time.Now()
+}
+
+// unusedLimit is how long a connection without streams is kept. Its heartbeats
+// cost about 0.5 KB/s, and former parents and partners are seldom asked again.
+const unusedLimit = 10 * time.Second
+
+// retireUnused takes a connection that was unused for the limit out of use.
+func (e *Endpoint) retireUnused(o *outbound, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.users > 0 || now.Sub(o.idleSince) < e.cfg.UnusedLimit {
+		return false
+	}
+	if e.conns[o.addr] == o {
+		delete(e.conns, o.addr)
+	}
+	return true
+}
+
+// untilEnd waits until the connection ends, and ends it when it is not used.
+func (e *Endpoint) untilEnd(o *outbound) {
+	tick := time.NewTicker(e.cfg.UnusedLimit / 2)
+	defer tick.Stop()
+	for {
+		select {
+		case <-o.conn.Context().Done():
+			return
+		case now := <-tick.C:
+			if e.retireUnused(o, now) {
+				_ = o.conn.CloseWithError(connClosed, "unused")
+				return
+			}
+		}
 	}
 }
 
@@ -73,7 +125,7 @@
 	close(o.ready)
 	if o.err == nil {
 		e.cfg.Log.Debug("peer connection made", "address", o.addr, "peer", o.peer.String())
-		<-o.conn.Context().Done()
+		e.untilEnd(o)
 		e.cfg.Log.Info("peer connection ended", "address", o.addr, "peer", o.peer.String(),
 			"reason", context.Cause(o.conn.Context()).Error())
 	}
