--- /dev/null
+++ b/mesh/peer/unused_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func internalEndpoint(t *testing.T, ca *DevCA, id Identity, unused time.Duration) *Endpoint {
+	t.Helper()
+	files, err := ca.Issue(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	creds, err := LoadCredentials(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Listen(Config{Listen: "127.0.0.1:0", Credentials: creds, UnusedLimit: unused})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = e.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return e
+}
+
+func (e *Endpoint) connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
+// A connection to a former parent must not cost heartbeats for ever, and one with
+// a quiet stream must not be closed under it.
+func TestOnlyUnusedConnectionsAreClosed(t *testing.T) {
+	ca, err := OpenDevCA(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	control := Identity{Role: RoleControl, DataCentre: "thun", Host: "c1"}
+	server := internalEndpoint(t, ca, control, time.Minute)
+	client := internalEndpoint(t, ca, Identity{Role: RoleNode, DataCentre: "thun", Host: "n1"}, 200*time.Millisecond)
+	server.Handle("wait", []Role{RoleNode}, func(ctx context.Context, st Stream) error {
+		var h hello
+		return st.Recv(&h)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	st, err := client.Open(ctx, server.Addr().String(), control, "wait")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(600 * time.Millisecond)
+	if n := client.connections(); n != 1 {
+		t.Fatalf("%d connections while a stream is open", n)
+	}
+	st.Abort()
+	for client.connections() != 0 {
+		if ctx.Err() != nil {
+			t.Fatal("the unused connection was not closed")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if _, err := client.Open(ctx, server.Addr().String(), control, "wait"); err != nil {
+		t.Errorf("no fresh connection: %v", err)
+	}
+}
