node: end the process when one of its listeners cannot be opened

Cause: with listen.caller taken by another program the node cancelled all its tasks and then waited for its other HTTP servers, which do not end with the context: the process stayed up, served nothing and was never restarted. Change: Run stops the HTTP servers at once when a task has failed. Result: the new test fails without the change (still running after 5 s) and passes with it in 2.0 s; go test -race ./mesh/node passes.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -198,6 +198,12 @@
 	case <-ctx.Done():
 		n.stop(servers, stopCalls, callsDone)
 	case <-life.Done():
+		// A task failed; the servers do not end with the context.
+		now, cancel := context.WithCancel(context.Background())
+		cancel()
+		for _, s := range servers {
+			s.stop(now)
+		}
 	}
 	end()
 	err := g.Wait()
