experiment faults: separate requests whose entry node was down

Change: KindRow counts them as Lost, the table has a column of its own. Result: go test -race ./bench/experiment passes.

--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -65,9 +65,9 @@
 
 // WriteTable writes requests by kind, faults and violations.
 func (r *FaultsResult) WriteTable(w io.Writer) error {
-	t := newTable(w, "kind\tsent\tok %\tnot-run\tfailed or unknown\tlate\twrong\tp99 ms")
+	t := newTable(w, "kind\tsent\tok %\tnot-run\tfailed or unknown\tno entry node\tlate\twrong\tp99 ms")
 	for _, x := range r.Rows {
-		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d\t%.0f", x.Kind, x.Sent, percent(x.OK, x.Sent), x.NotRun, x.Failed, x.Late, x.Wrong, x.P99)
+		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%.0f", x.Kind, x.Sent, percent(x.OK, x.Sent), x.NotRun, x.Failed-x.Lost, x.Lost, x.Late, x.Wrong, x.P99)
 	}
 	if err := t.flush(); err != nil {
 		return err
--- a/bench/experiment/result.go
+++ b/bench/experiment/result.go
@@ -42,8 +42,10 @@
 	Sent   int64  `json:"sent"`
 	OK     int64  `json:"ok"`
 	NotRun int64  `json:"not_run"`
-	// Failed are unknown outcomes, errors and lost connections.
+	// Failed are unknown outcomes, errors and lost connections; Lost are those of
+	// them whose caller had no connection to its entry node.
 	Failed int64 `json:"failed"`
+	Lost   int64 `json:"lost"`
 	Late   int64 `json:"late"`
 	Wrong  int64 `json:"wrong"`
 	// P99 is the greatest 99th percentile of the flows of the kind over the
@@ -83,6 +85,7 @@
 	k.OK += o[load.OutcomeOK]
 	k.NotRun += o[load.OutcomeNotRun]
 	k.Failed += o[load.OutcomeFailed] + o[load.OutcomeUnknown] + o[load.OutcomeLost]
+	k.Lost += o[load.OutcomeLost]
 	k.Late += o[load.OutcomeLate]
 	k.Wrong += o[load.OutcomeWrong]
 }
