Let any control host take the addition of a control host

A follower answered the addition of a control host with 503 instead of forwarding it, as docs/api.md says it does; the address is recorded by way of the leader now. A new host whose settings lack the leader never caught up, with no word in its log above debug; it logs that host once as a warning.

--- a/mesh/control/members.go
+++ b/mesh/control/members.go
@@ -36,9 +36,12 @@
 		return memberReply{}, eris.Wrapf(ErrForbidden, "no group %d", req.Group)
 	}
 	var err error
-	if req.Remove {
+	switch {
+	case req.Address != nil:
+		err = c.recordAddress(ctx, *req.Address)
+	case req.Remove:
 		err = l.RemoveHost(ctx, req.Host)
-	} else {
+	default:
 		err = l.AddHost(ctx, req.Host, req.Disk)
 	}
 	if err == nil {
@@ -61,13 +64,9 @@
 func (c *Control) addHost(ctx context.Context, h HostAddress) error {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	data, err := encodeCommand(command{Host: &h})
-	if err != nil {
+	if err := c.changeMember(ctx, memberRequest{Group: configGroup, Host: h.Host, Address: &h}); err != nil {
 		return err
 	}
-	if _, err := c.config.Propose(ctx, data); err != nil {
-		return eris.Wrapf(ErrNoLeader, "address of %s: %v", h.Host, err)
-	}
 	for group := range c.transport.all() {
 		var d diskReply
 		if err := c.call(ctx, h, methodDisk, diskRequest{Group: group}, &d); err != nil {
@@ -81,6 +80,16 @@
 	return nil
 }
 
+// recordAddress records the address of a control host if this host leads group 0.
+func (c *Control) recordAddress(ctx context.Context, h HostAddress) error {
+	data, err := encodeCommand(command{Host: &h})
+	if err != nil {
+		return err
+	}
+	_, err = c.config.Propose(ctx, data)
+	return err
+}
+
 // removeHost removes a control host from every group.
 func (c *Control) removeHost(ctx context.Context, host model.HostID) error {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
--- a/mesh/control/message.go
+++ b/mesh/control/message.go
@@ -115,6 +115,8 @@
 	Host   model.HostID  `cbor:"2,keyasint"`
 	Disk   replog.DiskID `cbor:"3,keyasint,omitempty"`
 	Remove bool          `cbor:"4,keyasint,omitempty"`
+	// Address, if set, is recorded in group 0 in place of a change of members.
+	Address *HostAddress `cbor:"5,keyasint,omitempty"`
 }
 
 type memberReply struct {
--- a/mesh/control/transport.go
+++ b/mesh/control/transport.go
@@ -39,11 +39,13 @@
 	mu      sync.Mutex
 	streams map[linkKey]peer.Stream
 	groups  map[uint32]*replog.Log
+	// unknown holds the hosts without an address that were logged.
+	unknown map[model.HostID]bool
 }
 
 func newLogTransport(ctx context.Context, ep *peer.Endpoint, log *slog.Logger, find func(model.HostID) (HostAddress, bool)) *logTransport {
 	t := &logTransport{ep: ep, log: log, ctx: ctx, find: find,
-		streams: map[linkKey]peer.Stream{}, groups: map[uint32]*replog.Log{}}
+		streams: map[linkKey]peer.Stream{}, groups: map[uint32]*replog.Log{}, unknown: map[model.HostID]bool{}}
 	ep.Handle(methodLog, []peer.Role{peer.RoleControl}, t.receive)
 	return t
 }
@@ -78,6 +80,7 @@
 	}
 	host, ok := t.find(key.host)
 	if !ok {
+		t.warnUnknown(key.host)
 		return nil, eris.Wrapf(ErrUnknownHost, "%s", key.host)
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, logOpenTimeout)
@@ -92,6 +95,17 @@
 	return st, nil
 }
 
+// warnUnknown logs once that a host has no address here. A new control host
+// whose settings lack the leader cannot answer it and never catches up.
+func (t *logTransport) warnUnknown(host model.HostID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.unknown[host] {
+		t.unknown[host] = true
+		t.log.Warn("control host has no known address; name it in control_hosts", "peer", string(host))
+	}
+}
+
 func (t *logTransport) drop(key linkKey, st peer.Stream) {
 	st.Abort()
 	t.mu.Lock()
