--- a/mesh/distribute/cache.go
+++ b/mesh/distribute/cache.go
@@ -110,22 +110,27 @@
 	return Cache{Version: v, Peers: b.Peers}, err
 }
 
-// peersInterval is the least time between a change of the endpoints and a write:
-// peers only help to find others after a restart.
-const peersInterval = 10 * time.Second
+// firstPeersInterval and peersInterval bound the time between a change of the
+// endpoints and a write. A young process writes soon, since it learns most of its
+// peers in its first seconds; later changes matter little.
+const (
+	firstPeersInterval = 500 * time.Millisecond
+	peersInterval      = 10 * time.Second
+)
 
 // KeepCache writes each new version of the store, at most one a second, and the
 // peers after changes of the endpoint table, until ctx ends. A failed write is
 // logged, counted and tried again at the next change.
 func KeepCache(ctx context.Context, path string, s *Store, eps *membership.Table, peers func() []Parent, log *slog.Logger) error {
-	seen, cursor := s.Position(), eps.Sequence()
+	seen, cursor, gap := s.Position(), uint64(0), firstPeersInterval
 	for {
 		select {
 		case <-s.Changed(seen):
 		case <-eps.Changed(cursor):
-			if !sleep(ctx, peersInterval) {
+			if !sleep(ctx, gap) {
 				return ctx.Err()
 			}
+			gap = min(2*gap, peersInterval)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
