faults: check the hand-over of children and the report of a silent host

stops fails now if a node loses its parent by that one's planned stop instead of going to another one first, and paused-control if the leader's status does not name the paused host.

--- a/bench/faults/control.go
+++ b/bench/faults/control.go
@@ -253,6 +253,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.reportsSilence(before.Status.Leader, old.Host); err != nil {
+		return err
+	}
 	wake := e.askPaused(paused)
 	time.Sleep(100 * time.Millisecond) // the questions wait in the socket of the paused process
 	if err := old.Signal(syscall.SIGCONT); err != nil {
@@ -281,6 +284,26 @@
 	return nil
 }
 
+// reportsSilence checks that the leader tells operators of the silent host.
+func (e *env) reportsSilence(leader, silent model.HostID) error {
+	i := slices.IndexFunc(e.Controls, func(c *demo.ControlHost) bool { return c.Host == leader })
+	if i < 0 {
+		return fmt.Errorf("leader %q is unknown", leader)
+	}
+	c, err := e.client(e.Controls[i])
+	if err != nil {
+		return err
+	}
+	st, err := c.Status(e.ctx)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(st.Status.Problems, "control host "+string(silent)+" is not heard") {
+		return fmt.Errorf("status of the leader does not name the silent host: %v", st.Status.Problems)
+	}
+	return nil
+}
+
 // askPaused sends reads and rival notes with number 2 to the paused host, from
 // before it wakes until afterWake. The returned function waits and judges.
 func (e *env) askPaused(paused *operator.Client) func() (confirmed, total int, err error) {
--- a/bench/faults/nodes.go
+++ b/bench/faults/nodes.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -215,6 +216,9 @@
 	if r.parents == 0 {
 		return errors.New("no node with children was stopped")
 	}
+	if err := e.parentsLeft(); err != nil {
+		return err
+	}
 	e.measured("%d nodes restarted, longest stop %s; %d of them had children, notes published at their stop in force within %s",
 		len(e.Servers), seconds(r.longest), r.parents, seconds(r.slowest))
 	f := e.flow(lookups)
@@ -222,6 +226,22 @@
 	return nil
 }
 
+// parentsLeft checks that every child of a stopping node went to another parent
+// before the stream ended.
+func (e *env) parentsLeft() error {
+	var found error
+	for _, s := range e.Servers {
+		e.scanLog(string(s.Host), func(line string) {
+			for _, p := range e.Servers {
+				if strings.Contains(line, `"parent lost"`) && strings.Contains(line, `"parent":"`+string(p.Host)+`"`) && !strings.Contains(line, `"lived":"0s"`) {
+					found = fmt.Errorf("%s lost its parent without a hand-over: %s", s.Host, line)
+				}
+			}
+		})
+	}
+	return found
+}
+
 // rolling is a restart of nodes one after the other.
 type rolling struct {
 	e       *env
