--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -238,6 +238,9 @@
 		Candidates: func() []distribute.Parent {
 			return distribute.ParentsOf(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates)
 		},
+		Preferred: func() []distribute.Parent {
+			return distribute.Preferred(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts())
+		},
 		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
 			return n.open(ctx, p, distribute.MethodWatch)
 		},
