--- a/bench/demo/fleet.go
+++ b/bench/demo/fleet.go
@@ -31,6 +31,8 @@
 	Servers     []*BackendServer
 
 	addresses []settings.ControlHost
+	// others are processes that stand beside the mesh.
+	others []*Process
 }
 
 // ControlHost is one control process.
@@ -204,6 +206,9 @@
 	for _, c := range f.Controls {
 		c.Kill()
 	}
+	for _, p := range f.others {
+		p.Kill()
+	}
 }
 
 // Eventually calls f every 20 ms until it returns nil or the time is over.
--- a/bench/demo/scenario.go
+++ b/bench/demo/scenario.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	d.direct = direct
+	d.f.others = append(d.f.others, direct.Backend)
 	d.f.Servers = d.f.Servers[:len(d.f.Servers)-1]
 	if err := direct.Backend.Start(); err != nil {
 		return err
--- a/mesh/control/hosts.go
+++ b/mesh/control/hosts.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"balsamtrail.org/mesh/control/directory"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/settings"
--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"balsamtrail.org/mesh/control/directory"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
--- a/mesh/control/directory/directory_test.go
+++ b/mesh/directory/directory_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"testing"
 
-	"balsamtrail.org/mesh/control/directory"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/model"
 )
 
--- a/mesh/control/directory/message.go
+++ b/mesh/directory/message.go
@@ -3,7 +3,7 @@
 import "balsamtrail.org/mesh/model"
 
 // Method is the peer method of the stream on which a node learns the control hosts.
-const Method = "control.directory"
+const Method = "directory.hosts"
 
 // Host is a control host and how to reach it.
 type Host struct {
--- a/mesh/node/directory.go
+++ b/mesh/node/directory.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"balsamtrail.org/mesh/control/directory"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/settings"
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -15,7 +15,7 @@
 	"balsamtrail.org/mesh/admission"
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/claim"
-	"balsamtrail.org/mesh/control/directory"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/membership"
