End a node whose listener cannot be opened

With the callers' address in use, the node logged nothing and neither served nor ended, since the HTTP servers that had started were never stopped; it also ignored SIGTERM.

There is no automated test of it yet.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -212,6 +212,11 @@
 	case <-ctx.Done():
 		n.stop(servers, stopCalls, callsDone)
 	case <-life.Done():
+		// A task failed, such as a listener whose address is in use; the HTTP servers
+		// end only when they are stopped.
+		for _, h := range servers {
+			h.stop(life)
+		}
 	}
 	end()
 	err := g.Wait()
