--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -217,11 +217,10 @@
 	case <-ctx.Done():
 		n.stop(servers, stopCalls, callsDone)
 	case <-life.Done():
-		// A task failed; the servers do not end with the context.
-		now, cancel := context.WithCancel(context.Background())
-		cancel()
-		for _, s := range servers {
-			s.stop(now)
+		// A task failed, such as a listener whose address is in use; the HTTP servers
+		// end only when they are stopped.
+		for _, h := range servers {
+			h.stop(life)
 		}
 	}
 	end()
