--- a/mesh/replog/disk_test.go
+++ b/mesh/replog/disk_test.go
@@ -186,6 +186,35 @@
 	}
 }
 
+// Guards against a host that votes again after its only log file was emptied or cut
+// within its header: the header is durable before the identity, so no crash
+// explains that.
+func TestLogWithoutHeaderStopsTheStart(t *testing.T) {
+	fsys := wal.NewMemFS()
+	want := identity{Cluster: "demo", Host: "a"}
+	if _, err := openIdentity(fsys, simDir, want); err != nil {
+		t.Fatal(err)
+	}
+	d, _, err := openDisk(fsys, simDir, 1<<20, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, d, Ready{Hard: &HardState{Term: 1, Vote: "b"}, Entries: []Entry{entry(1, 1)}})
+	name := filepath.Join(simDir, "0000000000000001"+wal.SegmentSuffix)
+	whole, err := fsys.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size := range 8 {
+		if _, err := openIdentity(copyWith(fsys, name, whole[:size]), simDir, want); !eris.Is(err, ErrDamaged) || !strings.Contains(err.Error(), name) {
+			t.Errorf("cut at %d: %v", size, err)
+		}
+	}
+	if _, err := openIdentity(copyWith(fsys, name, whole[:8]), simDir, want); err != nil {
+		t.Errorf("whole header: %v", err)
+	}
+}
+
 // Guards against a recovery that takes entries replaced by a later leader for
 // damage once the segments with their older part are removed.
 func TestReplacedEntriesInRemovedSegments(t *testing.T) {
--- a/mesh/replog/identity.go
+++ b/mesh/replog/identity.go
@@ -43,6 +43,9 @@
 		if !slices.ContainsFunc(names, logs) {
 			return "", eris.Wrapf(ErrDamaged, "the write-ahead log is missing beside %s", name)
 		}
+		if err := wal.CheckFirst(fsys, dir); err != nil {
+			return "", diskError(err)
+		}
 		return loadIdentity(fsys, name, want)
 	}
 	for _, n := range names {
--- a/mesh/replog/wal/wal.go
+++ b/mesh/replog/wal/wal.go
@@ -37,6 +37,8 @@
 	size         int64
 	buf          []byte
 	failed       error
+	// cut is the length of the torn tail that was removed at the start.
+	cut int64
 }
 
 // Open recovers the log in dir and passes every record to replay, with the
@@ -108,9 +110,32 @@
 	if off == 0 { // the crash came before the header of a new segment was synced
 		return w.recreate(seg)
 	}
+	w.cut = int64(len(b)) - off
 	return w.reopen(name, off, torn)
 }
 
+// CheckFirst reports a log whose oldest segment has lost its file header. The
+// header is durable before anything else is written, so that no crash explains
+// this; Open alone would take the file for a new one.
+func CheckFirst(fsys FS, dir string) error {
+	w := &WAL{fs: fsys, dir: dir}
+	if err := w.list(); err != nil || len(w.segments) == 0 {
+		return err
+	}
+	name := w.path(w.segments[0])
+	b, err := fsys.ReadFile(name)
+	if err != nil {
+		return Classify(err)
+	}
+	if len(b) < len(segmentMagic) || string(b[:len(segmentMagic)]) != segmentMagic {
+		return damaged(name, 0, "file header is missing")
+	}
+	return nil
+}
+
+// Cut returns the bytes of a torn tail that Open has removed.
+func (w *WAL) Cut() int64 { return w.cut }
+
 // scan passes the whole records of a segment to f. It returns the end of the
 // last whole record and whether a torn tail follows it.
 func scan(name string, b []byte, f func([]byte) error) (int64, bool, error) {
