--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -59,8 +59,10 @@
 }
 
 const (
-	maxInFlight = 4096
-	resendDelay = 200 * time.Millisecond
+	// headerOutcome says why a node has no answer.
+	headerOutcome = "Balsamtrail-Outcome"
+	maxInFlight   = 4096
+	resendDelay   = 200 * time.Millisecond
 )
 
 // New returns a generator that keeps connections to its targets.
@@ -196,7 +198,7 @@
 	case resp.Header.Get(standin.HeaderNotRun) != "":
 		res.outcome = OutcomeNotRun
 		res.detail = got
-	case resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusGatewayTimeout ||
+	case resp.Header.Get(headerOutcome) == "unknown" || resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusGatewayTimeout ||
 		resp.StatusCode == http.StatusBadGateway:
 		res.outcome = OutcomeUnknown
 		res.detail = got
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -63,7 +63,7 @@
 	}
 	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Log: log})
 	if err != nil {
-		return nil, eris.Wrapf(ErrStart, "%v", err)
+		return nil, eris.Wrapf(ErrStart, "listen.peer: %v", err)
 	}
 	c := &Control{
 		cfg: cfg, log: log, ep: ep,
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -17,7 +17,7 @@
 	Advertise Advertise `json:"advertise"`
 	// Backend is the backend server beside this node.
 	Backend Backend `json:"backend"`
-	// CacheFile keeps the newest configuration for a restart while the source
+	// CacheFile keeps the newest configuration and live peers for a restart while the source
 	// is out; empty, the default, keeps none. A restarted node then routes only
 	// once it has learned the position from control hosts or peers.
 	CacheFile string `json:"cache_file"`
