State the reason of each choice of a backend server in the routing line

The reason stood in a debug line of the picker only; the line that each routed request writes now carries it as choice, and the debug line is gone.

--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"balsamtrail.org/mesh/callmux"
-	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/rollout"
 	"balsamtrail.org/mesh/routing"
@@ -61,7 +60,7 @@
 
 // try is the result of sending a call to one backend server.
 type try struct {
-	server  membership.Announcement
+	server  routing.Choice
 	resp    *callmux.Response
 	err     error
 	reason  string
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -177,6 +177,6 @@
 	}
 	e.log.Info("request routed", "route", string(c.route.Name), "kind", c.route.Kind.String(),
 		"service", string(c.route.Service), "version", string(t.server.Version), "host", string(t.server.Host),
-		"data_centre", string(t.server.DataCentre), "tries", len(c.attempts.Tried()), "status", status,
+		"data_centre", string(t.server.DataCentre), "choice", t.server.Reason, "tries", len(c.attempts.Tried()), "status", status,
 		"not_run", t.notRun(), "reason", t.reason, "ms", float64(took.Microseconds())/1000)
 }
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -11,7 +11,6 @@
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/claim"
-	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/rollout"
@@ -88,7 +87,7 @@
 }
 
 // choose picks version and backend server of the next try.
-func (d *dispatcher) choose(c *call) (membership.Announcement, error) {
+func (d *dispatcher) choose(c *call) (routing.Choice, error) {
 	now := time.Now()
 	service := c.route.Service
 	v, err := d.picker.Version(service)
@@ -100,18 +99,18 @@
 		}
 	}
 	if err != nil {
-		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
+		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
 	server, err := d.picker.BackendServer(now, service, v, c.attempts.Tried())
 	if err != nil {
-		return membership.Announcement{}, eris.Wrapf(ErrNotRun, "%v", err)
+		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
 	c.attempts.Started(server.Host)
 	return server, nil
 }
 
 // send makes one try at a backend server.
-func (d *dispatcher) send(ctx context.Context, c *call, server membership.Announcement) *try {
+func (d *dispatcher) send(ctx context.Context, c *call, server routing.Choice) *try {
 	t := &try{server: server, lent: c.budget.Lend()}
 	req := d.request(c, server, t.lent)
 	started := time.Now()
@@ -122,7 +121,7 @@
 	return t
 }
 
-func (d *dispatcher) request(c *call, server membership.Announcement, lent int) *callmux.Request {
+func (d *dispatcher) request(c *call, server routing.Choice, lent int) *callmux.Request {
 	req := &callmux.Request{
 		Route: c.route.Name, Service: server.Service, Version: server.Version,
 		Method: c.method, Path: c.path, Header: c.header, Kind: c.route.Kind,
@@ -134,7 +133,7 @@
 	return req
 }
 
-func (d *dispatcher) do(ctx context.Context, server membership.Announcement, req *callmux.Request) (*callmux.Response, error) {
+func (d *dispatcher) do(ctx context.Context, server routing.Choice, req *callmux.Request) (*callmux.Response, error) {
 	if server.Host == d.self.Host {
 		return d.local.handle(ctx, d.self, req)
 	}
@@ -164,7 +163,7 @@
 
 // hedged sends a second try if the first one is slower than most; the first
 // answer wins and the other try is cancelled.
-func (d *dispatcher) hedged(ctx context.Context, c *call, first membership.Announcement) *try {
+func (d *dispatcher) hedged(ctx context.Context, c *call, first routing.Choice) *try {
 	delay, known := d.hedger.Delay(c.route.Name)
 	if !known {
 		return d.send(ctx, c, first)
@@ -205,7 +204,7 @@
 	cancel context.CancelFunc
 }
 
-func (d *dispatcher) startHedge(ctx context.Context, c *call, server membership.Announcement, results chan<- *hedge) *hedge {
+func (d *dispatcher) startHedge(ctx context.Context, c *call, server routing.Choice, results chan<- *hedge) *hedge {
 	// The context of the winner lives on with its body; it ends with the call.
 	ctx, cancel := context.WithCancel(ctx)
 	h := &hedge{cancel: cancel}
@@ -217,9 +216,9 @@
 }
 
 // secondServer takes a hedge from its budgets and chooses another backend server.
-func (d *dispatcher) secondServer(c *call) (membership.Announcement, bool) {
+func (d *dispatcher) secondServer(c *call) (routing.Choice, bool) {
 	if !c.attempts.Hedge(time.Now(), d.hedger) {
-		return membership.Announcement{}, false
+		return routing.Choice{}, false
 	}
 	server, err := d.choose(c)
 	return server, err == nil
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -27,8 +27,7 @@
 	Ramp time.Duration
 	// Seed makes random choices repeatable; zero takes a random seed.
 	Seed uint64
-	// Log receives ejections and skipped versions and, at debug level, one line
-	// for each choice.
+	// Log receives ejections and skipped versions. The caller logs each choice.
 	Log *slog.Logger
 }
 
@@ -253,31 +252,33 @@
 	return e.version, nil
 }
 
+// Choice is a chosen backend server and why it was chosen.
+type Choice struct {
+	membership.Announcement
+	Reason string
+}
+
 // BackendServer chooses the backend server of a try and counts it as in
 // flight until Observe, which must follow exactly once. exclude lists the hosts
 // that earlier tries of the call used.
-func (p *Picker) BackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (membership.Announcement, error) {
+func (p *Picker) BackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v, err := p.view(service)
 	if err != nil {
-		return membership.Announcement{}, err
+		return Choice{}, err
 	}
 	view := v.versions[version]
 	if view == nil {
-		return membership.Announcement{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
+		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
 	}
 	h, reason := p.pick(now, view, exclude)
 	if h == nil {
-		return membership.Announcement{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
+		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
 	}
 	p.check(h, service)
 	h.inFlight++
-	if p.cfg.Log.Enabled(context.Background(), slog.LevelDebug) {
-		p.cfg.Log.Debug("backend server chosen", "service", string(service), "version", string(version),
-			"host", string(h.Host), "data_centre", string(h.DataCentre), "reason", reason)
-	}
-	return h.Announcement, nil
+	return Choice{Announcement: h.Announcement, Reason: reason}, nil
 }
 
 func (p *Picker) check(h *host, service model.ServiceName) {
--- a/mesh/routing/picker_test.go
+++ b/mesh/routing/picker_test.go
@@ -26,7 +26,7 @@
 	}
 	// call makes one call that ends as outcome says and returns the chosen backend server.
 	call := func(p *Picker, now time.Time, outcome func(membership.Announcement) Outcome, exclude ...model.HostID) membership.Announcement {
-		a := must(p.BackendServer(now, "s", "v1", exclude))
+		a := must(p.BackendServer(now, "s", "v1", exclude)).Announcement
 		p.Observe(now, a.Host, outcome(a))
 		return a
 	}
