Ask the only parent alive again within 2 s

Change: the wait for the best candidate is at most 2 s. Result: the new test waits 10 s without the change.

--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -94,7 +94,8 @@
 // for it. If all are passed over, it is the one whose time ends first. Among
 // equal ones it is the one that failed least: the back-off outlasts the time
 // that a busy first candidate is passed over, and the others would never have
-// their turn.
+// their turn. The wait is at most failurePenalty: the only parent alive may have
+// been stale just before it found the source again.
 func (c *chooser) next(now time.Time, candidates []Parent) (p Parent, wait time.Duration, ok bool) {
 	for p, t := range c.until {
 		if !now.Before(t) {
@@ -110,7 +111,7 @@
 	best := slices.MinFunc(candidates, func(a, b Parent) int {
 		return cmp.Or(c.until[a].Compare(c.until[b]), cmp.Compare(c.fails[a], c.fails[b]))
 	})
-	return best, max(0, c.until[best].Sub(now)), true
+	return best, min(max(0, c.until[best].Sub(now)), failurePenalty), true
 }
 
 // failed notes why a parent was lost and returns the delay before the next try.
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -358,3 +358,15 @@
 		t.Fatalf("%d planned children", planned)
 	}
 }
+
+// Guards against a node that waits 10 s for the only parent alive, because that one
+// was stale once: after a repaired control group a note took 8.4 s to arrive.
+func TestOnlyCandidateIsAskedSoon(t *testing.T) {
+	c := newChooser("n2")
+	only := Parent{Host: "c1", Role: peer.RoleControl, DataCentre: "thun", Address: "127.0.0.1:1"}
+	now := time.Unix(1000, 0)
+	c.failed(now, only, time.Minute, ErrStale)
+	if p, wait, ok := c.next(now, []Parent{only}); !ok || p != only || wait > failurePenalty {
+		t.Fatalf("%v after %s, %v", p, wait, ok)
+	}
+}
