--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -106,6 +106,7 @@
 	UptimeMs      int64 `json:"uptime_ms"`
 	Limit         int   `json:"limit"`
 	InFlight      int   `json:"in_flight"`
+	Endpoints     int   `json:"endpoints"`
 	Position      struct {
 		Epoch uint64 `json:"epoch"`
 		Index uint64 `json:"index"`
--- a/bench/faults/env.go
+++ b/bench/faults/env.go
@@ -168,6 +168,9 @@
 	if err := demo.Eventually(startLimit, e.allServe); err != nil {
 		return err
 	}
+	if err := demo.Eventually(startLimit, e.allKnown); err != nil {
+		return err
+	}
 	if err := demo.Eventually(startLimit, e.noProblems); err != nil {
 		return err
 	}
@@ -175,6 +178,21 @@
 	return nil
 }
 
+// allKnown returns an error while a node does not know every backend server. A
+// scenario that stops one before the others are known would test the start instead.
+func (e *env) allKnown() error {
+	for _, s := range e.Servers {
+		st, err := s.Status()
+		if err != nil {
+			return err
+		}
+		if st.Endpoints < len(e.Servers) {
+			return fmt.Errorf("node %s knows %d of %d backend servers", s.Host, st.Endpoints, len(e.Servers))
+		}
+	}
+	return nil
+}
+
 // noProblems returns an error if a control host reports a problem, such as a
 // group without a leader.
 func (e *env) noProblems() error {
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -84,6 +84,8 @@
 	InFlight   int                  `json:"in_flight"`
 	Queued     int                  `json:"queued"`
 	Children   int                  `json:"children"`
+	// Endpoints is the number of live backend servers that the node knows.
+	Endpoints int `json:"endpoints"`
 	// SourceAgeMs is the age of the source's last word in milliseconds.
 	SourceAgeMs   int64 `json:"source_age_ms"`
 	Violations    int64 `json:"invariant_violations"`
@@ -102,6 +104,7 @@
 		Service: n.cfg.Backend.Service, Version: n.cfg.Backend.Version,
 		Position: n.acceptor.Position(), Routable: n.view.current() != nil, State: n.publisher.Current().State.String(),
 		Limit: n.gate.Limit(), InFlight: inFlight, Queued: queued, Children: n.children.Children(),
+		Endpoints:   n.endpoints.Living(),
 		SourceAgeMs: n.freshness.Age(now).Milliseconds(), Violations: invariant.Violations(),
 		BytesSent: sent, BytesReceived: received, UptimeMs: now.Sub(n.started).Milliseconds(),
 	})
