--- /dev/null
+++ b/mesh/control/decide_test.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/rollout"
+)
+
+func newTestDecider(m *Machine) (*decider, func() decisionState) {
+	c := &Control{machine: m}
+	d := &decider{l: &leader{c: c}, refused: map[model.ServiceName]uint64{}, returning: map[model.DataCentre]time.Time{}}
+	return d, c.decisionState
+}
+
+// rollOut applies a rollout command to the current move of the ledger.
+func (r *machineRun) rollOut(op rollout.Op, share model.Share, s rollout.Summary) {
+	r.t.Helper()
+	st := r.status()
+	res, ok := r.apply(encodeRollout(rollout.Command{Op: op, Move: rollout.Move{ID: st.Move.ID}, Time: st.Accepted + 1,
+		Expect: st.Sequence, Share: share, Summary: s, Reason: "test", Verdict: &rollout.Verdict{Bad: true}})).(rollout.Result)
+	if !ok || res.Outcome != rollout.OutcomeApplied {
+		r.t.Fatalf("%s: %+v", op, res)
+	}
+}
+
+// carryOut applies the commands that the leader proposes until it proposes none.
+func (r *machineRun) carryOut(d *decider, state func() decisionState) (n int) {
+	r.t.Helper()
+	for ; n < 10; n++ {
+		cmds := d.noteCommands(machineStart, state())
+		if len(cmds) == 0 {
+			return n
+		}
+		for _, c := range cmds {
+			r.note(c)
+		}
+	}
+	r.t.Fatal("the leader proposes commands without end")
+	return n
+}
+
+func (r *machineRun) shares() (s note.Shares, moved note.MoveState) {
+	r.m.View(func(n *note.State, _ *rollout.State) {
+		s = n.Config().Shares["ledger"]
+		for _, m := range n.Moves() {
+			if m.Move.Service == "ledger" {
+				moved = m
+			}
+		}
+	})
+	return s, moved
+}
+
+// A reversal that is accepted must reach the shares in force and the note, also
+// when the leader that decided it was lost between the two entries.
+func TestNewLeaderCarriesOutAnAcceptedReversal(t *testing.T) {
+	r := newMachineRun(t)
+	r.publish()
+	d, state := newTestDecider(r.m)
+	r.rollOut(rollout.OpStep, rollout.StartShare, rollout.Summary{})
+	r.carryOut(d, state)
+	if s, _ := r.shares(); s["v2"] != rollout.StartShare || s["v1"] != model.ShareAll-rollout.StartShare {
+		t.Fatalf("shares after the first step: %v", s)
+	}
+	r.rollOut(rollout.OpReverse, 0, rollout.Summary{})
+	d, state = newTestDecider(r.m) // the next leader knows the replicated state only
+	r.carryOut(d, state)
+	s, m := r.shares()
+	if s["v2"] != 0 || s["v1"] != model.ShareAll || m.Reversed.IsZero() {
+		t.Errorf("after the reversal: shares %v, move %+v", s, m)
+	}
+	if n := r.carryOut(d, state); n != 0 {
+		t.Errorf("%d rounds of commands for a move that is settled", n)
+	}
+}
+
+// A data centre is returning for the whole ramp, however often the leader looks,
+// and then in service.
+func TestReturnOfADataCentreEndsOnce(t *testing.T) {
+	r := newMachineRun(t)
+	r.publish()
+	r.note(note.Command{Operation: "op-3", TakeOut: &note.TakeOut{DataCentre: "thun"}})
+	r.note(note.Command{Operation: "op-4", BeginReturn: &note.BeginReturn{DataCentre: "thun"}})
+	d, state := newTestDecider(r.m)
+	for _, after := range []time.Duration{0, returnTime / 2, returnTime - time.Millisecond} {
+		now := machineStart.Add(after)
+		d.watchCentres(now, state().config)
+		if cmds := d.noteCommands(now, state()); len(cmds) != 0 {
+			t.Fatalf("after %s: %+v", after, cmds)
+		}
+	}
+	cmds := d.noteCommands(machineStart.Add(returnTime), state())
+	if len(cmds) != 1 || cmds[0].FinishReturn == nil {
+		t.Fatalf("after the ramp: %+v", cmds)
+	}
+	r.note(cmds[0])
+	d.watchCentres(machineStart.Add(returnTime), state().config)
+	if cmds := d.noteCommands(machineStart.Add(2*returnTime), state()); len(cmds) != 0 {
+		t.Errorf("once in service: %+v", cmds)
+	}
+}
