--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -234,3 +234,16 @@
 		t.Errorf("cut answer of a write: status %d, headers %v", w.Code, w.Header())
 	}
 }
+
+// The assertion on "not run" must fire if a call with a try of unknown outcome
+// were refused as not run after all.
+func TestFalseNotRunIsAViolation(t *testing.T) {
+	invariant.SetFatal(false)
+	defer invariant.SetFatal(true)
+	before := invariant.Violations()
+	c := &call{mayHaveRun: true, attempts: routing.NewAttempts(note.Route{}, time.Now(), routing.NewBudget(0), routing.NewRetryBucket())}
+	refuseCall(httptest.NewRecorder(), c, "test")
+	if n := invariant.Violations() - before; n != 1 {
+		t.Errorf("%d violations", n)
+	}
+}
--- /dev/null
+++ b/mesh/note/assert_test.go
@@ -0,0 +1,42 @@
+package note
+
+import (
+	"testing"
+	"time"
+
+	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/model"
+)
+
+// violations counts the violations of f, which do not stop it.
+func violations(f func()) int64 {
+	invariant.SetFatal(false)
+	defer invariant.SetFatal(true)
+	before := invariant.Violations()
+	f()
+	return invariant.Violations() - before
+}
+
+// The assertions must fire when an accepted change comes at an older position,
+// and when an accepted note cannot be folded into the base.
+func TestAssertionsFire(t *testing.T) {
+	s := NewState()
+	publish := func(number uint64, name model.ServiceName, index uint64) {
+		n := Note{Number: number, Title: "test", Moves: []Move{{Service: name, To: "v1", By: time.Unix(2e9, 0)}},
+			Services: Changes[Service]{Added: []Service{{Name: name, Slots: 1, Connections: 1}}}}
+		c := Command{Operator: "demo", Operation: model.OperationID(name), Time: time.Unix(1e9, 0), Publish: &Publish{Note: n}}
+		if r := s.Apply(c, model.Position{Epoch: 1, Index: index}); r.Code != CodeOK {
+			t.Fatalf("%+v", r)
+		}
+	}
+	publish(1, "a", 5)
+	if n := violations(func() { publish(2, "b", 3) }); n != 1 {
+		t.Errorf("%d violations for a position that goes back", n)
+	}
+	s = NewState()
+	s.limits.retained = 0
+	s.retained = []*Record{{Note: Note{Number: 1, Services: Changes[Service]{Withdrawn: []string{"unknown"}}}}}
+	if n := violations(s.fold); n != 1 {
+		t.Errorf("%d violations for a note that does not fold", n)
+	}
+}
