--- a/mesh/node/view.go
+++ b/mesh/node/view.go
@@ -54,6 +54,7 @@
 // run rebuilds the table at each change until ctx ends.
 func (v *view) run(ctx context.Context) error {
 	for {
+		seen := v.endpoints.Sequence()
 		v.acceptor.Refresh()
 		inForce := v.acceptor.InForce()
 		if inForce != nil {
@@ -61,7 +62,7 @@
 		}
 		select {
 		case <-v.acceptor.Changed(inForce):
-		case <-v.endpoints.Changed(v.cursor):
+		case <-v.endpoints.Changed(seen):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -84,6 +85,7 @@
 	changed, next := v.endpoints.Since(v.cursor)
 	v.cursor = next
 	v.builder.Announce(changed...)
+	v.builder.Forget(gone(changed)...)
 	t := v.builder.Table()
 	v.picker.SetTable(time.Now(), t)
 	v.table.Store(t)
@@ -100,6 +102,18 @@
 	}
 }
 
+// gone returns the hosts that have left or lapsed. The builder need not keep them:
+// the endpoint table lets no older record through, and 1,100 hosts are replaced a day.
+func gone(changed []membership.Announcement) []model.HostID {
+	var out []model.HostID
+	for _, a := range changed {
+		if !a.Alive() {
+			out = append(out, a.Host)
+		}
+	}
+	return out
+}
+
 func dataCentreState(cfg note.Config, dc model.DataCentre) note.DataCentreState {
 	if s, ok := cfg.DataCentres[dc]; ok {
 		return s
