Hand leadership over at a planned stop of a control host

Change: a control host hands every group that it leads to another voter before it closes its logs, for at most 1 s.

--- a/bench/faults/faults.go
+++ b/bench/faults/faults.go
@@ -43,6 +43,7 @@
 		{"source-outage", "stop all control hosts for 15 s", sourceOutage},
 		{"operators-race", "20 publishers race with the same note number", operatorsRace},
 		{"stops", "restart each node of the mesh in turn", stops},
+		{"control-stop", "restart each control host by SIGTERM, the leader first", controlStop},
 	}
 }
 
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -180,8 +180,29 @@
 // reconnect elsewhere.
 const handoffSpread = time.Second
 
-// stop hands the children over and closes the logs.
+// handOverLimit bounds the hand-over of one group; without it the others elect a
+// leader after the election time.
+const handOverLimit = time.Second
+
+// handOver gives the groups that this host leads to other voters, so that a
+// planned stop costs no election time.
+func (c *Control) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for number, l := range c.transport.all() {
+		wg.Go(func() {
+			if err := l.HandOver(ctx); err != nil {
+				c.log.Warn("leadership not handed over", "group", number, "reason", err.Error())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// stop hands leadership and children over and closes the logs.
 func (c *Control) stop() {
+	c.handOver()
 	c.admission.Drain(handoffSpread)
 	deadline := time.Now().Add(min(2*handoffSpread, c.cfg.Timeouts.Shutdown))
 	for c.admission.Children() > 0 && time.Now().Before(deadline) {
