--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -397,17 +396,13 @@
 
 // recvWithin reads one frame and aborts the stream if none comes in time.
 func recvWithin(st peer.Stream, v any, limit time.Duration) error {
-	timer := time.AfterFunc(limit, st.Abort)
-	err := st.Recv(v)
-	inTime := timer.Stop()
+	err := peer.RecvWithin(st, v, limit)
 	switch {
 	case err == nil:
 		return nil
-	case !inTime:
-		return eris.Wrapf(ErrSilent, "%s sent nothing for %s", st.Peer(), limit)
-	case errors.Is(err, io.EOF):
-		return eris.Wrapf(ErrClosed, "%s ended the stream", st.Peer())
+	case errors.Is(err, peer.ErrSilent):
+		return eris.Wrap(ErrSilent, err.Error())
 	default:
-		return eris.Wrapf(ErrClosed, "%s: %v", st.Peer(), err)
+		return eris.Wrap(ErrClosed, err.Error())
 	}
 }
--- a/mesh/peer/errors.go
+++ b/mesh/peer/errors.go
@@ -10,6 +10,8 @@
 	ErrUnreachable = errors.New("peer unreachable")
 	// ErrClosed is returned when the connection or stream ended.
 	ErrClosed = errors.New("peer connection closed")
+	// ErrSilent is returned when no frame came in time.
+	ErrSilent = errors.New("peer silent")
 	// ErrFrameTooLarge is returned for a frame above the size bound.
 	ErrFrameTooLarge = errors.New("frame too large")
 	// ErrBadFrame is returned for a frame that does not decode.
--- /dev/null
+++ b/mesh/peer/receive.go
@@ -0,0 +1,27 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// RecvWithin reads one frame into v and aborts the stream if none comes in time:
+// ErrSilent then, ErrClosed if the stream ended or failed.
+func RecvWithin(st Stream, v any, limit time.Duration) error {
+	timer := time.AfterFunc(limit, st.Abort)
+	err := st.Recv(v)
+	inTime := timer.Stop()
+	switch {
+	case err == nil:
+		return nil
+	case !inTime:
+		return eris.Wrapf(ErrSilent, "%s sent nothing for %s", st.Peer(), limit)
+	case errors.Is(err, io.EOF):
+		return eris.Wrapf(ErrClosed, "%s ended the stream", st.Peer())
+	default:
+		return eris.Wrapf(ErrClosed, "%s: %v", st.Peer(), err)
+	}
+}
