--- a/mesh/control/hosts.go
+++ b/mesh/control/hosts.go
@@ -26,12 +26,17 @@
 	return HostAddress{Host: h.Host, DataCentre: h.DataCentre, Peer: h.Peer}
 }
 
-// findHost looks a control host up in the replicated list, then among those
-// learned from others, then in the settings.
+// findHost looks a control host up in the replicated list, among the members of
+// the group, among those learned from others and in the settings. After a restart
+// the replicated list is empty until a leader is heard, which the members with
+// their addresses are needed for.
 func (c *Control) findHost(id model.HostID) (HostAddress, bool) {
 	if h, ok := c.machine.Host(id); ok {
 		return h, true
 	}
+	if m, ok := c.config.Status().Members.Find(id); ok && m.Address != "" {
+		return HostAddress{Host: id, Peer: m.Address}, true
+	}
 	if h, ok := c.learned.find(id); ok {
 		return h, true
 	}
@@ -43,6 +48,16 @@
 	return HostAddress{}, false
 }
 
+// SetControlHosts takes over the control hosts of changed settings.
+func (c *Control) SetControlHosts(hosts []settings.ControlHost) {
+	var out []HostAddress
+	for _, h := range hosts {
+		out = append(out, addressOf(h))
+	}
+	c.learned.add(out)
+	c.log.Info("control hosts of the settings taken over", "hosts", len(hosts))
+}
+
 // learnedHosts are the addresses that other control hosts told this one while it
 // was joining. One mutex guards them.
 type learnedHosts struct {
--- a/mesh/control/join.go
+++ b/mesh/control/join.go
@@ -37,8 +37,7 @@
 			if st.Leader != "" {
 				heard = now
 			}
-			recorded, ok := c.machine.Host(c.cfg.Host)
-			if !isMember(st) || now.Sub(heard) > joinPatience*c.cfg.Timeouts.Election || st.Leader != "" && (!ok || recorded != c.address()) {
+			if !isMember(st) || now.Sub(heard) > joinPatience*c.cfg.Timeouts.Election || st.Leader != "" && !c.isRecorded(st) {
 				c.askToJoin(ctx)
 			}
 		case <-ctx.Done():
@@ -54,6 +53,14 @@
 	return ok && (m.Disk == "" || m.Disk == st.Disk)
 }
 
+// isRecorded reports whether the address of this host stands among the members
+// and in the replicated list.
+func (c *Control) isRecorded(st replog.Status) bool {
+	m, _ := st.Members.Find(st.Self)
+	h, _ := c.machine.Host(c.cfg.Host)
+	return h == c.address() && m.Address == h.Peer
+}
+
 // address is how other control hosts reach this one.
 func (c *Control) address() HostAddress {
 	return HostAddress{Host: c.cfg.Host, DataCentre: c.cfg.DataCentre, Peer: c.ep.Addr().String()}
@@ -130,7 +137,7 @@
 		if l == nil {
 			return memberReply{}, eris.Wrapf(ErrForbidden, "no group %d", group)
 		}
-		if err := l.BeginAddHost(ctx, req.Address.Host, disk); err != nil {
+		if err := l.BeginAddHost(ctx, replog.Member{Host: req.Address.Host, Disk: disk, Address: req.Address.Peer}); err != nil {
 			return memberReply{}, eris.Wrapf(ErrNoLeader, "group %d: %v", group, err)
 		}
 	}
--- a/mesh/control/members.go
+++ b/mesh/control/members.go
@@ -45,7 +45,7 @@
 	case req.Remove:
 		err = l.RemoveHost(ctx, req.Host)
 	default:
-		err = l.AddHost(ctx, req.Host, req.Disk)
+		err = l.AddHost(ctx, replog.Member{Host: req.Host, Disk: req.Disk})
 	}
 	if err == nil {
 		return memberReply{Done: true}, nil
--- a/mesh/directory/directory.go
+++ b/mesh/directory/directory.go
@@ -19,12 +19,11 @@
 
 // Directory is a node's list of control hosts. One mutex guards it.
 type Directory struct {
+	mu sync.Mutex
 	// settings holds the addresses that the node's own settings state.
 	settings []Host
-
-	mu    sync.Mutex
-	index uint64
-	hosts []Host
+	index    uint64
+	hosts    []Host
 }
 
 // New returns a directory that begins with the hosts of the settings.
@@ -39,6 +38,27 @@
 	return d.hosts
 }
 
+// SetSettings replaces the hosts that the settings state.
+func (d *Directory) SetSettings(hosts []Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settings = hosts
+}
+
+// Fallback returns the hosts of the settings that are not in the list. They are
+// worth a try when no listed host answers.
+func (d *Directory) Fallback() []Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Host
+	for _, s := range d.settings {
+		if !slices.ContainsFunc(d.hosts, func(h Host) bool { return h.Host == s.Host }) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Update takes a list over and reports whether it differs from the present one.
 // An empty list and one that is older than the present one change nothing. The
 // address that the settings state for a host is kept, since a node may reach a
--- a/mesh/node/directory.go
+++ b/mesh/node/directory.go
@@ -18,6 +18,13 @@
 	return out
 }
 
+// SetControlHosts takes over the control hosts of changed settings. The node goes
+// to them when it reaches none of those it has learned.
+func (n *Node) SetControlHosts(hosts []settings.ControlHost) {
+	n.directory.SetSettings(beginWith(hosts))
+	n.log.Info("control hosts of the settings taken over", "hosts", len(hosts))
+}
+
 // followDirectory learns of control hosts that were added or removed.
 func (n *Node) followDirectory(ctx context.Context) error {
 	return n.keepStream(ctx, directory.Method, func(ctx context.Context, st peer.Stream) error {
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
@@ -31,9 +32,11 @@
 // controlHosts returns the control hosts in this node's order of preference:
 // those of its data centre first, then by rendezvous hash, so that the nodes
 // spread evenly.
-func (n *Node) controlHosts() []distribute.Parent {
+func (n *Node) controlHosts() []distribute.Parent { return n.inOrder(n.directory.Hosts()) }
+
+func (n *Node) inOrder(hosts []directory.Host) []distribute.Parent {
 	var out []distribute.Parent
-	for _, h := range n.directory.Hosts() {
+	for _, h := range hosts {
 		out = append(out, distribute.Parent{Host: h.Host, Role: peer.RoleControl, DataCentre: h.DataCentre, Address: h.Peer})
 	}
 	weight := func(p distribute.Parent) uint64 {
@@ -72,6 +75,9 @@
 	delays.InitialInterval, delays.MaxInterval = uplinkFirstDelay, uplinkMaxDelay
 	for i := 0; ctx.Err() == nil; i++ {
 		hosts := n.controlHosts()
+		if i >= len(hosts) {
+			hosts = append(hosts, n.inOrder(n.directory.Fallback())...)
+		}
 		host := hosts[i%len(hosts)]
 		started := time.Now()
 		err := n.streamOnce(ctx, host, method, serve)
--- a/mesh/replog/cluster_test.go
+++ b/mesh/replog/cluster_test.go
@@ -108,7 +108,7 @@
 	if c.role != Leader {
 		t.Fatalf("role is %s", c.role)
 	}
-	if err := c.AddHost("d", "d"); err == nil {
+	if err := c.AddHost(Member{Host: "d", Disk: "d"}); err == nil {
 		t.Fatal("a change of hosts was taken before the first entry of the term was accepted")
 	}
 	answer(MsgAppendReply, 4, 1)
@@ -208,7 +208,7 @@
 		if l == nil || l.id == id {
 			return false
 		}
-		_ = l.eng.core.AddHost(id, h.disk) // refused while another change runs
+		_ = l.eng.core.AddHost(Member{Host: id, Disk: h.disk}) // refused while another change runs
 		s.run(l)
 		m, ok := l.eng.core.Members().Find(id)
 		return ok && m.Voter && m.Disk == h.disk && l.eng.core.membersCommitted()
@@ -273,7 +273,7 @@
 	}
 	x := s.add("x", nil)
 	s.partition("x")
-	if err := s.awaitLeader().eng.core.AddHost("x", x.disk); err != nil {
+	if err := s.awaitLeader().eng.core.AddHost(Member{Host: "x", Disk: x.disk}); err != nil {
 		t.Fatal(err)
 	}
 	s.steps(electionSteps(5))
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -70,8 +70,8 @@
 
 // change is a call of AddHost, RemoveHost or HandOver.
 type change struct {
-	host   model.HostID
-	disk   DiskID
+	// member is the host to add; only its name counts for a removal.
+	member Member
 	remove bool
 	// handOver makes it a call of HandOver.
 	handOver bool
@@ -252,31 +252,26 @@
 	}
 }
 
-// AddHost makes host with the named disk a voter: first a learner, then a
+// AddHost makes a host with the named disk a voter: first a learner, then a
 // voter once it has caught up. If the host is a member with another disk, the
 // old identity is removed first. It returns when the host is a voter and may
 // be repeated after any error.
-func (l *Log) AddHost(ctx context.Context, host model.HostID, disk DiskID) error {
-	return l.changeHosts(ctx, change{host: host, disk: disk}, func(ms Members) bool {
-		m, ok := ms.Find(host)
-		return ok && m.Voter && m.Disk == disk
+func (l *Log) AddHost(ctx context.Context, host Member) error {
+	return l.changeHosts(ctx, change{member: host}, func(ms Members) bool {
+		m, ok := ms.Find(host.Host)
+		return ok && m.Voter && m.Disk == host.Disk
 	})
 }
 
 // BeginAddHost is AddHost without the wait: it returns when the leader has taken
 // the change. It may be repeated until the host is a voter.
-func (l *Log) BeginAddHost(ctx context.Context, host model.HostID, disk DiskID) error {
-	if st := l.Status(); st.MembersCommitted {
-		if m, ok := st.Members.Find(host); ok && m.Disk == disk {
-			return nil
-		}
-	}
-	return l.request(ctx, change{host: host, disk: disk})
+func (l *Log) BeginAddHost(ctx context.Context, host Member) error {
+	return l.request(ctx, change{member: host})
 }
 
 // RemoveHost removes a host from the group and returns when that is accepted.
 func (l *Log) RemoveHost(ctx context.Context, host model.HostID) error {
-	return l.changeHosts(ctx, change{host: host, remove: true}, func(ms Members) bool {
+	return l.changeHosts(ctx, change{member: Member{Host: host}, remove: true}, func(ms Members) bool {
 		_, ok := ms.Find(host)
 		return !ok
 	})
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -210,7 +210,7 @@
 		d := n.open(t, cfg, machine)
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
-		if err := leader.AddHost(ctx, "d", d.Status().Disk); err != nil {
+		if err := leader.AddHost(ctx, Member{Host: "d", Disk: d.Status().Disk, Address: "10.0.0.4:7"}); err != nil {
 			t.Fatal(err)
 		}
 		if got := machine.values(); len(got) < 30 || got[0] != big {
@@ -345,3 +345,33 @@
 		}
 	})
 }
+
+// Guards against a group that cannot form after all its hosts lost power: a host
+// must know the others' addresses from its log alone, before there is a leader
+// and so before any entry is known to be committed.
+func TestAddressesAreKnownWithoutALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		disks, _, logs := n.group(t, Config{}, threeHosts...)
+		leader := waitLeader(t, logs...)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		for _, l := range logs {
+			m := Member{Host: l.cfg.Self, Disk: l.Status().Disk, Address: "at-" + string(l.cfg.Self)}
+			if err := leader.AddHost(ctx, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, l := range logs {
+			n.close(t, l.cfg.Self)
+		}
+		self := threeHosts[0]
+		l := n.open(t, Config{Self: self, Dir: simDir, FS: disks[self]}, &listMachine{})
+		for _, id := range threeHosts {
+			if m, ok := l.Status().Members.Find(id); !ok || !m.Voter || m.Address != "at-"+string(id) {
+				t.Errorf("%s: %+v", id, m)
+			}
+		}
+	})
+}
--- a/mesh/replog/members.go
+++ b/mesh/replog/members.go
@@ -76,20 +76,25 @@
 	members Members
 }
 
-// AddHost proposes host with its disk as a learner. The leader makes it a
+// AddHost proposes a host with its disk as a learner. The leader makes it a
 // voter once it is caught up. If the host is a member with another disk, that
-// old identity is removed in the same change.
-func (c *Core) AddHost(host model.HostID, disk DiskID) error {
-	if disk == "" {
-		return eris.Wrapf(ErrMembers, "the disk of %s is not named", host)
+// old identity is removed in the same change; one with another address keeps its
+// vote.
+func (c *Core) AddHost(m Member) error {
+	if m.Disk == "" {
+		return eris.Wrapf(ErrMembers, "the disk of %s is not named", m.Host)
 	}
 	ms := c.Members()
-	if m, ok := ms.Find(host); ok && m.Disk == disk {
-		return nil
+	m.Voter = false
+	if known, ok := ms.Find(m.Host); ok && known.Disk == m.Disk {
+		if m.Address == "" || known.Address == m.Address {
+			return nil
+		}
+		m.Voter = known.Voter
 	}
-	next := ms.with(Member{Host: host, Disk: disk})
+	next := ms.with(m)
 	if next.Voters() == 0 {
-		return eris.Wrapf(ErrMembers, "%s is the last voter", host)
+		return eris.Wrapf(ErrMembers, "%s is the last voter", m.Host)
 	}
 	return c.proposeMembers(next)
 }
--- a/mesh/replog/message.go
+++ b/mesh/replog/message.go
@@ -39,6 +39,10 @@
 	Host  model.HostID `cbor:"1,keyasint" json:"host"`
 	Disk  DiskID       `cbor:"2,keyasint,omitempty" json:"disk"`
 	Voter bool         `cbor:"3,keyasint,omitempty" json:"voter"`
+	// Address is how other hosts reach this one; empty if their settings tell. It
+	// is in force with the member, so that a host knows it after a restart, before
+	// any entry is known to be committed.
+	Address string `cbor:"4,keyasint,omitempty" json:"address,omitempty"`
 }
 
 // Members are the hosts of the group, sorted by host.
--- a/mesh/replog/random_test.go
+++ b/mesh/replog/random_test.go
@@ -78,7 +78,7 @@
 					if rapid.Bool().Draw(t, "remove") {
 						_ = l.eng.core.RemoveHost(h.id)
 					} else {
-						_ = l.eng.core.AddHost(h.id, h.disk)
+						_ = l.eng.core.AddHost(Member{Host: h.id, Disk: h.disk})
 					}
 				}
 			},
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -120,9 +120,9 @@
 	case c.handOver:
 		err = l.engine.core.HandOver(time.Now())
 	case c.remove:
-		err = l.engine.core.RemoveHost(c.host)
+		err = l.engine.core.RemoveHost(c.member.Host)
 	default:
-		err = l.engine.core.AddHost(c.host, c.disk)
+		err = l.engine.core.AddHost(c.member)
 	}
 	if err == nil {
 		l.publish()
