--- a/mesh/cmd/balsamtraild/main.go
+++ b/mesh/cmd/balsamtraild/main.go
@@ -44,7 +44,8 @@
 	if err != nil {
 		return err
 	}
-	l := start(cfg.Process, "control")
+	l, closeLog := start(cfg.Process, "control")
+	defer closeLog()
 	h, err := control.New(ctx, cfg, l)
 	if err != nil {
 		return err
@@ -58,7 +59,8 @@
 	if err != nil {
 		return err
 	}
-	l := start(cfg.Process, "node")
+	l, closeLog := start(cfg.Process, "node")
+	defer closeLog()
 	n, err := node.New(ctx, cfg, l)
 	if err != nil {
 		return err
@@ -67,12 +69,12 @@
 }
 
 // start sets up the process's log and assertions.
-func start(p settings.Process, role string) *slog.Logger {
-	l := telemetry.NewLogger(os.Stderr, p.LogLevel, string(p.Host), role)
+func start(p settings.Process, role string) (l *slog.Logger, closeLog func()) {
+	l, closeLog = telemetry.OpenLog(os.Stdout, p.LogLevel, string(p.Host), role)
 	slog.SetDefault(l)
 	log.SetLogger(telemetry.KratosLogger(l))
 	invariant.SetFatal(p.InvariantsFatal)
-	return l
+	return l, closeLog
 }
 
 func main() {
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"time"
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/invariant"
@@ -26,8 +31,32 @@
 	outcomeAnswered   = "answered"
 )
 
+// When a refused caller had better come back. The times are spread, so that
+// callers that were refused together do not return together.
+const (
+	// comeBackBusy is about the time of one request at a backend server that has no room.
+	comeBackBusy = 60 * time.Millisecond
+	// comeBackDown is for a lack that lasts longer, such as that of a configuration
+	// or of any backend server.
+	comeBackDown = 300 * time.Millisecond
+)
+
+// comeBackAfter returns a time between the given one and twice that.
+func comeBackAfter(least time.Duration) time.Duration {
+	return least + rand.N(least)
+}
+
 // notRun refuses a request of which no byte reached a backend server's handler.
 func notRun(w http.ResponseWriter, status int, reason string) {
+	refuseFor(w, status, reason, comeBackDown)
+}
+
+func refuseFor(w http.ResponseWriter, status int, reason string, comeBack time.Duration) {
+	if status == http.StatusServiceUnavailable {
+		after := comeBackAfter(comeBack)
+		w.Header().Set(HeaderRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
 	w.Header().Set(HeaderNotRun, headerValue(reason))
 	refuse(w, status, outcomeNotRun, reason)
 }
@@ -74,8 +103,12 @@
 
 // refuseCall refuses a call as not run. It asserts that no try of it has an
 // unknown outcome.
-func refuseCall(w http.ResponseWriter, c *call, reason string) {
+func refuseCall(w http.ResponseWriter, c *call, t *try) {
 	invariant.Check(!c.mayHaveRun, invariant.TrueNotRun, "refused as not run after a try of unknown outcome",
 		"route", string(c.route.Name), "tried", c.attempts.Tried())
-	notRun(w, http.StatusServiceUnavailable, reason)
+	comeBack := comeBackBusy
+	if errors.Is(t.err, errNoServer) {
+		comeBack = comeBackDown
+	}
+	refuseFor(w, http.StatusServiceUnavailable, t.reason, comeBack)
 }
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -34,6 +34,8 @@
 	// stopping is set from the begin of a planned stop: callers are then asked to
 	// come back on another connection.
 	stopping atomic.Bool
+	// logged decides which requests have a line in the log.
+	logged *telemetry.Requests
 	// background are completions and releases of claims that outlive their request.
 	background sync.WaitGroup
 }
@@ -167,7 +169,7 @@
 	case t.answered():
 		sendAnswer(w, t.resp)
 	case t.notRun():
-		refuseCall(w, c, t.reason)
+		refuseCall(w, c, t)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		noAnswer(w, http.StatusGatewayTimeout, t)
 	default:
@@ -187,8 +189,14 @@
 	} else {
 		telemetry.Counter("entry.unanswered." + c.route.Kind.String()).Inc(1)
 	}
+	late := c.route.LatencyTarget > 0 && took > c.route.LatencyTarget
+	notable := status == 0 || status >= http.StatusInternalServerError || late || c.attempts != nil && len(c.attempts.Tried()) > 1
+	if notable && !e.logged.Notable() || !notable && !e.logged.Usual() {
+		return
+	}
 	e.log.Info("request routed", "request", c.id, "route", string(c.route.Name), "kind", c.route.Kind.String(),
 		"service", string(c.service), "version", string(t.server.Version), "host", string(t.server.Host),
-		"data_centre", string(t.server.DataCentre), "choice", t.server.Reason, "tries", len(c.attempts.Tried()), "status", status,
-		"not_run", t.notRun(), "reason", t.reason, "ms", float64(took.Microseconds())/1000)
+		"data_centre", string(t.server.DataCentre), "choice", t.server.Reason, "tried", c.attempts.Tried(), "status", status,
+		"not_run", t.notRun(), "reason", t.reason, "ms", float64(took.Microseconds())/1000, "late", late,
+		"position", e.dispatcher.position().String())
 }
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -24,6 +24,7 @@
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/rollout"
 	"balsamtrail.org/mesh/routing"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // scriptedCaller answers calls by a function of the address.
@@ -82,7 +83,7 @@
 		position: func() model.Position { return model.Position{} }, behind: func(peer.Identity, model.Position) {},
 	}
 	return &entry{
-		log: log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20,
+		log: log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20, logged: telemetry.NewRequests(),
 		calls: semaphore.NewWeighted(1000), bodies: semaphore.NewWeighted(bodyMemory),
 	}
 }
@@ -242,7 +243,7 @@
 	defer invariant.SetFatal(true)
 	before := invariant.Violations()
 	c := &call{mayHaveRun: true, attempts: routing.NewAttempts(note.Route{}, time.Now(), routing.NewBudget(0), routing.NewRetryBucket())}
-	refuseCall(httptest.NewRecorder(), c, "test")
+	refuseCall(httptest.NewRecorder(), c, &try{reason: "test"})
 	if n := invariant.Violations() - before; n != 1 {
 		t.Errorf("%d violations", n)
 	}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -25,6 +25,7 @@
 	"balsamtrail.org/mesh/rollout"
 	"balsamtrail.org/mesh/routing"
 	"balsamtrail.org/mesh/settings"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Node is the process beside one backend server.
@@ -139,9 +140,11 @@
 		queueLimit: n.cfg.Queue.Limit, queueTimeout: n.cfg.Queue.Timeout,
 		acceptor: n.acceptor, endpoints: n.endpoints, picker: n.picker, gate: n.gate, routable: n.routable,
 	}
+	logged := telemetry.NewRequests()
 	n.serving = &serving{
 		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
 		version:  func() model.ServiceVersion { return n.publisher.Current().Version },
+		logged:   logged,
 		position: n.acceptor.Position, behind: n.noteNewer,
 	}
 	if n.registration != nil {
@@ -162,9 +165,9 @@
 	}
 	n.entry = &entry{
 		log: n.log, dispatcher: d, table: n.view.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
-		service: n.cfg.Backend.Service,
-		calls:   semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
-		bodies:  semaphore.NewWeighted(max(bodyMemory, n.cfg.Limits.BodyBytes)),
+		logged: logged, service: n.cfg.Backend.Service,
+		calls:  semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
+		bodies: semaphore.NewWeighted(max(bodyMemory, n.cfg.Limits.BodyBytes)),
 	}
 }
 
--- a/mesh/node/platform_test.go
+++ b/mesh/node/platform_test.go
@@ -20,6 +20,7 @@
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/registration"
 	"balsamtrail.org/mesh/settings"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // An unkeyed write must never be sent a second time once it may have run, and
@@ -122,7 +123,7 @@
 		"has not run":     {raw: "HTTP/1.1 429 No\r\nBalsamtrail-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", want: reasonShed},
 	} {
 		s := &serving{
-			log: slog.New(slog.DiscardHandler), service: "ledger", backend: rawServer(t, c.raw),
+			log: slog.New(slog.DiscardHandler), logged: telemetry.NewRequests(), service: "ledger", backend: rawServer(t, c.raw),
 			version:  func() model.ServiceVersion { return "v1" },
 			gate:     admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 2}}),
 			position: func() model.Position { return model.Position{} }, behind: func(peer.Identity, model.Position) {},
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -43,6 +43,8 @@
 	position func() model.Position
 	// behind is told of a peer that knows a newer position; it does not block.
 	behind func(from peer.Identity, pos model.Position)
+	// logged decides which refusals have a line in the log.
+	logged *telemetry.Requests
 	// lost is told that the backend server is gone or another one took its place;
 	// nil if it does not register itself.
 	lost func(reason string)
@@ -79,13 +81,21 @@
 // refuse logs and counts a refusal and builds its response.
 func (s *serving) refuse(req *callmux.Request, reason string, notRun bool) *callmux.Response {
 	telemetry.Counter("serving.refused").Inc(1)
-	s.log.Info("request refused", "route", string(req.Route), "kind", req.Kind.String(), "reason", reason, "not_run", notRun)
+	if s.logged.Notable() {
+		s.logRefusal(req, reason, notRun)
+	}
 	return &callmux.Response{
 		Position: s.position(), Limit: s.gate.Limit(),
 		Refusal: &callmux.Refusal{Reason: reason, NotRun: notRun},
 	}
 }
 
+func (s *serving) logRefusal(req *callmux.Request, reason string, notRun bool) {
+	inFlight, queued := s.gate.Load()
+	s.log.Info("request refused", "request", http.Header(req.Header).Get(HeaderRequestID), "in_flight", inFlight, "queued", queued,
+		"limit", s.gate.Limit(), "position", s.position().String(), "route", string(req.Route), "kind", req.Kind.String(), "reason", reason, "not_run", notRun)
+}
+
 // decline refuses a request that the backend server has not seen.
 func (s *serving) decline(req *callmux.Request, reason string) *callmux.Response {
 	resp := s.refuse(req, reason, true)
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -37,7 +37,7 @@
 		e.finishWrite(w, grant, t)
 	case t.notRun():
 		e.settle(func(ctx context.Context) error { return e.claims.Release(ctx, grant, t.reason) })
-		refuseCall(w, c, t.reason)
+		refuseCall(w, c, t)
 	default:
 		// The claim stays in progress until its run deadline and is then marked as
 		// unknown, so that no resend runs it again.
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 )
@@ -16,6 +17,16 @@
 	return slog.New(h).With("self", host, "role", role)
 }
 
+// closeLimit bounds how long the end of a process waits for a slow output of its log.
+const closeLimit = 500 * time.Millisecond
+
+// OpenLog returns a logger that writes to out without ever blocking, and a
+// function that writes the last lines at the end of the process.
+func OpenLog(out io.Writer, level slog.Level, host, role string) (*slog.Logger, func()) {
+	w := NewWriter(out)
+	return NewLogger(w, level, host, role), func() { w.Close(closeLimit) }
+}
+
 // kratosLogger feeds kratos log calls into slog.
 type kratosLogger struct{ log *slog.Logger }
 
--- /dev/null
+++ b/mesh/telemetry/telemetry_test.go
@@ -0,0 +1,79 @@
+package telemetry
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedOutput blocks each write until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// A blocked output must neither delay the code that logs nor take memory without
+// bound, and what was dropped must be counted.
+func TestBlockedOutputDelaysNothing(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	w := NewWriter(out)
+	log := slog.New(slog.NewJSONHandler(w, nil))
+	before := Counter(MetricLogDropped).Count()
+	began := time.Now()
+	for range 20_000 {
+		log.Info("line", "text", strings.Repeat("x", 100))
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("20,000 lines took %s", took)
+	}
+	if Counter(MetricLogDropped).Count() == before {
+		t.Error("nothing was counted as dropped")
+	}
+	w.mu.Lock()
+	held := len(w.lines)
+	w.mu.Unlock()
+	if held > logBuffer {
+		t.Errorf("%d bytes are held", held)
+	}
+	close(out.release)
+	w.Close(5 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if !strings.HasSuffix(out.got.String(), "}\n") {
+		t.Error("the last line that was kept is not whole")
+	}
+}
+
+// Many failures in a second must not flood the log.
+func TestRequestLinesAreBounded(t *testing.T) {
+	r := NewRequests()
+	logged := 0
+	for range 100_000 {
+		if r.Notable() {
+			logged++
+		}
+	}
+	if logged < detailBurst || logged > 2*detailBurst+detailRate {
+		t.Errorf("%d lines in detail", logged)
+	}
+	usual := 0
+	for range 1000 {
+		if r.Usual() {
+			usual++
+		}
+	}
+	if usual != 1000/sampleEvery {
+		t.Errorf("%d of 1000 usual requests", usual)
+	}
+}
