--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -4,15 +4,16 @@
 	"context"
 	"errors"
 	"io"
-	"net"
+	"log/slog"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/serverconn"
 )
 
 // Headers between callers, nodes and backend servers.
@@ -50,6 +51,9 @@
 	connections int
 	// dialTimeout bounds a new connection; the host is the same one, so it is short.
 	dialTimeout time.Duration
+	// echoHeader names the header by which the backend server repeats the id of a request.
+	echoHeader string
+	log        *slog.Logger
 	// frontEnd translates requests and answers; nil for none.
 	frontEnd func(http.RoundTripper) http.RoundTripper
 }
@@ -57,33 +61,24 @@
 // backend forwards requests to the node's own backend server over connections
 // that are kept alive.
 type backend struct {
-	base      *url.URL
-	transport *http.Transport
-	// trip is the transport, or a front end's translation around it.
+	base  *url.URL
+	conns *serverconn.Client
+	// trip is conns, or a front end's translation around it.
 	trip http.RoundTripper
 	// instance names the backend server that registered last; "" if it does not register.
 	instance atomic.Pointer[string]
 }
 
-// idleConnLimit drops connections that were unused for long, so that one which
-// went silent is seldom met.
-const idleConnLimit = 30 * time.Second
-
 func newBackend(cfg backendConfig) *backend {
-	d := net.Dialer{Timeout: cfg.dialTimeout, KeepAlive: 5 * time.Second}
-	b := &backend{
-		base: cfg.base,
-		transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxConnsPerHost:     cfg.connections,
-			MaxIdleConnsPerHost: cfg.connections,
-			IdleConnTimeout:     idleConnLimit,
-			DisableCompression:  true,
-		},
+	if cfg.echoHeader == "" {
+		cfg.echoHeader = HeaderRequestID
 	}
-	b.trip = b.transport
+	b := &backend{base: cfg.base, conns: serverconn.New(serverconn.Config{
+		Address: cfg.base.Host, Connections: cfg.connections, DialTimeout: cfg.dialTimeout, EchoHeader: cfg.echoHeader, Log: cfg.log,
+	})}
+	b.trip = b.conns
 	if cfg.frontEnd != nil {
-		b.trip = cfg.frontEnd(b.transport)
+		b.trip = cfg.frontEnd(b.conns)
 	}
 	b.setInstance("")
 	return b
@@ -105,31 +100,22 @@
 	idempotent bool
 }
 
-// errStaleConn marks a request that was lost on a kept-alive connection, which
-// the backend server may just have closed. It says nothing about its load.
-var errStaleConn = errors.New("kept-alive connection lost")
-
-// do sends one request, and exactly once unless it is idempotent. ErrNotRun means that no connection was
-// obtained or that the backend server itself said so; after any other error the
-// request may have run.
+// do sends one request, and exactly once unless it is idempotent. ErrNotRun means
+// that no byte of it was sent; after any other error the request may have run.
 func (b *backend) do(ctx context.Context, r backendRequest) (*http.Response, error) {
-	var connected, reused atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { connected.Store(true); reused.Store(i.Reused) },
-	})
+	if r.idempotent {
+		ctx = serverconn.Repeatable(ctx)
+	}
 	req, err := b.newRequest(ctx, r)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotRun, "malformed request: %v", err)
 	}
 	resp, err := b.trip.RoundTrip(req)
-	if err != nil {
-		switch {
-		case connected.Load() && reused.Load() && ctx.Err() == nil:
-			return nil, errors.Join(ErrOutcomeUnknown, errStaleConn, err)
-		case connected.Load():
-			return nil, eris.Wrapf(ErrOutcomeUnknown, "backend server: %v", err)
-		}
-		return nil, eris.Wrapf(ErrNotRun, "backend server unreachable: %v", err)
+	switch {
+	case errors.Is(err, serverconn.ErrNotSent):
+		return nil, errors.Join(ErrNotRun, err)
+	case err != nil:
+		return nil, errors.Join(ErrOutcomeUnknown, err)
 	}
 	return resp, nil
 }
@@ -159,10 +145,8 @@
 	if id := *b.instance.Load(); id != "" {
 		req.Header.Set(HeaderInstance, id)
 	}
-	// http.Transport sends a request again after a lost connection if it has no
-	// body and carries an Idempotency-Key. A body without GetBody prevents that.
-	if r.body != nil || !r.idempotent {
-		req.Body = onceBody{r.body}
+	if r.body != nil && r.length != 0 {
+		req.Body = io.NopCloser(r.body)
 	}
 	req.ContentLength = r.length
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(r.timeout.Milliseconds(), 1), 10))
@@ -170,19 +154,7 @@
 	return req, nil
 }
 
-func (b *backend) close() { b.transport.CloseIdleConnections() }
-
-// onceBody is a request body that cannot be rewound.
-type onceBody struct{ r io.Reader }
-
-func (o onceBody) Read(p []byte) (int, error) {
-	if o.r == nil {
-		return 0, io.EOF
-	}
-	return o.r.Read(p)
-}
-
-func (onceBody) Close() error { return nil }
+func (b *backend) close() { b.conns.Close() }
 
 // hopHeaders are meant for one connection only and are not forwarded.
 var hopHeaders = []string{
--- a/mesh/node/frontend.go
+++ b/mesh/node/frontend.go
@@ -10,6 +10,9 @@
 	Caller func(http.Handler) http.Handler
 	// Backend translates the requests to the backend server, and its answers.
 	Backend func(http.RoundTripper) http.RoundTripper
+	// BackendEcho names the header by which the backend server repeats the id of a
+	// request, in the platform's words; empty stands for HeaderRequestID.
+	BackendEcho string
 	// Ready translates readiness probes.
 	Ready func(http.Handler) http.Handler
 	// Registration serves the backend server's own reports.
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := n.backend.transport.RoundTrip(req)
+	resp, err := n.backend.trip.RoundTrip(req)
 	if err != nil {
 		return false
 	}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -99,6 +99,7 @@
 	}
 	n.backend = newBackend(backendConfig{
 		base: base, connections: cfg.Backend.Connections, dialTimeout: cfg.Timeouts.Connect, frontEnd: n.frontEnd.Backend,
+		echoHeader: n.frontEnd.BackendEcho, log: log,
 	})
 	n.buildControlSide()
 	if err := n.openCache(); err != nil {
--- a/mesh/node/registrar.go
+++ b/mesh/node/registrar.go
@@ -69,6 +69,7 @@
 	n.log.Info("backend server registered", "instance", h.Instance, "started", h.Started, "sequence", h.Sequence,
 		"version", string(h.Version), "slots", h.Slots, "cold_for", h.ColdFor.String(), "draining", h.State == registration.StateDraining)
 	n.backend.setInstance(h.Instance)
+	n.backend.conns.Reset()
 	n.gate.Start(h.Slots, h.ColdFor)
 	n.publisher.Restart(h.Version, h.Slots, time.Now())
 	r.lost = false
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -17,6 +17,7 @@
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/serverconn"
 	"balsamtrail.org/mesh/telemetry"
 )
 
@@ -29,7 +30,6 @@
 	reasonLost        = "no answer from the backend server"
 	reasonUnframed    = "long answer of the backend server has no length"
 	reasonCutShort    = "answer of the backend server broke off"
-	reasonForeign     = "answer of the backend server names another request"
 )
 
 // serving answers calls of other nodes, and of the own entry side, by the own
@@ -119,7 +119,7 @@
 			s.lost(err.Error())
 		}
 		return s.refuse(req, unreachableReason(ctx), true)
-	case errors.Is(err, errStaleConn):
+	case errors.Is(err, serverconn.ErrStale):
 		release(admission.Outcome{Result: admission.ResultCancelled, Latency: latency})
 		return s.refuse(req, reasonLost, false)
 	case err != nil:
@@ -132,11 +132,6 @@
 		}
 		release(admission.Outcome{Result: admission.ResultRefused, Latency: latency})
 		return s.refuse(req, reasonShed, true)
-	case foreignAnswer(req, resp):
-		// Closing the body before its end closes the connection too.
-		_ = resp.Body.Close()
-		release(admission.Outcome{Result: admission.ResultLost, Latency: latency})
-		return s.refuse(req, reasonForeign, false)
 	}
 	if err := readWhole(resp); err != nil {
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
@@ -145,14 +140,6 @@
 	return s.answer(resp, release, admission.Outcome{Result: answerResult(resp.StatusCode), Latency: latency})
 }
 
-// foreignAnswer reports whether the answer names another request. A backend
-// server that was asked with an id returns it.
-func foreignAnswer(req *callmux.Request, resp *http.Response) bool {
-	want := http.Header(req.Header).Get(HeaderRequestID)
-	got := resp.Header.Get(HeaderRequestID)
-	return want != "" && got != "" && got != want
-}
-
 // wholeAnswerLimit is the size up to which an answer is read whole before any of
 // it is passed on, so that one that breaks off can be tried again elsewhere.
 const wholeAnswerLimit = 256 << 10
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -171,7 +171,7 @@
 	d.recorder.Record(now, rollout.Observation{
 		Service: t.server.Service, Version: t.server.Version, Route: c.route.Name, Kind: c.route.Kind,
 		DataCentre: t.server.DataCentre, ServerAge: now.Sub(time.UnixMilli(int64(t.server.Incarnation))),
-		Outcome: t.outcome(), Latency: t.latency,
+		ColdTime: t.server.ColdTime, Outcome: t.outcome(), Latency: t.latency,
 	})
 }
 
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -125,7 +125,7 @@
 
 // evidenceInterval is how often the outcomes of calls are reported while a
 // service is in a move.
-const evidenceInterval = 500 * time.Millisecond
+const evidenceInterval = 250 * time.Millisecond
 
 // reportEvidence learns the active moves and reports the outcomes of calls.
 func (n *Node) reportEvidence(ctx context.Context) error {
--- a/mesh/rollout/bound.go
+++ b/mesh/rollout/bound.go
@@ -25,10 +25,10 @@
 // only under load can still be compared there.
 var levels = []level{
 	{share: 100, next: 500, calls: 8, errors: 0.26, slow: 0.55},
-	{share: 500, next: 2000, calls: 25, errors: 0.10, slow: 0.30},
-	{share: 2000, next: 5000, calls: 70, errors: 0.04, slow: 0.20},
-	{share: 5000, next: 8000, calls: 110, errors: 0.025, slow: 0.15},
-	{share: 8000, next: model.ShareAll, calls: 150, errors: 0.02, slow: 0.12},
+	{share: 500, next: 2000, calls: 25, errors: 0.10, slow: 0.45},
+	{share: 2000, next: 5000, calls: 70, errors: 0.04, slow: 0.40},
+	{share: 5000, next: 8000, calls: 110, errors: 0.025, slow: 0.35},
+	{share: 8000, next: model.ShareAll, calls: 150, errors: 0.02, slow: 0.35},
 }
 
 const (
--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -15,6 +15,8 @@
 	reportCoverage = 0.5
 	// settle is how long shares are held after a data centre was taken out or returned.
 	settle = 5 * time.Second
+	// settleDwells bounds that time for moves with a near deadline.
+	settleDwells = 2
 	// stormRate is the old version's error rate above which nothing is moved.
 	// Its windows do not count as evidence for a step.
 	stormRate    = 0.10
@@ -198,7 +200,7 @@
 		return "suspicion: " + d.verdict.String()
 	case d.now.Sub(d.st.Changed.Time()) < d.dwell() || s.Windows == 0 && !s.Absent:
 		return "the last step is too recent"
-	case d.now.Sub(d.capacity.Disturbed) < settle:
+	case d.now.Sub(d.capacity.Disturbed) < min(settle, settleDwells*d.st.minDwell()):
 		return "a data centre was just taken out or returned"
 	case !s.covered(reportCoverage):
 		return fmt.Sprintf("reports are missing: %d of %d nodes", s.Reported, s.Nodes)
@@ -217,7 +219,7 @@
 
 // overCapacity reports whether the present share is more than the new version bears.
 func (d decision) overCapacity() bool {
-	recent := d.now.Sub(d.st.Changed.Time()) < minDwell
+	recent := d.now.Sub(d.st.Changed.Time()) < d.st.minDwell()
 	return !recent && d.refusing() && d.capacity.NewServers > 0 && d.capacity.bearable() < d.st.Share
 }
 
@@ -229,7 +231,7 @@
 		return Step{Reason: "suspicion: " + d.verdict.String()}
 	case d.alone && d.capacity.OldServers > 0 && h.relapses < maxRelapses:
 		return d.backForComparison(h)
-	case d.now.Sub(d.st.Changed.Time()) < minDwell || d.summary.Windows < badWindows && !d.summary.Absent:
+	case d.now.Sub(d.st.Changed.Time()) < d.st.minDwell() || d.summary.Windows < badWindows && !d.summary.Absent:
 		return Step{Reason: "the last step is too recent"}
 	}
 	return Step{Op: OpComplete, Share: model.ShareAll, Reason: d.why()}
@@ -240,6 +242,10 @@
 	if d.st.Share < model.ShareAll {
 		return d.compare()
 	}
+	if d.st.Move.WatchFor == 0 {
+		// Nothing is kept to go back to.
+		return Step{Op: OpEndWatch, Share: model.ShareAll, Reason: "no watch was asked for"}
+	}
 	h := historyOf(d.st)
 	rested := d.now.Sub(h.last.Time()) >= comparePause<<min(h.comparisons, maxPauses)
 	switch {
@@ -278,7 +284,7 @@
 	if d.st.Share == nearShare {
 		return nearDwell
 	}
-	return minDwell
+	return d.st.minDwell()
 }
 
 // compare raises the share again while the comparison shows no difference.
--- a/mesh/rollout/evidence.go
+++ b/mesh/rollout/evidence.go
@@ -8,7 +8,8 @@
 
 // Spans of the evidence.
 const (
-	// windowMin and windowMax bound a window. It closes at windowMin once both
+	// windowMin and windowMax bound a window; that of a move with a near deadline
+	// may be half its least dwell. It closes at windowMin once both
 	// versions have calls in it, because only then it tells them apart.
 	windowMin = time.Second
 	windowMax = 5 * time.Second
@@ -99,6 +100,8 @@
 	unavailable      Instant
 	unavailableTries uint64
 	nodes, reported  uint32
+	// windowMin is the least length of a window of this move.
+	windowMin time.Duration
 	// sharedCalls says that in the last window most calls of the new version had calls of the old one beside them.
 	sharedCalls bool
 }
@@ -111,6 +114,7 @@
 		open: map[stratum]*pair{}, openedAt: at, tests: map[testKey]*detector{},
 		latency: map[stratum]*histogram{}, baseline: map[routeKey]*rates{},
 		sinceRoutes: map[routeKey]versions{}, sinceAt: at, lastCall: at,
+		windowMin: min(windowMin, st.minDwell()/2),
 	}
 }
 
@@ -162,7 +166,7 @@
 	}
 	age := at.Time().Sub(e.openedAt.Time())
 	oneSided := e.share == model.ShareAll && after > 0
-	if age < windowMin || age < windowMax && (before == 0 || after == 0) && !oneSided {
+	if age < e.windowMin || age < windowMax && (before == 0 || after == 0) && !oneSided {
 		return
 	}
 	e.closeWindow(at)
--- a/mesh/rollout/localstop.go
+++ b/mesh/rollout/localstop.go
@@ -11,9 +11,12 @@
 const (
 	stopWindow    = 5 * time.Second
 	stopErrors    = 8
-	stopErrorRate = 0.5 // of the new version, at least
-	stopOldRate   = 0.1 // of the old version, at most
-	stopOldCalls  = 8
+	stopErrorRate = 0.35 // of the new version, at least
+	// stopSlow is how many times the old version's mean a call of the new version
+	// must take to count like an error. Cold backend servers are about twice as slow.
+	stopSlow     = 4
+	stopOldRate  = 0.1 // of the old version, at most
+	stopOldCalls = 8
 	// stopFor is how long a stop lasts. It covers the time in which the leader
 	// gathers evidence and its reversal arrives; a wrong stop heals after it.
 	stopFor = 10 * time.Second
@@ -39,9 +42,19 @@
 	now, last [2]tally // old version, new version
 }
 
-type tally struct{ calls, errors int }
+type tally struct {
+	calls, errors int
+	took          time.Duration
+}
+
+func (t tally) plus(o tally) tally {
+	return tally{t.calls + o.calls, t.errors + o.errors, t.took + o.took}
+}
 
-func (t tally) plus(o tally) tally { return tally{t.calls + o.calls, t.errors + o.errors} }
+// slower reports whether a call took several times the mean, if enough calls tell.
+func (t tally) slower(took time.Duration) bool {
+	return t.calls >= stopOldCalls && took > stopSlow*t.took/time.Duration(t.calls)
+}
 
 func (t tally) rate() float64 { return float64(t.errors) / float64(max(t.calls, 1)) }
 
@@ -78,7 +91,8 @@
 	}
 	c.turn(now)
 	c.now[side].calls++
-	if o.Outcome == CallError {
+	c.now[side].took += o.Latency
+	if o.Outcome == CallError || side == 1 && c.now[0].plus(c.last[0]).slower(o.Latency) {
 		c.now[side].errors++
 	}
 	before, after := c.now[0].plus(c.last[0]), c.now[1].plus(c.last[1])
--- a/mesh/rollout/plan.go
+++ b/mesh/rollout/plan.go
@@ -11,6 +11,11 @@
 	// minDwell is the least time at a share: a step is in force everywhere
 	// within about 2 s, and a window must follow it.
 	minDwell = 3 * time.Second
+	// A move whose deadline is near is paced faster: it stays at a share for at
+	// least a part of its whole time, but never less than leastDwell, in which a
+	// share is in force on most nodes and a window of evidence follows.
+	dwellParts = 14
+	leastDwell = 500 * time.Millisecond
 	// maxDwell bounds the time at a share that the plan asks for when the deadline is far.
 	maxDwell = 2 * time.Minute
 	// paced is the part of the remaining time that the plan spreads over the remaining levels; the rest is reserve.
@@ -32,6 +37,11 @@
 	Forecast Instant
 }
 
+// minDwell is the least time at a share of the move.
+func (s Status) minDwell() time.Duration {
+	return min(minDwell, max(s.Move.By.Time().Sub(s.Accepted.Time())/dwellParts, leastDwell))
+}
+
 // PlanOf plans the rest of a move. callsPerSecond are the service's calls on both versions.
 func PlanOf(now time.Time, st Status, s Summary, callsPerSecond float64) Plan {
 	left := 0
@@ -42,9 +52,9 @@
 	}
 	rest := st.Move.By.Time().Sub(st.Changed.Time())
 	dwell := time.Duration(paced * float64(rest) / float64(max(left, 1)))
-	p := Plan{Dwell: min(max(dwell, minDwell), maxDwell)}
+	p := Plan{Dwell: min(max(dwell, st.minDwell()), maxDwell)}
 	p.Next = st.Changed.add(p.Dwell)
-	p.Soonest = st.Changed.add(max(minDwell, p.Dwell/2))
+	p.Soonest = st.Changed.add(max(st.minDwell(), p.Dwell/2))
 	p.Forecast = forecast(now, st, s, callsPerSecond)
 	return p
 }
@@ -53,7 +63,7 @@
 func forecast(now time.Time, st Status, s Summary, callsPerSecond float64) Instant {
 	at := InstantOf(now)
 	if st.Share == model.ShareAll {
-		return at.add(minDwell)
+		return at.add(st.minDwell())
 	}
 	if callsPerSecond <= 0 {
 		return 0
@@ -67,9 +77,9 @@
 		missing := max(l.calls-collected, 0)
 		collected = 0
 		need := time.Duration(missing / (callsPerSecond * float64(share) / float64(model.ShareAll)) * float64(time.Second))
-		at = at.add(max(minDwell, need))
+		at = at.add(max(st.minDwell(), need))
 	}
-	return at.add(minDwell)
+	return at.add(st.minDwell())
 }
 
 // atRisk reports whether the deadline is in danger: the forecast lies behind
--- a/mesh/rollout/recorder.go
+++ b/mesh/rollout/recorder.go
@@ -18,8 +18,17 @@
 	DataCentre model.DataCentre // of the backend server
 	// ServerAge is the time since the backend server's incarnation was first seen.
 	ServerAge time.Duration
-	Outcome   CallOutcome
-	Latency   time.Duration
+	// ColdTime is how long a backend server of the service is cold; 0 stands for ColdFor.
+	ColdTime time.Duration
+	Outcome  CallOutcome
+	Latency  time.Duration
+}
+
+func (o Observation) cold() bool {
+	if o.ColdTime > 0 {
+		return o.ServerAge < o.ColdTime
+	}
+	return o.ServerAge < ColdFor
 }
 
 // maxRecorderCells bounds a recorder's memory to about 2.5 MB.
@@ -69,7 +78,7 @@
 	if !r.watched[o.Service] {
 		return
 	}
-	k := Key{Service: o.Service, Version: o.Version, Route: o.Route, Kind: o.Kind, DataCentre: o.DataCentre, Cold: o.ServerAge < ColdFor}
+	k := Key{Service: o.Service, Version: o.Version, Route: o.Route, Kind: o.Kind, DataCentre: o.DataCentre, Cold: o.cold()}
 	c, ok := r.cells[k]
 	if !ok {
 		if len(r.cells) >= maxRecorderCells {
--- a/mesh/routing/builder.go
+++ b/mesh/routing/builder.go
@@ -125,7 +125,7 @@
 }
 
 func (b *Builder) buildService(name model.ServiceName) *serviceTable {
-	s := &serviceTable{shares: b.cfg.Shares[name], pools: map[model.ServiceVersion][]membership.Announcement{}}
+	s := &serviceTable{shares: b.cfg.Shares[name], coldTime: b.cfg.Services[name].ColdTime, pools: map[model.ServiceVersion][]membership.Announcement{}}
 	for _, a := range b.services[name] {
 		if a.State == membership.StateServing && b.cfg.DataCentres[a.DataCentre] != note.DataCentreOut {
 			s.pools[a.Version] = append(s.pools[a.Version], a)
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -275,6 +275,8 @@
 type Choice struct {
 	membership.Announcement
 	Reason string
+	// ColdTime is how long backend servers of the service are cold; 0 if not stated.
+	ColdTime time.Duration
 }
 
 // BackendServer chooses the backend server of a try and counts it as in
@@ -297,7 +299,7 @@
 	}
 	p.check(h, service)
 	h.inFlight++
-	return Choice{Announcement: h.Announcement, Reason: reason}, nil
+	return Choice{Announcement: h.Announcement, Reason: reason, ColdTime: v.source.coldTime}, nil
 }
 
 func (p *Picker) check(h *host, service model.ServiceName) {
--- a/mesh/routing/table.go
+++ b/mesh/routing/table.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -31,6 +32,8 @@
 
 type serviceTable struct {
 	shares note.Shares
+	// coldTime is how long a backend server is cold after its start; 0 if not stated.
+	coldTime time.Duration
 	// pools has the backend servers that take new work, by version.
 	pools map[model.ServiceVersion][]membership.Announcement
 }
--- /dev/null
+++ b/mesh/serverconn/conn.go
@@ -0,0 +1,255 @@
+package serverconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/telemetry"
+)
+
+const (
+	bufferSize = 4 << 10
+	// shortBody is the size up to which a request is written before its answer is
+	// read. A longer one is written beside that, since a server may answer before it
+	// has read all of it.
+	shortBody = 16 << 10
+	// maxForeign bounds the answers to other requests that are passed over.
+	maxForeign = 3
+	// keepAliveMargin is kept of the idle time that the server states.
+	keepAliveMargin = 500 * time.Millisecond
+)
+
+// conn is one connection. It belongs to the request that uses it, or to the
+// client while it is idle.
+type conn struct {
+	client *Client
+	raw    net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	// sent and received count the bytes of the present request. A long request is
+	// written by a goroutine of its own.
+	sent     atomic.Int64
+	received int64
+	// kept is set once the connection has been given back.
+	kept bool
+	// used is when the connection was given back; idleLimit how long it may stay so.
+	used      time.Time
+	idleLimit time.Duration
+}
+
+func newConn(c *Client, raw net.Conn) *conn {
+	cn := &conn{client: c, raw: raw, idleLimit: c.cfg.IdleLimit}
+	cn.r, cn.w = bufio.NewReaderSize(countingReader{cn}, bufferSize), bufio.NewWriterSize(countingWriter{cn}, bufferSize)
+	return cn
+}
+
+type countingReader struct{ cn *conn }
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.cn.raw.Read(p)
+	r.cn.received += int64(n)
+	return n, err
+}
+
+type countingWriter struct{ cn *conn }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.cn.raw.Write(p)
+	w.cn.sent.Add(int64(n))
+	return n, err
+}
+
+// quiet reports whether an idle connection is open and nothing has arrived on it.
+// Bytes that nobody asked for belong to no request.
+func (cn *conn) quiet() bool {
+	if cn.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange sends the request and returns its answer, whose body gives the
+// connection back at its end.
+func (cn *conn) exchange(req *http.Request) (*http.Response, error) {
+	cn.sent.Store(0)
+	cn.received = 0
+	ctx := req.Context()
+	stop := context.AfterFunc(ctx, func() { _ = cn.raw.SetDeadline(time.Unix(1, 0)) })
+	written, err := cn.write(req)
+	if err != nil {
+		stop()
+		return nil, cn.fail(ctx, err)
+	}
+	resp, err := cn.read(req)
+	if err != nil {
+		stop()
+		return nil, cn.fail(ctx, err)
+	}
+	empty := resp.Body == http.NoBody
+	resp.Body = &body{ReadCloser: resp.Body, cn: cn, resp: resp, empty: empty, stop: stop, written: written}
+	return resp, nil
+}
+
+// write writes the request. The channel is closed when all of it is written; it
+// is nil if that is so already.
+func (cn *conn) write(req *http.Request) (<-chan struct{}, error) {
+	if req.ContentLength >= 0 && req.ContentLength <= shortBody {
+		if err := req.Write(cn.w); err != nil {
+			return nil, err
+		}
+		return nil, cn.w.Flush()
+	}
+	done := make(chan struct{})
+	go func() {
+		if req.Write(cn.w) == nil && cn.w.Flush() == nil {
+			close(done)
+		}
+	}()
+	return done, nil
+}
+
+// read reads answers until one belongs to the request.
+func (cn *conn) read(req *http.Request) (*http.Response, error) {
+	for range maxForeign {
+		resp, err := http.ReadResponse(cn.r, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if !cn.foreign(req, resp) {
+			return resp, nil
+		}
+		telemetry.Counter(MetricForeign).Inc(1)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+		if resp.Close {
+			break
+		}
+	}
+	return nil, errors.New("answers to other requests only")
+}
+
+// foreign reports whether an answer repeats the mark of another request.
+func (cn *conn) foreign(req *http.Request, resp *http.Response) bool {
+	name := cn.client.cfg.EchoHeader
+	if name == "" {
+		return false
+	}
+	got := resp.Header.Get(name)
+	return got != "" && got != req.Header.Get(name)
+}
+
+// fail closes the connection and tells what is known of the request.
+func (cn *conn) fail(ctx context.Context, cause error) error {
+	sent, received := cn.sent.Load(), cn.received
+	cn.client.give(cn, false)
+	if ctx.Err() == nil {
+		cn.client.cfg.Log.Info("connection to the backend server ended in doubt", "sent", sent, "received", received, "reason", cause.Error())
+	}
+	switch {
+	case sent == 0:
+		return eris.Wrapf(ErrNotSent, "%v", cause)
+	case received == 0 && cn.kept && ctx.Err() == nil:
+		return errors.Join(ErrLost, ErrStale, cause)
+	default:
+		return errors.Join(ErrLost, cause)
+	}
+}
+
+// body is the body of an answer. It gives the connection back at its end, and
+// closes it if it is closed before.
+type body struct {
+	io.ReadCloser
+	cn      *conn
+	resp    *http.Response
+	empty   bool
+	stop    func() bool
+	written <-chan struct{}
+	once    sync.Once
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end(errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.end(b.empty)
+	return nil
+}
+
+// end ends the use of the connection, which is kept if the answer is whole and
+// nothing is in doubt.
+func (b *body) end(whole bool) {
+	b.once.Do(func() {
+		cn := b.cn
+		keep := b.stop() && whole && !b.resp.Close && cn.r.Buffered() == 0 && b.allWritten()
+		if keep {
+			cn.idleLimit = idleLimit(b.resp.Header.Get("Keep-Alive"), cn.client.cfg.IdleLimit)
+		}
+		cn.client.give(cn, keep)
+	})
+}
+
+// allWritten reports whether the whole request has been sent. A server that
+// answered before is not waited for.
+func (b *body) allWritten() bool {
+	if b.written == nil {
+		return true
+	}
+	select {
+	case <-b.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// idleLimit reads the time that a Keep-Alive header states.
+func idleLimit(header string, limit time.Duration) time.Duration {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.ParseFloat(value, 64); err == nil && s >= 0 {
+			return min(limit, max(time.Duration(s*float64(time.Second))-keepAliveMargin, 0))
+		}
+	}
+	return limit
+}
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -187,8 +187,8 @@
 		return invalid("timeouts.lease_renew", "%s is more than a third of endpoint_lease %s",
 			n.Timeouts.LeaseRenew, n.Timeouts.EndpointLease)
 	}
-	if u, err := url.Parse(n.Backend.URL); err != nil || u.User != nil || u.RawQuery != "" || strings.Trim(u.Path, "/") != "" {
-		return invalid("backend.url", "%q is not scheme and host alone", n.Backend.URL)
+	if u, err := url.Parse(n.Backend.URL); err != nil || u.Scheme != "http" || u.User != nil || u.RawQuery != "" || strings.Trim(u.Path, "/") != "" {
+		return invalid("backend.url", "%q is not http:// and a host alone", n.Backend.URL)
 	}
 	for i, h := range n.ControlHosts {
 		if h.Host == n.Host {
