--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -160,8 +160,9 @@
 		TryTimeout:  claimTries * n.cfg.Timeouts.Connect,
 		Incarnation: func() uint64 { return n.publisher.Current().Incarnation },
 	})
+	retries := routing.NewBucket(n.cfg.Retries.Part, n.cfg.Retries.Burst)
 	d := &dispatcher{
-		log: n.log, self: self, picker: n.picker, hedger: routing.NewHedger(), retries: routing.NewRetryBucket(),
+		log: n.log, self: self, picker: n.picker, hedger: routing.NewSharedHedger(retries), retries: retries,
 		calls: n.calls, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, behind: n.noteNewer,
 	}
 	n.entry = &entry{
--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -80,6 +80,8 @@
 
 	votes            map[model.HostID]ballot
 	electionDeadline time.Time
+	// fresh says that this host has heard no leader since its start.
+	fresh bool
 	// heardLeader is when a leader of the current term was last heard.
 	heardLeader time.Time
 
@@ -145,15 +147,24 @@
 			c.membersAppended(e)
 		}
 	}
+	c.fresh = true
 	c.resetElectionDeadline()
 	return c
 }
 
 func (c *Core) resetElectionDeadline() {
 	d := c.cfg.ElectionTimeout + time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout)))
+	if c.fresh {
+		d /= freshElection
+	}
 	c.electionDeadline = c.now.Add(d)
 }
 
+// freshElection divides the election timeout of a host that has heard no leader
+// since its start. If there is one, the others refuse the pre-vote; if all hosts
+// have just started, the group is without a leader until one of them asks.
+const freshElection = 4
+
 // Tick acts on the time that has passed.
 func (c *Core) Tick(now time.Time) {
 	c.now = now
@@ -279,6 +290,7 @@
 		c.failReads()
 	}
 	c.role, c.leader = Follower, leader
+	c.fresh = c.fresh && leader == ""
 	c.progress, c.votes, c.handOver = nil, nil, handOver{}
 	c.resetElectionDeadline()
 }
--- a/mesh/replog/election.go
+++ b/mesh/replog/election.go
@@ -73,7 +73,7 @@
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader = Leader, c.cfg.Self
+	c.role, c.leader, c.fresh = Leader, c.cfg.Self, false
 	c.progress = map[hostID]*progress{}
 	c.uncommittedBytes = 0
 	for _, e := range c.log.slice(c.commit+1, c.log.last()) {
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -375,3 +375,25 @@
 		}
 	})
 }
+
+// Guards against a group that stays without a leader for a whole election timeout
+// after all its hosts were restarted, although nobody is left to disturb.
+func TestRestartedGroupElectsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		disks, _, logs := n.group(t, Config{}, threeHosts...)
+		propose(t, waitLeader(t, logs...), "before")
+		for _, l := range logs {
+			n.close(t, l.cfg.Self)
+		}
+		var again []*Log
+		for _, id := range threeHosts {
+			again = append(again, n.open(t, Config{Self: id, Dir: simDir, FS: disks[id]}, &listMachine{}))
+		}
+		began := time.Now()
+		waitLeader(t, again...)
+		if took := time.Since(began); took > DefaultElectionTimeout {
+			t.Errorf("a leader after %s", took)
+		}
+	})
+}
--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"balsamtrail.org/mesh/model"
@@ -24,6 +25,10 @@
 	stormWindows = 3
 	// refusalRate of the new version holds the share when the old one refuses less than half as much.
 	refusalRate = 0.20
+	// suspectShare is what a moving version keeps while it is under suspicion.
+	suspectShare model.Share = 500
+	// unprovedDwells before the deadline a hurried move that had to retreat is reversed.
+	unprovedDwells = 2
 	// mildShare and graveShare are what the new version keeps while the old one
 	// gets calls again for a comparison; graveShare from graveRate of failing or slow calls.
 	mildShare  model.Share = 5000
@@ -156,6 +161,12 @@
 }
 
 func (d decision) move() Step {
+	if d.verdict.Suspicious && d.st.Share > suspectShare {
+		return d.retreat()
+	}
+	if d.hurried() && historyOf(d.st).retreats > 0 {
+		return d.unproved()
+	}
 	if d.st.Share == model.ShareAll {
 		return d.finish()
 	}
@@ -184,6 +195,35 @@
 	return Step{Op: OpStep, Share: next, Reason: d.why()}
 }
 
+// retreat answers a suspicion at a greater share. The evidence goes on at a small
+// one; a version that becomes suspicious again as its share rises is bad under load,
+// which the calls at the small share would never show.
+func (d decision) retreat() Step {
+	v := d.verdict
+	if historyOf(d.st).retreats > 0 {
+		return Step{Op: OpReverse, Reason: "suspicious again at a greater share: " + v.String(), Verdict: &v}
+	}
+	return Step{Op: OpStep, Share: suspectShare, Reason: retreatReason + v.String(), Verdict: &v}
+}
+
+// hurried reports whether the deadline leaves no time to raise the share again
+// after a suspicion.
+func (d decision) hurried() bool { return d.st.minDwell() < minDwell }
+
+// unproved ends a hurried move that had to retreat. Until its deadline is near the
+// evidence may still convict the version for good reasons of its own.
+func (d decision) unproved() Step {
+	v := d.verdict
+	if d.st.Move.By.Time().Sub(d.now) > unprovedDwells*d.st.minDwell() {
+		return Step{Reason: "was under suspicion at a greater share, for which no time is left"}
+	}
+	return Step{Op: OpReverse, Reason: "not proved by its deadline after a suspicion", Verdict: &v}
+}
+
+// retreatReason begins the reason of the steps of retreat, by which a new leader
+// knows them.
+const retreatReason = "suspicion, back to a small share: "
+
 func (d decision) why() string {
 	if d.summary.Absent {
 		return fmt.Sprintf("no calls for %s by %d of %d nodes; advances by plan without evidence", AbsentFor, d.summary.Reported, d.summary.Nodes)
@@ -309,6 +349,7 @@
 	relapses    int     // steps down from full share soon after the return to it
 	downs       int     // all steps down from full share
 	unproved    bool    // completed without traffic
+	retreats    int     // steps down for a suspicion while moving
 }
 
 func historyOf(st Status) (h history) {
@@ -319,6 +360,9 @@
 			continue // of the same move before it was restarted
 		}
 		down := r.Op == OpStep && before == model.ShareAll && r.Share < model.ShareAll
+		if r.Op == OpStep && strings.HasPrefix(r.Reason, retreatReason) {
+			h.retreats++
+		}
 		switch {
 		case r.Op == OpComplete:
 			h.unproved = r.Summary.Absent
--- a/mesh/routing/attempts.go
+++ b/mesh/routing/attempts.go
@@ -107,7 +107,7 @@
 	if !a.route.Hedge || a.route.Kind != model.KindLookup || !now.Before(a.deadline) || len(a.tried) != 1 {
 		return false
 	}
-	if !h.bucket.Take() {
+	if !h.bucket.takeAbove(h.reserve) {
 		return false
 	}
 	if !a.call.Take() {
--- a/mesh/routing/budget.go
+++ b/mesh/routing/budget.go
@@ -69,17 +69,22 @@
 	tokens float64
 }
 
-// Parts of extra tries and the tokens that a bucket holds at most. The burst
+// Default parts of extra tries and the tokens that a bucket holds at most. The burst
 // lets a node with few calls retry at all.
 const (
 	RetryPart  = 0.10
 	HedgePart  = 0.05
-	retryBurst = 10
+	RetryBurst = 10
 	hedgeBurst = 5
 )
 
-// NewRetryBucket returns the bucket of a node's retries.
-func NewRetryBucket() *Bucket { return &Bucket{part: RetryPart, burst: retryBurst, tokens: retryBurst} }
+// NewRetryBucket returns the bucket of a node's retries with the default bounds.
+func NewRetryBucket() *Bucket { return NewBucket(RetryPart, RetryBurst) }
+
+// NewBucket returns a full bucket that each call adds a part of a token to.
+func NewBucket(part, burst float64) *Bucket {
+	return &Bucket{part: part, burst: burst, tokens: burst}
+}
 
 // NewHedgeBucket returns the bucket of a node's hedged calls. It starts empty:
 // hedging is never needed.
@@ -103,6 +108,17 @@
 	return true
 }
 
+// takeAbove uses a token if the reserve is left after it.
+func (b *Bucket) takeAbove(reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1+reserve {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // giveBack returns a token that was not used.
 func (b *Bucket) giveBack() {
 	b.mu.Lock()
--- a/mesh/routing/hedge.go
+++ b/mesh/routing/hedge.go
@@ -23,6 +23,10 @@
 // its cost, and bounds such tries to 5% of calls; Attempts.Hedge uses them.
 type Hedger struct {
 	bucket *Bucket
+	// reserve is what a hedged call leaves in the bucket; shared says that calls
+	// are counted in it elsewhere.
+	reserve float64
+	shared  bool
 
 	// mu guards routes.
 	mu     sync.Mutex
@@ -40,10 +44,19 @@
 	return &Hedger{bucket: NewHedgeBucket(), routes: map[model.RouteName]*latencyWindow{}}
 }
 
+// NewSharedHedger returns a Hedger that draws on the bucket of a node's retries,
+// but only what is above half of its burst: a retry after a failure is worth more
+// than a second try of a slow call.
+func NewSharedHedger(retries *Bucket) *Hedger {
+	return &Hedger{bucket: retries, reserve: retries.burst / 2, shared: true, routes: map[model.RouteName]*latencyWindow{}}
+}
+
 // Delay counts a call and returns the 95th percentile of the route's latency;
 // false until it is known.
 func (h *Hedger) Delay(route model.RouteName) (time.Duration, bool) {
-	h.bucket.Call()
+	if !h.shared {
+		h.bucket.Call()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w := h.routes[route]
--- a/mesh/routing/table_test.go
+++ b/mesh/routing/table_test.go
@@ -129,7 +129,7 @@
 				retries++
 			}
 		}
-		Expect(retries).To(BeNumerically("~", 1000, retryBurst))
+		Expect(retries).To(BeNumerically("~", 1000, RetryBurst))
 		for b.Take() {
 		}
 		Expect(TakeRetry(b, last)).To(BeFalse())
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -112,7 +112,7 @@
 	Snapshots int `json:"snapshots" validate:"min=1,max=256"`
 	// SnapshotEntries is the number of log entries between two snapshots on
 	// disk; default 10000. More make restarts slower, fewer cost writes.
-	SnapshotEntries int `json:"snapshot_entries" validate:"min=100,max=1000000"`
+	SnapshotEntries int `json:"snapshot_entries" validate:"min=10,max=1000000"`
 }
 
 // DefaultControl returns the defaults of the fields that have one.
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/routing"
 )
 
 // Node holds the settings of a node.
@@ -30,11 +31,25 @@
 	FanOut FanOut `json:"fan_out"`
 	// Limits holds the size limits.
 	Limits NodeLimits `json:"limits"`
+	// Retries bounds the tries beyond the first of all calls of this node.
+	Retries Retries `json:"retries"`
 	// Queue is for requests that wait for a slot of the backend server, if their
 	// service states no queue of its own.
 	Queue Queue `json:"queue"`
 }
 
+// Retries bounds the further tries of a node, so that all nodes together add no
+// more than a part to the load of a service.
+type Retries struct {
+	// Part is the further tries for each call; default 0.1. Calls of requests that
+	// are themselves tried again add to it, so that it must be well below the part
+	// that a service bears.
+	Part float64 `json:"part" validate:"min=0,max=1"`
+	// Burst is the further tries that a node may make at once; default 10. All nodes
+	// may do so together.
+	Burst float64 `json:"burst" validate:"min=1,max=1000"`
+}
+
 // Queue bounds the requests that wait for a slot of a backend server.
 type Queue struct {
 	// Limit is the number of waiting requests; default 0. A greater one refuses
@@ -173,8 +188,9 @@
 			Drain: 15 * time.Second, HeaderRead: 5 * time.Second,
 			Leave: 1500 * time.Millisecond, ReturnRamp: 30 * time.Second,
 		},
-		FanOut: FanOut{Children: 8, Candidates: 3, Snapshots: 2},
-		Limits: NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096},
+		FanOut:  FanOut{Children: 8, Candidates: 3, Snapshots: 2},
+		Retries: Retries{Part: routing.RetryPart, Burst: routing.RetryBurst},
+		Limits:  NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096},
 	}
 }
 
