--- a/bench/capacity/tables.go
+++ b/bench/capacity/tables.go
@@ -127,7 +127,7 @@
 	}))
 	p.add("candidates of a parent or partner", "µs", x, cost(rounds, func() {
 		nodes := distribute.NodesOf(self.DataCentre, eps.All())
-		distribute.Parents(self.Host, self.DataCentre, nodes, nil)
+		distribute.DefaultTree.Parents(self.Host, self.DataCentre, nodes, nil)
 	}))
 	p.add("merge of one change", "µs", x, cost(10*rounds, func() {
 		incarnation++
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -87,7 +87,7 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.planned = distribute.SourcePlan(c.endpoints)
+	c.planned = distribute.Tree{FirstLevel: cfg.Limits.FirstLevel}.SourcePlan(c.endpoints)
 	c.machine = NewMachine(cfg.Epoch, c.store, log)
 	c.transport = newLogTransport(ctx, ep, log, c.findHost)
 	if err := c.openLogs(); err != nil {
--- a/mesh/distribute/admission.go
+++ b/mesh/distribute/admission.go
@@ -33,7 +33,7 @@
 	MaxChildren         = 8
 	NodeSpare           = 3
 	SourceChildren      = 96
-	SourcePerDataCentre = 2 * firstLevel
+	SourcePerDataCentre = 2 * DefaultFirstLevel
 	SourceSpare         = 2
 	maxSnapshots        = 4
 	defaultRetryAfter   = 500 * time.Millisecond
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -344,7 +344,7 @@
 	for i := range 100 {
 		eps.Merge(serving(fmt.Sprintf("node-%d", i), "ledger", 1))
 	}
-	plan := SourcePlan(eps)
+	plan := DefaultTree.SourcePlan(eps)
 	planned := 0
 	for i := range 100 {
 		ok, alternatives := plan(nodeIdentity(fmt.Sprintf("node-%d", i)))
@@ -354,7 +354,7 @@
 			t.Fatalf("node-%d: alternatives %v", i, alternatives)
 		}
 	}
-	if planned != firstLevel {
+	if planned != DefaultFirstLevel {
 		t.Fatalf("%d planned children", planned)
 	}
 }
--- a/mesh/distribute/fleet/fleet.go
+++ b/mesh/distribute/fleet/fleet.go
@@ -106,7 +106,7 @@
 	p := &process{id: id, store: distribute.NewStore(), eps: membership.NewTable()}
 	f := &Fleet{ctx: ctx, ca: ca, mode: mode, source: p, log: slog.New(slog.DiscardHandler)}
 	p.serve = distribute.ServeOptions{Subtree: distribute.NewSubtree(nil), Freshness: &distribute.Freshness{},
-		Admission: distribute.NewAdmission(distribute.SourceAdmission()), Planned: distribute.SourcePlan(p.eps), Log: f.log}
+		Admission: distribute.NewAdmission(distribute.SourceAdmission()), Planned: distribute.DefaultTree.SourcePlan(p.eps), Log: f.log}
 	f.holder = membership.Holder{Table: p.eps, Keeper: membership.NewLeaseKeeper(), Log: f.log,
 		Status: func() (model.Position, bool) { return p.store.Position(), true }}
 	ep, err := f.listen(ctx, p, &f.done)
@@ -203,7 +203,7 @@
 	p := &process{id: id, store: distribute.NewStore(), eps: membership.NewTable()}
 	n := &Node{process: p, a: distribute.NewAcceptor(id.Host, p.store, p.eps, f.log)}
 	p.serve = distribute.ServeOptions{Subtree: distribute.NewSubtree(n.a.Report), Freshness: &distribute.Freshness{},
-		Admission: distribute.NewAdmission(distribute.NodeAdmission()), Planned: distribute.NodePlan(id.Host, p.eps), Log: f.log}
+		Admission: distribute.NewAdmission(distribute.NodeAdmission()), Planned: distribute.DefaultTree.NodePlan(id.Host, p.eps), Log: f.log}
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.cancel = cancel
 	ep, err := f.listen(ctx, p, &n.done)
@@ -235,8 +235,12 @@
 	o := distribute.AttachOptions{Self: n.id.Host, Open: open(distribute.MethodWatch), Log: f.log,
 		Follow: distribute.FollowOptions{Subtree: n.serve.Subtree, Freshness: n.serve.Freshness,
 			Progress: &distribute.Progress{}, Log: f.log},
-		Candidates: func() []distribute.Parent { return distribute.Parents(n.id.Host, dataCentre, nodes(), roots) },
-		Preferred:  func() []distribute.Parent { return distribute.Preferred(n.id.Host, dataCentre, nodes(), roots) }}
+		Candidates: func() []distribute.Parent {
+			return distribute.DefaultTree.Parents(n.id.Host, dataCentre, nodes(), roots)
+		},
+		Preferred: func() []distribute.Parent {
+			return distribute.DefaultTree.Preferred(n.id.Host, dataCentre, nodes(), roots)
+		}}
 	n.done.Go(func() { _ = distribute.Attach(ctx, n.a, n.eps, o) })
 	n.done.Go(func() {
 		_ = distribute.Repair(ctx, n.a, n.eps, distribute.RepairOptions{
--- a/mesh/distribute/plan.go
+++ b/mesh/distribute/plan.go
@@ -29,24 +29,24 @@
 
 // SourcePlan returns ServeOptions.Planned for a control host: children of the
 // first level are planned, and each child is told its parents among the nodes.
-func SourcePlan(eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
+func (t Tree) SourcePlan(eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
 	p := newPlan(eps)
 	return func(child peer.Identity) (bool, []Parent) {
 		nodes := p.nodesOf(child.DataCentre, time.Now())
 		lower := lowerNodes(child.Host, child.DataCentre, nodes)
-		return Level(len(lower)) == 1, Parents(child.Host, child.DataCentre, nodes, nil)
+		return t.Level(len(lower)) == 1, t.Parents(child.Host, child.DataCentre, nodes, nil)
 	}
 }
 
 // NodePlan returns ServeOptions.Planned for a node: the children that prefer
 // it are planned, and each child is told its other parents.
-func NodePlan(self model.HostID, eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
+func (t Tree) NodePlan(self model.HostID, eps *membership.Table) func(child peer.Identity) (bool, []Parent) {
 	p := newPlan(eps)
 	return func(child peer.Identity) (bool, []Parent) {
 		isSelf := func(p Parent) bool { return p.Host == self }
 		nodes := p.nodesOf(child.DataCentre, time.Now())
-		planned := slices.ContainsFunc(Preferred(child.Host, child.DataCentre, nodes, nil), isSelf)
-		return planned, slices.DeleteFunc(Parents(child.Host, child.DataCentre, nodes, nil), isSelf)
+		planned := slices.ContainsFunc(t.Preferred(child.Host, child.DataCentre, nodes, nil), isSelf)
+		return planned, slices.DeleteFunc(t.Parents(child.Host, child.DataCentre, nodes, nil), isSelf)
 	}
 }
 
--- a/mesh/distribute/tree.go
+++ b/mesh/distribute/tree.go
@@ -13,8 +13,8 @@
 
 // The shape of the fan-out tree.
 const (
-	// firstLevel is the number of nodes of a data centre that the source serves.
-	firstLevel = 4
+	// DefaultFirstLevel is the number of nodes of a data centre that the source serves.
+	DefaultFirstLevel = 4
 	// plannedFanOut is below MaxChildren, so that a parent has room for the
 	// uneven choice by hash and for the children of a failed neighbour.
 	plannedFanOut = 5
@@ -25,6 +25,16 @@
 	spareCandidates = 4
 )
 
+// Tree is the shape of the fan-out tree. It must be the same on all processes.
+type Tree struct {
+	// FirstLevel is the number of nodes of a data centre that the source serves. A
+	// greater one spares nodes, and thin links between them, and costs the source.
+	FirstLevel int
+}
+
+// DefaultTree is the shape that the design's size asks for.
+var DefaultTree = Tree{FirstLevel: DefaultFirstLevel}
+
 // Parent is a process that can serve a child.
 type Parent struct {
 	Host       model.HostID     `cbor:"1,keyasint"`
@@ -58,9 +68,9 @@
 // Level returns the level of a node whose rank is the given one: the first
 // level hangs on the source, and each level is plannedFanOut times as wide as
 // the one above.
-func Level(rank int) int {
-	level, end := 1, firstLevel
-	for width := firstLevel; rank >= end; level++ {
+func (t Tree) Level(rank int) int {
+	level, end := 1, t.FirstLevel
+	for width := t.FirstLevel; rank >= end; level++ {
 		width *= plannedFanOut
 		end += width
 	}
@@ -68,8 +78,8 @@
 }
 
 // levelStart returns the rank of the first node of a level.
-func levelStart(level int) int {
-	start, width := 0, firstLevel
+func (t Tree) levelStart(level int) int {
+	start, width := 0, t.FirstLevel
 	for range level - 1 {
 		start += width
 		width *= plannedFanOut
@@ -91,18 +101,18 @@
 // Parents returns the candidates of a node in the order of preference: the
 // preferred ones, then some other nodes of lower rank, then the roots. nodes
 // are those of the data centre; they need not contain self.
-func Parents(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
-	return ParentsOf(self, dc, nodes, roots, levelCandidates)
+func (t Tree) Parents(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
+	return t.ParentsOf(self, dc, nodes, roots, levelCandidates)
 }
 
 // ParentsOf is Parents with the given number of preferred nodes. More find a
 // parent sooner after failures and spread the children less evenly.
-func ParentsOf(self model.HostID, dc model.DataCentre, nodes, roots []Parent, candidates int) []Parent {
+func (t Tree) ParentsOf(self model.HostID, dc model.DataCentre, nodes, roots []Parent, candidates int) []Parent {
 	lower := lowerNodes(self, dc, nodes)
-	out := preferred(self, dc, lower, roots, candidates)
+	out := t.preferred(self, dc, lower, roots, candidates)
 	spare := slices.DeleteFunc(slices.Clone(lower), func(p Parent) bool { return slices.Contains(out, p) })
 	out = append(out, take(self, spare, spareCandidates)...)
-	if Level(len(lower)) > 1 {
+	if t.Level(len(lower)) > 1 {
 		out = append(out, orderRoots(self, dc, roots)...)
 	}
 	return out
@@ -110,16 +120,16 @@
 
 // Preferred returns the parents that the tree gives to a node: nodes of the
 // next level up, or the roots for the first level.
-func Preferred(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
-	return preferred(self, dc, lowerNodes(self, dc, nodes), roots, levelCandidates)
+func (t Tree) Preferred(self model.HostID, dc model.DataCentre, nodes, roots []Parent) []Parent {
+	return t.preferred(self, dc, lowerNodes(self, dc, nodes), roots, levelCandidates)
 }
 
-func preferred(self model.HostID, dc model.DataCentre, lower, roots []Parent, candidates int) []Parent {
-	level := Level(len(lower))
+func (t Tree) preferred(self model.HostID, dc model.DataCentre, lower, roots []Parent, candidates int) []Parent {
+	level := t.Level(len(lower))
 	if level == 1 {
 		return orderRoots(self, dc, roots)
 	}
-	return take(self, lower[levelStart(level-1):min(levelStart(level), len(lower))], candidates)
+	return take(self, lower[t.levelStart(level-1):min(t.levelStart(level), len(lower))], candidates)
 }
 
 // weighted is the index of a parent and the hash that orders it; hashing once
--- a/mesh/distribute/tree_test.go
+++ b/mesh/distribute/tree_test.go
@@ -36,7 +36,7 @@
 		parent := map[model.HostID]Parent{}
 		for _, n := range all {
 			view := rapid.Permutation(all).Draw(t, "view")[:rapid.IntRange(0, len(all)).Draw(t, "known")]
-			candidates := Parents(n.Host, "thun", view, roots)
+			candidates := DefaultTree.Parents(n.Host, "thun", view, roots)
 			parent[n.Host] = rapid.SampledFrom(candidates).Draw(t, "choice")
 		}
 		for _, n := range all {
@@ -56,7 +56,7 @@
 func attachAll(nodes []Parent) (depth, source, refused int) {
 	children, parents := map[model.HostID]int{}, map[model.HostID]Parent{}
 	for _, n := range nodes {
-		for _, c := range Parents(n.Host, "thun", nodes, roots) {
+		for _, c := range DefaultTree.Parents(n.Host, "thun", nodes, roots) {
 			if c.Role == peer.RoleNode && children[c.Host] >= MaxChildren {
 				refused++
 				continue
@@ -88,8 +88,8 @@
 // place attaches n to its first candidate with room. If a planned place is
 // refused, the children that do not belong there are moved to left.
 func (m *arrivals) place(n Parent, known []Parent, left *[]Parent) bool {
-	best := Preferred(n.Host, "thun", known, roots[:1])
-	for _, c := range Parents(n.Host, "thun", known, roots[:1]) {
+	best := DefaultTree.Preferred(n.Host, "thun", known, roots[:1])
+	for _, c := range DefaultTree.Parents(n.Host, "thun", known, roots[:1]) {
 		limits := map[bool]int{true: MaxChildren, false: NodeSpare}
 		total, class, planned := len(m.children[c.Host]), 0, slices.Contains(best, c)
 		for _, child := range m.children[c.Host] {
@@ -111,7 +111,7 @@
 
 func (m *arrivals) yield(c Parent, known []Parent, left *[]Parent) {
 	m.children[c.Host] = slices.DeleteFunc(m.children[c.Host], func(child arrived) bool {
-		belongs := slices.Contains(Preferred(child.Host, "thun", known, roots[:1]), c)
+		belongs := slices.Contains(DefaultTree.Preferred(child.Host, "thun", known, roots[:1]), c)
 		if !belongs {
 			*left = append(*left, child.Parent)
 		}
@@ -151,14 +151,14 @@
 	})
 
 	It("prefers roots of the own data centre and never offers the node itself", func() {
-		Expect(Parents("node-0", "thun", nodeParents(1), roots)).To(Equal([]Parent{roots[1], roots[0]}))
+		Expect(DefaultTree.Parents("node-0", "thun", nodeParents(1), roots)).To(Equal([]Parent{roots[1], roots[0]}))
 	})
 
 	It("offers as many nodes of the next level up as asked for", func() {
 		nodes := nodeParents(200)
 		last := slices.MaxFunc(nodes, func(a, b Parent) int { return cmp.Compare(rankHash(a.Host), rankHash(b.Host)) })
-		few := ParentsOf(last.Host, "thun", nodes, roots, 1)
-		many := ParentsOf(last.Host, "thun", nodes, roots, 9)
+		few := DefaultTree.ParentsOf(last.Host, "thun", nodes, roots, 1)
+		many := DefaultTree.ParentsOf(last.Host, "thun", nodes, roots, 9)
 		Expect(few).To(HaveLen(1 + spareCandidates + len(roots)))
 		Expect(many).To(HaveLen(9 + spareCandidates + len(roots)))
 		Expect(many[0]).To(Equal(few[0]))
@@ -168,7 +168,7 @@
 		nodes := nodeParents(200)
 		moved := 0
 		for _, n := range nodes[1:] {
-			if Parents(n.Host, "thun", nodes, roots)[0] != Parents(n.Host, "thun", nodes[1:], roots)[0] {
+			if DefaultTree.Parents(n.Host, "thun", nodes, roots)[0] != DefaultTree.Parents(n.Host, "thun", nodes[1:], roots)[0] {
 				moved++
 			}
 		}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -197,7 +197,7 @@
 // register adds the peer methods of a node.
 func (n *Node) register() {
 	options := distribute.ServeOptions{Subtree: n.subtree, Freshness: n.freshness, Admission: n.children,
-		Planned: distribute.NodePlan(n.cfg.Host, n.endpoints), Log: n.log}
+		Planned: n.tree().NodePlan(n.cfg.Host, n.endpoints), Log: n.log}
 	n.ep.Handle(distribute.MethodWatch, []peer.Role{peer.RoleNode}, func(ctx context.Context, st peer.Stream) error {
 		return distribute.Serve(ctx, n.acceptor.Store(), n.endpoints, st, options)
 	})
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -233,6 +233,9 @@
 	}
 }
 
+// tree is the shape of the fan-out tree.
+func (n *Node) tree() distribute.Tree { return distribute.Tree{FirstLevel: n.cfg.FanOut.FirstLevel} }
+
 // attach keeps the parent stream by which versions and endpoints arrive.
 func (n *Node) attach(ctx context.Context) error {
 	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
@@ -242,10 +245,10 @@
 			Silence: n.cfg.Timeouts.ParentSilence,
 		},
 		Candidates: func() []distribute.Parent {
-			return distribute.ParentsOf(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates)
+			return n.tree().ParentsOf(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates)
 		},
 		Preferred: func() []distribute.Parent {
-			return distribute.Preferred(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts())
+			return n.tree().Preferred(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts())
 		},
 		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
 			return n.open(ctx, p, distribute.MethodWatch)
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
 )
 
@@ -107,6 +108,10 @@
 	// directly; default 8. The tree gives it 4; more take over those of a lost
 	// control host at once and cost bytes at the source.
 	Children int `json:"children" validate:"min=4,max=256"`
+	// FirstLevel is the number of nodes of a data centre that the tree gives to the
+	// control hosts; default 4. A greater one spares the links of nodes and costs
+	// the control hosts bytes. It must be the same on all processes.
+	FirstLevel int `json:"first_level" validate:"min=1,max=256"`
 	// Snapshots bounds the snapshots sent together; default 8. More end a storm
 	// of restarts sooner and take processor time from commits.
 	Snapshots int `json:"snapshots" validate:"min=1,max=256"`
@@ -125,7 +130,7 @@
 			Propose: 3 * time.Second, Watch: 25 * time.Second, Request: 10 * time.Second, Shutdown: 10 * time.Second,
 		},
 		Limits: ControlLimits{
-			RequestBytes: 1 << 20, Requests: 512, Children: 8, Snapshots: 8, SnapshotEntries: 10_000,
+			RequestBytes: 1 << 20, Requests: 512, Children: 8, FirstLevel: distribute.DefaultFirstLevel, Snapshots: 8, SnapshotEntries: 10_000,
 		},
 	}
 }
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/routing"
 )
@@ -156,6 +157,9 @@
 	// Children bounds the nodes that this node serves; default 8. More make
 	// the tree flatter and cost this node bytes.
 	Children int `json:"children" validate:"min=1,max=64"`
+	// FirstLevel is the number of nodes of a data centre that the control hosts
+	// serve; default 4. It must equal limits.first_level of the control hosts.
+	FirstLevel int `json:"first_level" validate:"min=1,max=256"`
 	// Candidates is the number of preferred parents one level up the tree;
 	// default 3. More find a parent sooner after failures and spread the children
 	// less evenly.
@@ -188,7 +192,7 @@
 			Drain: 15 * time.Second, HeaderRead: 5 * time.Second,
 			Leave: 1500 * time.Millisecond, ReturnRamp: 30 * time.Second,
 		},
-		FanOut:  FanOut{Children: 8, Candidates: 3, Snapshots: 2},
+		FanOut:  FanOut{Children: 8, FirstLevel: distribute.DefaultFirstLevel, Candidates: 3, Snapshots: 2},
 		Retries: Retries{Part: routing.RetryPart, Burst: routing.RetryBurst},
 		Limits:  NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096},
 	}
