--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -16,6 +16,10 @@
 type Config struct {
 	// Service gives the slots, the queue limit and the queue timeout.
 	Service note.Service
+	// Provisional says that Service is not the stated one yet, as before the first
+	// configuration. Until SetService a cold backend server gets no requests, since
+	// nobody knows what it bears.
+	Provisional bool
 	// OverloadAfter is how long the queue must have been non-empty to count as
 	// overloaded. A shorter one serves the newest lookups first sooner, a longer
 	// one keeps the order by deadline through bursts.
@@ -55,7 +59,7 @@
 	return &Gate{
 		log:     cfg.Log.With("service", string(cfg.Service.Name)),
 		limit:   telemetry.Gauge(MetricLimit),
-		sched:   newScheduler(cfg.Service, cfg.OverloadAfter),
+		sched:   newScheduler(cfg.Service, cfg.Provisional, cfg.OverloadAfter),
 		waiting: map[*Waiter]chan decision{},
 	}
 }
@@ -288,7 +292,7 @@
 	if g.sched.limiter.fixed {
 		s.Slots = g.sched.service.Slots
 	}
-	g.sched.service = s
+	g.sched.service, g.sched.provisional = s, false
 	g.sched.pacer.rate = s.ColdRate
 	g.sched.limiter.SetSlots(s.Slots)
 	g.sched.queue.limit = s.QueueLimit
--- a/mesh/admission/pacer_test.go
+++ b/mesh/admission/pacer_test.go
@@ -78,3 +78,31 @@
 		t.Error("not in order of priority")
 	}
 }
+
+// A node that has just started may hear of a cold backend server, and get calls for
+// it, before it knows the service's limits. It must not send what the server may
+// not bear.
+func TestColdServerOfAnUnknownServiceGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(Config{Service: note.Service{Name: "ledger", Slots: 5}, Provisional: true})
+		admitted := func() bool {
+			release, err := g.Acquire(t.Context(), Ticket{Kind: model.KindLookup})
+			if err == nil {
+				release(Outcome{Result: ResultOK})
+			}
+			return err == nil
+		}
+		g.Start(5, 3*time.Second)
+		if admitted() {
+			t.Error("admitted without a known bound")
+		}
+		g.SetService(note.Service{Name: "ledger", Slots: 5, ColdRate: 10})
+		if !admitted() {
+			t.Error("refused with a known bound")
+		}
+		g.Start(5, 0)
+		if !admitted() {
+			t.Error("refused although the server is warm")
+		}
+	})
+}
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -25,6 +25,8 @@
 	queue    *Queue
 	inFlight int
 	pacer    pacer
+	// provisional says that service is not the stated one yet.
+	provisional bool
 	// unavailable says that there is no backend server to send requests to.
 	unavailable bool
 	// draining and out are the times from which no new request is accepted; zero if
@@ -41,12 +43,13 @@
 	inFlight int
 }
 
-func newScheduler(service note.Service, overloadAfter time.Duration) *scheduler {
+func newScheduler(service note.Service, provisional bool, overloadAfter time.Duration) *scheduler {
 	return &scheduler{
-		service: service,
-		limiter: NewLimiter(service.Slots),
-		queue:   NewQueue(service.QueueLimit, overloadAfter),
-		pacer:   pacer{rate: service.ColdRate},
+		service:     service,
+		provisional: provisional,
+		limiter:     NewLimiter(service.Slots),
+		queue:       NewQueue(service.QueueLimit, overloadAfter),
+		pacer:       pacer{rate: service.ColdRate},
 	}
 }
 
@@ -58,6 +61,9 @@
 	if reason := s.closed(); reason != "" {
 		return []decision{{waiter: w, refused: reason}}
 	}
+	if s.provisional && now.Before(s.pacer.until) {
+		return []decision{{waiter: w, refused: ReasonUnavailable}}
+	}
 	if !w.Deadline.IsZero() && !now.Before(s.latestStart(w.Ticket)) {
 		return []decision{{waiter: w, refused: ReasonStale}}
 	}
--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -26,7 +26,7 @@
 	now := time.Unix(1000, 0)
 	var s *scheduler
 
-	BeforeEach(func() { s = newScheduler(ledger, DefaultOverloadAfter) })
+	BeforeEach(func() { s = newScheduler(ledger, false, DefaultOverloadAfter) })
 
 	refusal := func(decided []decision) Reason {
 		Expect(decided).To(HaveLen(1))
--- a/mesh/callmux/connection.go
+++ b/mesh/callmux/connection.go
@@ -320,11 +320,27 @@
 	}
 }
 
+// idleBeats is how many times rarer heartbeats are while a connection has no
+// calls. With a connection for each pair of nodes, most of which carry no call at
+// a time, their bytes and wake-ups would exceed those of the calls.
+const idleBeats = 8
+
 // writeLoop writes queued frames in batches and keeps the heartbeat.
 func (cn *connection) writeLoop() {
-	tick := time.NewTicker(cn.cfg.Heartbeat)
-	defer tick.Stop()
+	beats := time.NewTimer(cn.cfg.Heartbeat)
+	defer beats.Stop()
+	idle := false
 	lastBeat := time.Now()
+	beat := func() {
+		now := time.Now()
+		idle = cn.beat(now, lastBeat, idle)
+		lastBeat = now
+		if idle {
+			beats.Reset(idleBeats * cn.cfg.Heartbeat)
+			return
+		}
+		beats.Reset(cn.cfg.Heartbeat)
+	}
 	var batch []byte
 	for {
 		// Lets callers that are ready to run add to this batch: fewer, larger
@@ -336,19 +352,23 @@
 				cn.fail(err)
 				return
 			}
+			if idle {
+				idle, lastBeat = false, time.Now()
+				beats.Reset(cn.cfg.Heartbeat)
+			}
 		} else {
 			select {
 			case <-cn.out.ready:
-			case <-tick.C:
-				lastBeat = cn.beat(time.Now(), lastBeat)
+			case <-beats.C:
+				beat()
 			case <-cn.done:
 				return
 			}
 			continue
 		}
 		select {
-		case <-tick.C:
-			lastBeat = cn.beat(time.Now(), lastBeat)
+		case <-beats.C:
+			beat()
 		case <-cn.done:
 			return
 		default:
@@ -367,24 +387,30 @@
 // beat queues a heartbeat, or fails the connection if one has not been
 // answered in time. From half of that time new calls use a fresh connection.
 // If this process itself was paused for longer than the deadline, the answer
-// may be waiting unread, so the time counts from now.
-func (cn *connection) beat(now, last time.Time) time.Time {
+// may be waiting unread, so the time counts from now. It reports whether the next
+// heartbeat may come later, since the connection has no calls and owes no answer.
+func (cn *connection) beat(now, last time.Time, wasIdle bool) (idle bool) {
 	oldest := cn.unanswered.Load()
 	silence := time.Duration(now.UnixNano() - oldest)
+	paused := !wasIdle && now.Sub(last) > cn.cfg.HeartbeatDeadline
+	calls, since := cn.idle(now)
+	if oldest == 0 && calls == 0 && !wasIdle && since > cn.cfg.Heartbeat {
+		return true // the next one tells whether the idle connection still works
+	}
 	switch {
-	case oldest == 0 || now.Sub(last) > cn.cfg.HeartbeatDeadline:
+	case oldest == 0 || paused:
 		cn.unanswered.Store(now.UnixNano())
 	case silence > cn.cfg.HeartbeatDeadline:
 		cn.fail(errSilent)
-		return now
+		return false
 	case silence > cn.cfg.HeartbeatDeadline/2 && cn.client:
 		cn.retire()
 	}
 	cn.out.pushControl(frame{kind: framePing})
-	if calls, since := cn.idle(now); cn.client && calls == 0 && since > cn.cfg.IdleLimit {
+	if cn.client && calls == 0 && since > cn.cfg.IdleLimit {
 		cn.retire()
 	}
-	return now
+	return false
 }
 
 // pump sends a streamed body within the credit of the call.
--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -203,7 +203,11 @@
 	if historyOf(d.st).retreats > 0 {
 		return Step{Op: OpReverse, Reason: "suspicious again at a greater share: " + v.String(), Verdict: &v}
 	}
-	return Step{Op: OpStep, Share: suspectShare, Reason: retreatReason + v.String(), Verdict: &v}
+	share := suspectShare
+	if d.hurried() {
+		share = StartShare // no time is left to learn from more
+	}
+	return Step{Op: OpStep, Share: share, Reason: retreatReason + v.String(), Verdict: &v}
 }
 
 // hurried reports whether the deadline leaves no time to raise the share again
--- a/mesh/rollout/decide_test.go
+++ b/mesh/rollout/decide_test.go
@@ -201,3 +201,35 @@
 		Expect(m.leader.Report(t0, r)).To(BeTrue())
 	})
 })
+
+// A version that becomes suspicious at a great share must lose most of its calls at
+// once; one that does so again, or whose deadline leaves no time to rise again, must
+// be reversed and never complete.
+var _ = Describe("A suspicion at a great share", func() {
+	suspicious := Verdict{Suspicious: true, Test: TestErrors}
+	decide := func(within time.Duration, at time.Duration, v Verdict, steps ...StepRecord) Step {
+		accepted := time.Unix(1000, 0)
+		st := Status{
+			Move: Move{By: InstantOf(accepted.Add(within))}, Phase: PhaseMoving, Share: 5000,
+			Accepted: InstantOf(accepted), Changed: InstantOf(accepted.Add(at - time.Second)), Steps: steps,
+		}
+		return decision{now: accepted.Add(at), st: st, verdict: v}.step()
+	}
+	retreat := func(at time.Duration) StepRecord {
+		return StepRecord{Op: OpStep, Time: InstantOf(time.Unix(1000, 0).Add(at)), Share: 500, Reason: retreatReason + "errors"}
+	}
+
+	It("takes the calls back", func() {
+		s := decide(time.Hour, time.Minute, suspicious)
+		Expect(s.Op).To(Equal(OpStep))
+		Expect(s.Share).To(Equal(suspectShare))
+		Expect(decide(16*time.Second, 8*time.Second, suspicious).Share).To(Equal(StartShare))
+	})
+	It("reverses at the second time", func() {
+		Expect(decide(time.Hour, time.Minute, suspicious, retreat(30*time.Second)).Op).To(Equal(OpReverse))
+	})
+	It("reverses a hurried move at its deadline and holds it before", func() {
+		Expect(decide(16*time.Second, 9*time.Second, Verdict{}, retreat(8*time.Second)).Op).To(BeZero())
+		Expect(decide(16*time.Second, 15*time.Second, Verdict{}, retreat(8*time.Second)).Op).To(Equal(OpReverse))
+	})
+})
