--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -63,8 +63,6 @@
 	// Declined is true if the serving node refused the request and its backend
 	// server has not seen it.
 	Declined bool `cbor:"3,keyasint,omitempty"`
-	// RetryAfter is when another try may find room; zero if that is not known.
-	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Reasons of refusals that this package makes itself.
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -179,6 +179,9 @@
 	if c.cfg.ClaimGroups > 0 {
 		g.Go(func() error { return c.claims.service.Run(gctx) })
 	}
+	if c.cfg.Listen.Admin != "" {
+		g.Go(func() error { return c.serveAdmin(gctx) })
+	}
 	if c.cfg.AutoJoin {
 		g.Go(func() error { return c.keepMembership(gctx) })
 	}
--- a/mesh/control/operations.go
+++ b/mesh/control/operations.go
@@ -16,6 +16,7 @@
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/operator"
 	"balsamtrail.org/mesh/rollout"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Operations are the orders of operators, for a front end that speaks another
@@ -67,19 +68,36 @@
 
 // serveFrontEnd serves the front end's operator interface until ctx ends.
 func (c *Control) serveFrontEnd(ctx context.Context, l net.Listener) error {
-	direct := func(http.Handler) http.Handler { return c.operators(c) }
+	return c.serveHTTP(ctx, l, c.operators(c))
+}
+
+// serveAdmin serves the metrics until ctx ends.
+func (c *Control) serveAdmin(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", c.cfg.Listen.Admin)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "listen.admin: %v", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	return c.serveHTTP(ctx, l, mux)
+}
+
+// serveHTTP serves one plain HTTP listener until ctx ends.
+func (c *Control) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	direct := func(http.Handler) http.Handler { return h }
 	// Without the address kratos would ask the system for its network interfaces.
-	srv := khttp.NewServer(khttp.Listener(l), khttp.Address(c.cfg.Listen.Operator), khttp.Timeout(0), khttp.Filter(direct))
+	srv := khttp.NewServer(khttp.Listener(l), khttp.Address(l.Addr().String()), khttp.Timeout(0), khttp.Filter(direct))
 	srv.ReadHeaderTimeout = c.cfg.Timeouts.Request
 	defer context.AfterFunc(ctx, func() {
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.cfg.Timeouts.Shutdown)
 		defer cancel()
 		if err := srv.Stop(stopCtx); err != nil {
-			c.log.Warn("operator interface not stopped in time", "reason", err.Error())
+			c.log.Warn("HTTP server not stopped in time", "reason", err.Error())
 		}
 	})()
 	if err := srv.Start(ctx); err != nil && ctx.Err() == nil {
-		return eris.Wrapf(ErrStart, "operator interface: %v", err)
+		return eris.Wrapf(ErrStart, "serve %s: %v", l.Addr(), err)
 	}
 	return ctx.Err()
 }
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -53,7 +52,6 @@
 	dialTimeout time.Duration
 	// echoHeader names the header by which the backend server repeats the id of a request.
 	echoHeader string
-	log        *slog.Logger
 	// frontEnd translates requests and answers; nil for none.
 	frontEnd func(http.RoundTripper) http.RoundTripper
 }
@@ -74,7 +72,7 @@
 		cfg.echoHeader = HeaderRequestID
 	}
 	b := &backend{base: cfg.base, conns: serverconn.New(serverconn.Config{
-		Address: cfg.base.Host, Connections: cfg.connections, DialTimeout: cfg.dialTimeout, EchoHeader: cfg.echoHeader, Log: cfg.log,
+		Address: cfg.base.Host, Connections: cfg.connections, DialTimeout: cfg.dialTimeout, EchoHeader: cfg.echoHeader,
 	})}
 	b.trip = b.conns
 	if cfg.frontEnd != nil {
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -182,6 +182,7 @@
 	if t == nil {
 		return
 	}
+	telemetry.Latency("entry.latency." + c.route.Kind.String()).Update(took.Microseconds())
 	status := 0
 	if t.answered() {
 		status = t.resp.Status
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -99,7 +99,7 @@
 	}
 	n.backend = newBackend(backendConfig{
 		base: base, connections: cfg.Backend.Connections, dialTimeout: cfg.Timeouts.Connect, frontEnd: n.frontEnd.Backend,
-		echoHeader: n.frontEnd.BackendEcho, log: log,
+		echoHeader: n.frontEnd.BackendEcho,
 	})
 	n.buildControlSide()
 	if err := n.openCache(); err != nil {
@@ -164,7 +164,7 @@
 	})
 	retries := routing.NewBucket(n.cfg.Retries.Part, n.cfg.Retries.Burst)
 	d := &dispatcher{
-		log: n.log, self: self, picker: n.picker, hedger: routing.NewSharedHedger(retries), retries: retries,
+		log: n.log, self: self, picker: n.picker, hedger: routing.NewHedger(retries), retries: retries,
 		calls: n.calls, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, behind: n.noteNewer,
 	}
 	n.entry = &entry{
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -118,13 +118,13 @@
 		if s.lost != nil && ctx.Err() == nil {
 			s.lost(err.Error())
 		}
-		return s.refuse(req, unreachableReason(ctx), true)
+		return s.refuse(req, because(unreachableReason(ctx), err), true)
 	case errors.Is(err, serverconn.ErrStale):
 		release(admission.Outcome{Result: admission.ResultCancelled, Latency: latency})
-		return s.refuse(req, reasonLost, false)
+		return s.refuse(req, because(reasonLost, err), false)
 	case err != nil:
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
-		return s.refuse(req, reasonLost, false)
+		return s.refuse(req, because(reasonLost, err), false)
 	case resp.Header.Get(HeaderNotRun) != "" && resp.StatusCode >= http.StatusBadRequest:
 		_ = resp.Body.Close()
 		if s.lost != nil && resp.StatusCode == http.StatusMisdirectedRequest {
@@ -135,7 +135,7 @@
 	}
 	if err := readWhole(resp); err != nil {
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
-		return s.refuse(req, reasonCutShort, false)
+		return s.refuse(req, because(reasonCutShort, err), false)
 	}
 	return s.answer(resp, release, admission.Outcome{Result: answerResult(resp.StatusCode), Latency: latency})
 }
@@ -178,6 +178,15 @@
 	io.Closer
 }
 
+// because joins the reason of a refusal and what the connection shows of its cause.
+func because(reason string, err error) string {
+	var e *serverconn.Error
+	if errors.As(err, &e) {
+		err = e
+	}
+	return reason + ": " + err.Error()
+}
+
 // unreachableReason tells a call that its caller gave up before it was sent
 // from a backend server that could not be reached.
 func unreachableReason(ctx context.Context) string {
@@ -195,6 +204,7 @@
 
 func (s *serving) answer(resp *http.Response, release func(admission.Outcome), o admission.Outcome) *callmux.Response {
 	s.answered.Add(1)
+	telemetry.Latency("serving.latency").Update(o.Latency.Microseconds())
 	header := forwardable(resp.Header)
 	// What nodes say of an outcome must not come from a backend server, which may
 	// pass on the headers of a nested call.
--- a/mesh/routing/attempts.go
+++ b/mesh/routing/attempts.go
@@ -107,11 +107,11 @@
 	if !a.route.Hedge || a.route.Kind != model.KindLookup || !now.Before(a.deadline) || len(a.tried) != 1 {
 		return false
 	}
-	if !h.bucket.takeAbove(h.reserve) {
+	if !h.take() {
 		return false
 	}
 	if !a.call.Take() {
-		h.bucket.giveBack()
+		h.giveBack()
 		return false
 	}
 	return true
--- a/mesh/routing/hedge.go
+++ b/mesh/routing/hedge.go
@@ -23,10 +23,8 @@
 // its cost, and bounds such tries to 5% of calls; Attempts.Hedge uses them.
 type Hedger struct {
 	bucket *Bucket
-	// reserve is what a hedged call leaves in the bucket; shared says that calls
-	// are counted in it elsewhere.
-	reserve float64
-	shared  bool
+	// retries is the bucket of the node's retries; nil if hedged calls take none of it.
+	retries *Bucket
 
 	// mu guards routes.
 	mu     sync.Mutex
@@ -39,24 +37,37 @@
 	delay     time.Duration
 }
 
-// NewHedger returns a Hedger without observations.
-func NewHedger() *Hedger {
-	return &Hedger{bucket: NewHedgeBucket(), routes: map[model.RouteName]*latencyWindow{}}
+// NewHedger returns a Hedger without observations. Hedged calls also take from the
+// node's retries, if there are any, but only what is above half of their burst: a
+// retry after a failure is worth more than a second try of a slow call.
+func NewHedger(retries *Bucket) *Hedger {
+	return &Hedger{bucket: NewHedgeBucket(), retries: retries, routes: map[model.RouteName]*latencyWindow{}}
 }
 
-// NewSharedHedger returns a Hedger that draws on the bucket of a node's retries,
-// but only what is above half of its burst: a retry after a failure is worth more
-// than a second try of a slow call.
-func NewSharedHedger(retries *Bucket) *Hedger {
-	return &Hedger{bucket: retries, reserve: retries.burst / 2, shared: true, routes: map[model.RouteName]*latencyWindow{}}
+// take uses one hedged call of both buckets, or of neither.
+func (h *Hedger) take() bool {
+	if !h.bucket.Take() {
+		return false
+	}
+	if h.retries != nil && !h.retries.takeAbove(h.retries.burst/2) {
+		h.bucket.giveBack()
+		return false
+	}
+	return true
+}
+
+// giveBack returns what take used.
+func (h *Hedger) giveBack() {
+	h.bucket.giveBack()
+	if h.retries != nil {
+		h.retries.giveBack()
+	}
 }
 
 // Delay counts a call and returns the 95th percentile of the route's latency;
 // false until it is known.
 func (h *Hedger) Delay(route model.RouteName) (time.Duration, bool) {
-	if !h.shared {
-		h.bucket.Call()
-	}
+	h.bucket.Call()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w := h.routes[route]
--- a/mesh/routing/split_test.go
+++ b/mesh/routing/split_test.go
@@ -86,3 +86,27 @@
 		Expect(a.Retry(start, ResultFailed, false)).To(Equal(MayHaveRun))
 	})
 })
+
+var _ = Describe("Hedged calls beside retries", func() {
+	// Second tries of slow calls must leave the retries what failures need.
+	It("take only what is above half of the burst of the retries", func() {
+		retries := NewBucket(0, 4)
+		h := NewHedger(retries)
+		hedged := 0
+		for range 1000 {
+			h.Observe("r", 1)
+			h.Delay("r")
+			a := NewAttempts(note.Route{Kind: model.KindLookup, Hedge: true}, start.Add(1), NewBudget(1), retries)
+			a.Started("n1")
+			if a.Hedge(start, h) {
+				hedged++
+			}
+		}
+		Expect(hedged).To(Equal(2))
+		left := 0
+		for retries.Take() {
+			left++
+		}
+		Expect(left).To(Equal(2))
+	})
+})
--- a/mesh/serverconn/client.go
+++ b/mesh/serverconn/client.go
@@ -11,7 +11,7 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -59,8 +59,30 @@
 	// EchoHeader names a header of requests that the server repeats in its answers;
 	// empty if it repeats none. An answer that repeats another value is passed over.
 	EchoHeader string
-	// Log receives one line for each connection that ended in doubt.
-	Log *slog.Logger
+}
+
+// Error tells what is known of a request that has no answer.
+type Error struct {
+	// Kind is ErrNotSent or ErrLost.
+	Kind error
+	// Sent and Received count the bytes of the request and of its answer.
+	Sent, Received int64
+	// Stale says that the connection had been kept; see ErrStale.
+	Stale bool
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%v: %d bytes sent, %d received: %v", e.Kind, e.Sent, e.Received, e.Cause)
+}
+
+// Unwrap implements the multiple form of errors.Unwrap.
+func (e *Error) Unwrap() []error {
+	if e.Stale {
+		return []error{e.Kind, ErrStale, e.Cause}
+	}
+	return []error{e.Kind, e.Cause}
 }
 
 const (
@@ -89,9 +111,6 @@
 	if cfg.IdleLimit == 0 {
 		cfg.IdleLimit = DefaultIdleLimit
 	}
-	if cfg.Log == nil {
-		cfg.Log = slog.New(slog.DiscardHandler)
-	}
 	return &Client{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 5 * time.Second}}
 }
 
--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"balsamtrail.org/mesh/telemetry"
 )
 
@@ -173,17 +171,14 @@
 func (cn *conn) fail(ctx context.Context, cause error) error {
 	sent, received := cn.sent.Load(), cn.received
 	cn.client.give(cn, false)
-	if ctx.Err() == nil {
-		cn.client.cfg.Log.Info("connection to the backend server ended in doubt", "sent", sent, "received", received, "reason", cause.Error())
-	}
+	e := &Error{Kind: ErrLost, Sent: sent, Received: received, Cause: cause}
 	switch {
 	case sent == 0:
-		return eris.Wrapf(ErrNotSent, "%v", cause)
+		e.Kind = ErrNotSent
 	case received == 0 && cn.kept && ctx.Err() == nil:
-		return errors.Join(ErrLost, ErrStale, cause)
-	default:
-		return errors.Join(ErrLost, cause)
+		e.Stale = true
 	}
+	return e
 }
 
 // body is the body of an answer. It gives the connection back at its end, and
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -49,6 +49,9 @@
 	Peer string `json:"peer" validate:"required,listen"`
 	// Operator is the TCP address of the operator interface (HTTPS).
 	Operator string `json:"operator" validate:"required,listen"`
+	// Admin is the TCP address for metrics without TLS and token; empty, the
+	// default, serves them with the operator interface only.
+	Admin string `json:"admin" validate:"omitempty,listen"`
 }
 
 // OperatorTLS names the PEM files of the operator interface.
--- a/mesh/telemetry/metrics.go
+++ b/mesh/telemetry/metrics.go
@@ -19,6 +19,20 @@
 	return metrics.GetOrRegisterCounter(name, metrics.DefaultRegistry)
 }
 
+// latencySample is the number of latencies that a histogram keeps.
+const latencySample = 1028
+
+// Latency returns the named histogram of the process, in microseconds. Newer
+// values have more weight.
+func Latency(name string) metrics.Histogram {
+	return metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(latencySample, latencyDecay))
+	}).(metrics.Histogram)
+}
+
+// latencyDecay weighs the values of the last five minutes.
+const latencyDecay = 0.015
+
 // Gauge returns the named gauge of the process.
 func Gauge(name string) metrics.Gauge {
 	return metrics.GetOrRegisterGauge(name, metrics.DefaultRegistry)
