--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -115,7 +115,7 @@
 	switch {
 	case errors.Is(err, ErrNotRun):
 		release(admission.Outcome{Result: lostResult(ctx), Latency: latency})
-		if s.lost != nil && ctx.Err() == nil {
+		if s.lost != nil && ctx.Err() == nil && errors.Is(err, serverconn.ErrUnreachable) {
 			s.lost(err.Error())
 		}
 		return s.refuse(req, because(unreachableReason(ctx), err), true)
--- a/mesh/serverconn/client.go
+++ b/mesh/serverconn/client.go
@@ -28,6 +28,8 @@
 	ErrNotSent = errors.New("request not sent to the backend server")
 	// ErrLost is returned if the request may have been received and has no answer.
 	ErrLost = errors.New("no answer of the backend server")
+	// ErrUnreachable is an ErrNotSent where no connection could be made.
+	ErrUnreachable = errors.New("backend server does not accept connections")
 	// ErrStale is an ErrLost on a kept connection that ended without any byte of an
 	// answer: the server may have closed it as the request was sent.
 	ErrStale = errors.New("kept connection ended without an answer")
@@ -195,7 +197,7 @@
 		c.mu.Lock()
 		c.open--
 		c.mu.Unlock()
-		return nil, eris.Wrapf(ErrNotSent, "%v", err)
+		return nil, errors.Join(ErrNotSent, ErrUnreachable, err)
 	}
 	telemetry.Counter(MetricDials).Inc(1)
 	return newConn(c, raw), nil
--- a/mesh/serverconn/client_test.go
+++ b/mesh/serverconn/client_test.go
@@ -175,7 +175,7 @@
 		t.Errorf("a silent server: %v after %s", err, time.Since(began))
 	}
 	gone := New(Config{Address: "127.0.0.1:1", Connections: 1, DialTimeout: time.Second})
-	if _, err := send(t.Context(), gone, http.MethodPost, "a", nil); !errors.Is(err, ErrNotSent) {
+	if _, err := send(t.Context(), gone, http.MethodPost, "a", nil); !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrUnreachable) {
 		t.Errorf("a server that is gone: %v", err)
 	}
 }
