--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -124,7 +124,7 @@
 )
 
 // readBody reads the whole body, so that a call can be tried again. A body
-// without a length counts as one of the greatest size.
+// without a length counts as one of the greatest size until it has been read.
 func (e *entry) readBody(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, func() {}, nil
@@ -148,7 +148,8 @@
 		}
 		return nil, nil, errBodyRead
 	}
-	return body, func() { e.bodies.Release(size) }, nil
+	e.bodies.Release(size - int64(len(body)))
+	return body, func() { e.bodies.Release(int64(len(body))) }, nil
 }
 
 func (e *entry) serve(ctx context.Context, w http.ResponseWriter, c *call) {
--- a/mesh/node/platform_test.go
+++ b/mesh/node/platform_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +205,34 @@
 	}
 	step("left", false, func() error { return r.Deregister("b", 0) })
 }
+
+// Requests whose bodies come in chunks must not keep others out for the whole time
+// of their run: a few of them would fill the memory for bodies by its bound alone.
+func TestChunkedBodiesHoldOnlyTheirSize(t *testing.T) {
+	const together = 40
+	var running atomic.Int64
+	all := make(chan struct{})
+	e := newTestEntry(t, scriptedCaller(func(ctx context.Context, _ string, _ *callmux.Request) (*callmux.Response, error) {
+		if running.Add(1) == together {
+			close(all)
+		}
+		select {
+		case <-all:
+		case <-ctx.Done():
+		}
+		return answer("ok"), nil
+	}), nil)
+	var wg sync.WaitGroup
+	for range together {
+		wg.Go(func() {
+			r := httptest.NewRequest(http.MethodGet, "/cabinets/7", io.MultiReader(strings.NewReader("x")))
+			r.ContentLength = -1
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, r)
+			if w.Code != http.StatusOK {
+				t.Errorf("status %d: %s", w.Code, w.Body)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/mesh/rollout/decide.go
+++ b/mesh/rollout/decide.go
@@ -29,6 +29,11 @@
 	suspectShare model.Share = 500
 	// unprovedDwells before the deadline a hurried move that had to retreat is reversed.
 	unprovedDwells = 2
+	// exposurePart bounds the calls of a hurried move's whole time that go to a
+	// version before it is proved at provedShare. It leaves a fifth of the tenth that
+	// users bear for the time in which a reversal takes effect.
+	exposurePart             = 0.08
+	provedShare  model.Share = 5000
 	// mildShare and graveShare are what the new version keeps while the old one
 	// gets calls again for a comparison; graveShare from graveRate of failing or slow calls.
 	mildShare  model.Share = 5000
@@ -164,8 +169,14 @@
 	if d.verdict.Suspicious && d.st.Share > suspectShare {
 		return d.retreat()
 	}
-	if d.hurried() && historyOf(d.st).retreats > 0 {
-		return d.unproved()
+	if d.hurried() {
+		if historyOf(d.st).retreats > 0 {
+			return d.unproved()
+		}
+		if reason := d.hopeless(); reason != "" {
+			v := d.verdict
+			return Step{Op: OpReverse, Reason: reason, Verdict: &v}
+		}
 	}
 	if d.st.Share == model.ShareAll {
 		return d.finish()
@@ -185,7 +196,7 @@
 	if levelOf(d.st.Share).allows(d.summary.Old, d.summary.New, strict) {
 		planned = d.plan.Soonest
 	}
-	if InstantOf(d.now) < planned {
+	if InstantOf(d.now) < planned && !d.hurried() {
 		return Step{Reason: "planned for later"}
 	}
 	next := min(bound, d.capacity.bearable())
@@ -224,6 +235,40 @@
 	return Step{Op: OpReverse, Reason: "not proved by its deadline after a suspicion", Verdict: &v}
 }
 
+// hopeless returns why a hurried move cannot end well any more, or "". Going on
+// would give calls to a version that is not proved, and that its deadline catches
+// half-way.
+func (d decision) hopeless() string {
+	left := 1 // the completion
+	for _, l := range levels {
+		if l.next > d.st.Share {
+			left++
+		}
+	}
+	rest := d.st.Move.By.Time().Sub(d.now)
+	switch {
+	case rest < time.Duration(left-1)*d.st.minDwell():
+		return fmt.Sprintf("%d steps cannot be taken in the %s to the deadline", left, rest)
+	case d.st.Share <= provedShare && d.exposure() > exposurePart:
+		return "not proved by the part of the calls that an unproved version may get"
+	}
+	return ""
+}
+
+// exposure is the part of the calls of the move's whole time that the new version
+// has got so far.
+func (d decision) exposure() float64 {
+	got := 0.0
+	for i, r := range d.st.Steps {
+		until := InstantOf(d.now)
+		if i+1 < len(d.st.Steps) {
+			until = d.st.Steps[i+1].Time
+		}
+		got += float64(r.Share) / float64(model.ShareAll) * until.Time().Sub(r.Time.Time()).Seconds()
+	}
+	return got / d.st.Move.By.Time().Sub(d.st.Accepted.Time()).Seconds()
+}
+
 // retreatReason begins the reason of the steps of retreat, by which a new leader
 // knows them.
 const retreatReason = "suspicion, back to a small share: "
--- a/mesh/rollout/decide_test.go
+++ b/mesh/rollout/decide_test.go
@@ -228,6 +228,14 @@
 	It("reverses at the second time", func() {
 		Expect(decide(time.Hour, time.Minute, suspicious, retreat(30*time.Second)).Op).To(Equal(OpReverse))
 	})
+	It("reverses a hurried move that cannot end well", func() {
+		at := func(s time.Duration, share model.Share) StepRecord {
+			return StepRecord{Op: OpStep, Time: InstantOf(time.Unix(1000, 0).Add(s)), Share: share}
+		}
+		Expect(decide(16*time.Second, 10*time.Second, Verdict{}, at(4*time.Second, 100), at(9*time.Second, 5000)).Op).NotTo(Equal(OpReverse))
+		Expect(decide(16*time.Second, 14*time.Second, Verdict{}, at(4*time.Second, 100), at(13*time.Second, 5000)).Op).To(Equal(OpReverse), "no time is left")
+		Expect(decide(16*time.Second, 11*time.Second, Verdict{}, at(3*time.Second, 2000), at(10*time.Second, 5000)).Op).To(Equal(OpReverse), "too many calls went to it")
+	})
 	It("reverses a hurried move at its deadline and holds it before", func() {
 		Expect(decide(16*time.Second, 9*time.Second, Verdict{}, retreat(8*time.Second)).Op).To(BeZero())
 		Expect(decide(16*time.Second, 15*time.Second, Verdict{}, retreat(8*time.Second)).Op).To(Equal(OpReverse))
