--- a/mesh/control/operations.go
+++ b/mesh/control/operations.go
@@ -40,7 +40,7 @@
 // The documents of declarations are stored compressed: they repeat themselves, and
 // each goes through the log of every control host.
 var (
-	documentCodec   = newDocumentEncoder()
+	documentEncoder = newDocumentEncoder()
 	documentDecoder = newDocumentDecoder()
 )
 
@@ -114,7 +114,7 @@
 
 // Declare implements Operations.
 func (c *Control) Declare(ctx context.Context, d note.Declare) (note.Result, error) {
-	d.Document = documentCodec.EncodeAll(d.Document, nil)
+	d.Document = documentEncoder.EncodeAll(d.Document, nil)
 	return c.order(ctx, note.Command{Declare: &d})
 }
 
