Choose backend servers by the load they report; pace cold servers by what they bear

An entry node stays in its data centre until refusals drive it away, and saw only its own requests. Calls of running requests were turned away after 15 ms, a quarter of their target, and their requests failed after all work done for them.

Answers now carry the part of the limit in use, waiting requests included, and a cold server has no room while requests wait for its rate. A call leaves the own data centre where it would have to wait and another has a quarter more room. Calls of the first priority wait as long as the service allows.

A cold server was given just the rate it states; the deployment states how much more it bears, which is now a setting (backend.cold_load).

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -20,6 +20,9 @@
 	// configuration. Until SetService a cold backend server gets no requests, since
 	// nobody knows what it bears.
 	Provisional bool
+	// ColdLoad is the part of the stated rate of a cold backend server that it is
+	// given; 0 stands for 1.
+	ColdLoad float64
 	// OverloadAfter is how long the queue must have been non-empty to count as
 	// overloaded. A shorter one serves the newest lookups first sooner, a longer
 	// one keeps the order by deadline through bursts.
@@ -53,13 +56,16 @@
 	if cfg.OverloadAfter == 0 {
 		cfg.OverloadAfter = DefaultOverloadAfter
 	}
+	if cfg.ColdLoad == 0 {
+		cfg.ColdLoad = 1
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Gate{
 		log:     cfg.Log.With("service", string(cfg.Service.Name)),
 		limit:   telemetry.Gauge(MetricLimit),
-		sched:   newScheduler(cfg.Service, cfg.Provisional, cfg.OverloadAfter),
+		sched:   newScheduler(cfg),
 		waiting: map[*Waiter]chan decision{},
 	}
 }
@@ -293,7 +299,7 @@
 		s.Slots = g.sched.service.Slots
 	}
 	g.sched.service, g.sched.provisional = s, false
-	g.sched.pacer.rate = s.ColdRate
+	g.sched.pacer.rate = s.ColdRate * g.sched.coldLoad
 	g.sched.limiter.SetSlots(s.Slots)
 	g.sched.queue.limit = s.QueueLimit
 	g.deliver(g.sched.advance(time.Now())...)
@@ -306,6 +312,14 @@
 	return g.sched.limit()
 }
 
+// Utilization returns the part of the limit that is in use, waiting requests
+// included; it exceeds 1 while requests wait.
+func (g *Gate) Utilization() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sched.utilization(time.Now())
+}
+
 // Load returns the number of requests that run and that wait.
 func (g *Gate) Load() (inFlight, queued int) {
 	g.mu.Lock()
--- a/mesh/admission/limiter_test.go
+++ b/mesh/admission/limiter_test.go
@@ -38,7 +38,7 @@
 // drive keeps the queue of a scheduler full for a time, in steps of 1 ms.
 func drive(b backend, length time.Duration) report {
 	r := rand.New(rand.NewPCG(1, 2))
-	s := newScheduler(ledger, false, DefaultOverloadAfter)
+	s := newScheduler(Config{Service: ledger, OverloadAfter: DefaultOverloadAfter, ColdLoad: 1})
 	epoch := time.Unix(1000, 0)
 	var rep report
 	var active []running
--- a/mesh/admission/pacer_test.go
+++ b/mesh/admission/pacer_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,10 +13,17 @@
 // A cold backend server must never get more requests in any second than its
 // rate and a small burst, however many wait, and all of them once it is warm.
 func TestColdServerIsPaced(t *testing.T) {
+	t.Run("at its stated rate", func(t *testing.T) { testColdPace(t, 50, 0) })
+	t.Run("at the part of it that the settings state", func(t *testing.T) { testColdPace(t, 50*1.3, 1.3) })
+}
+
+// testColdPace expects that a cold backend server that states 50 requests a second
+// gets rate of them.
+func testColdPace(t *testing.T, rate, load float64) {
 	synctest.Test(t, func(t *testing.T) {
-		const rate, cold = 50.0, 3 * time.Second
-		g := NewGate(Config{Service: note.Service{
-			Name: "ledger", Slots: 1, QueueLimit: 1000, QueueTimeout: time.Minute, ColdRate: rate,
+		const cold = 3 * time.Second
+		g := NewGate(Config{ColdLoad: load, Service: note.Service{
+			Name: "ledger", Slots: 1, QueueLimit: 1000, QueueTimeout: time.Minute, ColdRate: 50,
 		}})
 		g.SetAvailable(false)
 		if _, err := g.Acquire(t.Context(), Ticket{Kind: model.KindLookup}); err == nil {
@@ -39,6 +47,9 @@
 		for range 400 {
 			times = append(times, <-starts)
 		}
+		if early := slices.IndexFunc(times, func(at time.Duration) bool { return at >= 2*time.Second }); float64(early) < 2*rate*0.95 {
+			t.Errorf("%d requests in two seconds, want about %.0f", early, 2*rate)
+		}
 		for i, from := range times {
 			n := 0
 			for _, at := range times[i:] {
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -25,6 +25,8 @@
 	queue    *Queue
 	inFlight int
 	pacer    pacer
+	// coldLoad is the part of the stated rate that a cold backend server is given.
+	coldLoad float64
 	// provisional says that service is not the stated one yet.
 	provisional bool
 	// unavailable says that there is no backend server to send requests to.
@@ -43,13 +45,14 @@
 	inFlight int
 }
 
-func newScheduler(service note.Service, provisional bool, overloadAfter time.Duration) *scheduler {
+func newScheduler(cfg Config) *scheduler {
 	return &scheduler{
-		service:     service,
-		provisional: provisional,
-		limiter:     NewLimiter(service.Slots),
-		queue:       NewQueue(service.QueueLimit, overloadAfter),
-		pacer:       pacer{rate: service.ColdRate},
+		service:     cfg.Service,
+		provisional: cfg.Provisional,
+		limiter:     NewLimiter(cfg.Service.Slots),
+		queue:       NewQueue(cfg.Service.QueueLimit, cfg.OverloadAfter),
+		pacer:       pacer{rate: cfg.Service.ColdRate * cfg.ColdLoad},
+		coldLoad:    cfg.ColdLoad,
 	}
 }
 
@@ -186,6 +189,18 @@
 	return s.limiter.Limit()
 }
 
+// utilization is the part of the limit in use, waiting requests included. A cold
+// backend server has no room while requests wait for its stated rate, however few run.
+func (s *scheduler) utilization(now time.Time) float64 {
+	limit := float64(max(s.limiter.Limit(), 1))
+	waiting := float64(s.queue.Len()) / limit
+	used := float64(s.inFlight) / limit
+	if waiting > 0 && s.pacer.active(now) {
+		used = max(used, 1)
+	}
+	return used + waiting
+}
+
 // start opens the queue for a backend server that states what it bears: its
 // slots, and for how long it is cold.
 func (s *scheduler) start(now time.Time, slots int, cold time.Duration) {
--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -26,7 +26,7 @@
 	now := time.Unix(1000, 0)
 	var s *scheduler
 
-	BeforeEach(func() { s = newScheduler(ledger, false, DefaultOverloadAfter) })
+	BeforeEach(func() { s = newScheduler(Config{Service: ledger, OverloadAfter: DefaultOverloadAfter, ColdLoad: 1}) })
 
 	refusal := func(decided []decision) Reason {
 		Expect(decided).To(HaveLen(1))
@@ -41,6 +41,17 @@
 		Expect(refusal(s.arrive(now, w))).To(BeEmpty())
 	})
 
+	// Guards against a cold backend server that draws calls since few of them run.
+	It("reports no room while requests wait for the rate of a cold backend server", func() {
+		s.service.ColdRate = 10
+		s.pacer.rate = 10
+		s.start(now, 20, time.Second)
+		Expect(refusal(s.arrive(now, waiter(model.KindLookup)))).To(BeEmpty())
+		Expect(s.utilization(now)).To(BeNumerically("~", 0.05, 0.001))
+		Expect(s.arrive(now, waiter(model.KindLookup))).To(BeEmpty())
+		Expect(s.utilization(now)).To(BeNumerically("~", 1.05, 0.001))
+	})
+
 	It("refuses new requests at once while draining, and queued ones after the grace", func() {
 		s.arrive(now, waiter(model.KindLookup))
 		early, late := waiter(model.KindWrite), waiter(model.KindWrite)
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -47,6 +47,8 @@
 	Limit int `cbor:"4,keyasint,omitempty"`
 	// RetryBudget is the part of the request's budget that was not used.
 	RetryBudget int `cbor:"6,keyasint,omitempty"`
+	// Utilization is the part of the limit that is in use, waiting requests included.
+	Utilization float32 `cbor:"7,keyasint,omitempty"`
 	// Refusal is set if the serving node or the backend server refused the request.
 	Refusal *Refusal `cbor:"5,keyasint,omitempty"`
 	// BodyLength is the exact length of Body where it is known; see Request.
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// utilization returns the part of that limit in use which the answer advertised.
+func (t *try) utilization() float64 {
+	if t.resp == nil {
+		return 0
+	}
+	return float64(t.resp.Utilization)
+}
+
 // limit returns the concurrency limit that the answer advertised.
 func (t *try) limit() int {
 	if t.resp == nil {
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -248,3 +248,14 @@
 		t.Errorf("%d violations", n)
 	}
 }
+
+// Guards against calls of running requests that are refused after a short wait,
+// so that the requests fail after all the work that was done for them.
+func TestCallsOfRunningRequestsAreNotTurnedAwayEarly(t *testing.T) {
+	if got := patience(note.Route{Priority: firstPriority, LatencyTarget: 60 * time.Millisecond}); got != 0 {
+		t.Errorf("the first priority waits %s at most", got)
+	}
+	if got := patience(note.Route{Priority: 2, LatencyTarget: 200 * time.Millisecond}); got != 50*time.Millisecond {
+		t.Errorf("a later priority waits %s", got)
+	}
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -131,7 +131,8 @@
 // buildCallSide makes the parts that carry requests.
 func (n *Node) buildCallSide(creds *peer.Credentials, self peer.Identity, base *url.URL) {
 	n.gate = admission.NewGate(admission.Config{
-		Service: n.initialLimits(), Provisional: n.cfg.Listen.Registration != "", Log: n.log,
+		Service: n.initialLimits(), Provisional: n.cfg.Listen.Registration != "",
+		ColdLoad: n.cfg.Backend.ColdLoad, Log: n.log,
 	})
 	if n.cfg.Listen.Registration != "" {
 		n.gate.SetAvailable(false)
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -85,7 +85,7 @@
 		s.logRefusal(req, reason, notRun)
 	}
 	return &callmux.Response{
-		Position: s.position(), Limit: s.gate.Limit(),
+		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
 		Refusal: &callmux.Refusal{Reason: reason, NotRun: notRun},
 	}
 }
@@ -212,7 +212,7 @@
 	header.Del(HeaderOutcome)
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: header,
-		Position: s.position(), Limit: s.gate.Limit(),
+		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
 		BodyLength: max(resp.ContentLength, 0),
 		Body:       &slotBody{ReadCloser: resp.Body, release: func() { release(o) }},
 	}
--- a/mesh/node/tries.go
+++ b/mesh/node/tries.go
@@ -12,6 +12,7 @@
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/claim"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/rollout"
 	"balsamtrail.org/mesh/routing"
@@ -135,7 +136,7 @@
 		Route: c.route.Name, Service: server.Service, Version: server.Version,
 		Method: c.method, Path: c.path, Header: c.header, Kind: c.route.Kind,
 		RetryBudget: lent, Position: d.position(), BodyLength: int64(len(c.body)),
-		Priority: c.route.Priority, Patience: c.route.LatencyTarget / patiencePart,
+		Priority: c.route.Priority, Patience: patience(c.route),
 	}
 	if len(c.body) > 0 {
 		req.Body = bytes.NewReader(c.body)
@@ -147,6 +148,19 @@
 // for a slot: a caller that is turned away after it still has time for another try.
 const patiencePart = 4
 
+// patience returns how long a request may wait for a slot; 0 leaves it to the
+// serving node. Requests of the first priority are the calls of running requests,
+// which fail with them, so that a late slot is worth more than an early refusal.
+func patience(r note.Route) time.Duration {
+	if r.Priority == firstPriority {
+		return 0
+	}
+	return r.LatencyTarget / patiencePart
+}
+
+// firstPriority is the most urgent priority that a route can state.
+const firstPriority = 1
+
 func (d *dispatcher) do(ctx context.Context, server routing.Choice, req *callmux.Request) (*callmux.Response, error) {
 	if server.Host == d.self.Host {
 		return d.local.handle(ctx, d.self, req)
@@ -158,7 +172,7 @@
 // observe teaches the picker, the hedger and the evidence what the try showed.
 func (d *dispatcher) observe(c *call, t *try) {
 	now := time.Now()
-	d.picker.Observe(now, t.server.Host, routing.Outcome{Result: t.result, Latency: t.latency, Limit: t.limit()})
+	d.picker.Observe(now, t.server.Host, routing.Outcome{Result: t.result, Latency: t.latency, Limit: t.limit(), Utilization: t.utilization()})
 	if t.resp != nil && d.position().Less(t.resp.Position) {
 		d.behind(peer.Identity{Role: peer.RoleNode, DataCentre: t.server.DataCentre, Host: t.server.Host}, t.resp.Position)
 	}
--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -17,6 +17,13 @@
 	// minStay of the calls stay in the own data centre however many are refused,
 	// so that this node learns when the refusals end.
 	minStay = 0.05
+	// A call leaves the own data centre for a less loaded one only where it would
+	// soon have to wait, from leaveLoad, and if the other has leaveMargin more room:
+	// bytes between data centres are billed.
+	leaveLoad   = 0.9
+	leaveMargin = 0.25
+	// usualWeight averages the usual load of a version over about 20 reports.
+	usualWeight = 0.05
 	// latencyPart is the weight of the relative latency against the used part of
 	// the limit. A low one keeps load from concentrating on the fastest backend server.
 	latencyPart = 0.1
@@ -33,7 +40,9 @@
 type versionView struct {
 	all []*host
 	// oks counts the good answers.
-	oks    uint64
+	oks uint64
+	// usual is the average load that the backend servers report.
+	usual  float64
 	own    group
 	others group
 }
@@ -60,6 +69,14 @@
 	return &v.others
 }
 
+func (v *versionView) observeLoad(utilization float64) {
+	if v.usual == 0 {
+		v.usual = utilization
+		return
+	}
+	v.usual += usualWeight * (utilization - v.usual)
+}
+
 func (g *group) observe(r Result) {
 	switch r {
 	case ResultRefused, ResultDeclined:
@@ -106,19 +123,26 @@
 	if p.leaveOwn(now, v) {
 		first, second, reason = second, first, "own data centre lacks room"
 	}
-	if h := p.pickFrom(now, first, exclude, false); h != nil {
-		return h, reason
-	}
-	if h := p.pickFrom(now, second, exclude, false); h != nil {
-		return h, "no backend server left in the preferred data centre"
+	preferred := p.pickFrom(now, v, first, exclude, false)
+	other := p.pickFrom(now, v, second, exclude, false)
+	switch {
+	case preferred != nil && other != nil && crowded(preferred.load(now, v.usual), other.load(now, v.usual)):
+		return other, "preferred data centre is more loaded"
+	case preferred != nil:
+		return preferred, reason
+	case other != nil:
+		return other, "no backend server left in the preferred data centre"
 	}
 	// An ejected backend server is still better than a failed call.
-	if h := p.pickFrom(now, first, exclude, true); h != nil {
+	if h := p.pickFrom(now, v, first, exclude, true); h != nil {
 		return h, "only ejected backend servers left"
 	}
-	return p.pickFrom(now, second, exclude, true), "only ejected backend servers left"
+	return p.pickFrom(now, v, second, exclude, true), "only ejected backend servers left"
 }
 
+// crowded reports whether a call had better go to the less loaded alternative.
+func crowded(load, other float64) bool { return load >= leaveLoad && load > other+leaveMargin }
+
 // leaveOwn decides whether a call goes to another data centre although the own
 // one has backend servers. The part that leaves grows with the refusals in the
 // own data centre and shrinks as it returns to service.
@@ -147,7 +171,7 @@
 // pickFrom draws two backend servers, each with a probability in proportion to
 // its capacity, and takes the one with the lower cost. Drawing by capacity
 // spares cold backend servers without starving them.
-func (p *Picker) pickFrom(now time.Time, g *group, exclude []model.HostID, ejected bool) *host {
+func (p *Picker) pickFrom(now time.Time, v *versionView, g *group, exclude []model.HostID, ejected bool) *host {
 	total := 0.0
 	for _, h := range g.hosts {
 		total += p.weight(now, h, exclude, ejected)
@@ -161,7 +185,7 @@
 		return a
 	}
 	b := p.draw(now, g, exclude, ejected, a, rest)
-	if b == nil || cost(now, a, b) <= cost(now, b, a) {
+	if b == nil || cost(now, v, a, b) <= cost(now, v, b, a) {
 		return a
 	}
 	return b
@@ -191,12 +215,11 @@
 	return last // rounding
 }
 
-// cost is the used part of the limit and, with less weight, the latency
-// relative to the other candidate.
-func cost(now time.Time, h, other *host) float64 {
+// cost is the load and, with less weight, the latency relative to the other candidate.
+func cost(now time.Time, v *versionView, h, other *host) float64 {
 	ratio := 1.0
 	if h.latency > 0 && other.latency > 0 {
 		ratio = min(h.latency/other.latency, maxLatencyRatio)
 	}
-	return float64(h.inFlight)/h.capacity(now) + latencyPart*ratio
+	return h.load(now, v.usual) + latencyPart*ratio
 }
--- a/mesh/routing/host.go
+++ b/mesh/routing/host.go
@@ -16,6 +16,9 @@
 	limitLifetime = 10 * time.Second
 	// zeroLimitLifetime is how long an advertised limit of zero keeps calls away.
 	zeroLimitLifetime = time.Second
+	// loadTime is the time constant by which a report of the load loses weight: the
+	// load of a backend server changes with requests of about that length.
+	loadTime = 500 * time.Millisecond
 	// ejectAfter is the number of failures or refusals in a row that ejects.
 	ejectAfter = 5
 	// errorWeight averages the part of errors over about ten answers.
@@ -43,6 +46,10 @@
 	limit    int
 	// limitAt is when the limit was learned; zero if it is unknown.
 	limitAt time.Time
+	// utilization is the advertised part of the limit in use, learned at limitAt when
+	// this node had inFlightAt requests there.
+	utilization float64
+	inFlightAt  int
 	// cold says that it started after this node first saw its service.
 	cold bool
 	bad  int
@@ -77,6 +84,7 @@
 	h.observed = now
 	if o.Result != ResultFailed {
 		h.limit, h.limitAt = o.Limit, now
+		h.utilization, h.inFlightAt = o.Utilization, h.inFlight
 	}
 	if h.ejections > 0 && now.Sub(h.ejectedUntil) > ejectForget {
 		h.ejections = 0
@@ -126,6 +134,19 @@
 	return h.limit == 0 && !h.limitAt.IsZero() && now.Sub(h.limitAt) < zeroLimitLifetime
 }
 
+// load estimates the part of the limit in use. A report loses weight against the
+// usual load of the other backend servers as it ages; the own requests are known.
+func (h *host) load(now time.Time, usual float64) float64 {
+	capacity := h.capacity(now)
+	own := float64(h.inFlight) / capacity
+	if h.limitAt.IsZero() {
+		return max(own, usual)
+	}
+	weight := math.Exp(-now.Sub(h.limitAt).Seconds() / loadTime.Seconds())
+	reported := h.utilization + float64(h.inFlight-h.inFlightAt)/capacity
+	return max(own, weight*reported+(1-weight)*usual)
+}
+
 // capacity is the concurrency limit to assume: the advertised one while it is
 // recent, 1 for a backend server that has just started, else its slots.
 func (h *host) capacity(now time.Time) float64 {
--- a/mesh/routing/message.go
+++ b/mesh/routing/message.go
@@ -33,6 +33,9 @@
 	// Limit is the concurrency limit that the answer advertised. It counts for
 	// ResultOK, ResultError, ResultRefused and ResultDeclined only.
 	Limit int
+	// Utilization is the part of that limit in use, waiting requests included, when
+	// the answer was given. It counts for the same results as Limit.
+	Utilization float64
 }
 
 // Retryable reports whether a try may be repeated on another backend server.
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -160,7 +160,7 @@
 	for version, pool := range source.pools {
 		view := &versionView{}
 		if o := old[version]; o != nil {
-			view.own.pressure, view.others.pressure, view.oks = o.own.pressure, o.others.pressure, o.oks
+			view.own.pressure, view.others.pressure, view.oks, view.usual = o.own.pressure, o.others.pressure, o.oks, o.usual
 		}
 		for _, a := range pool {
 			view.add(p.host(a, !first), a.DataCentre == p.cfg.DataCentre)
@@ -330,6 +330,9 @@
 	case h.errors == 1:
 		h.oksBefore = view.oks
 	}
+	if o.Result != ResultFailed && o.Result != ResultCancelled {
+		view.observeLoad(o.Utilization)
+	}
 	view.groupOf(h, p.cfg.DataCentre).observe(pressing(h, o.Result))
 	due = due || !h.ejected(now) && h.failsAlone(view)
 	if due && view.mayEject(now) {
--- a/mesh/routing/picker_test.go
+++ b/mesh/routing/picker_test.go
@@ -55,6 +55,42 @@
 		Expect(away(0)).To(BeNumerically("<", 100), "the calls come back when the refusals end")
 	})
 
+	// Guards against requests that wait for a slow server of the own data centre
+	// while the others have room.
+	It("leaves a data centre whose backend servers report more load, as far as that is so", func() {
+		p := picker(1, config(all), append(servers("v1", "thun", 1), servers("v1", "bern", 2)...))
+		now := start
+		away := func(own, others float64) (n int) {
+			for range 1000 {
+				now = now.Add(10 * time.Millisecond)
+				call(p, now, func(a membership.Announcement) Outcome {
+					o := okay
+					o.Utilization = own
+					if a.DataCentre != "thun" {
+						n++
+						o.Utilization = others
+					}
+					return o
+				})
+			}
+			return n
+		}
+		Expect(away(0.8, 0.1)).To(BeZero(), "nothing waits")
+		Expect(away(1.2, 0.4)).To(BeNumerically(">", 800))
+		away(1.2, 1.2) // reports of the room that there was are forgotten
+		Expect(away(1.2, 1.2)).To(BeNumerically("<", 200), "nobody has more room")
+	})
+
+	It("forgets a report of the load as it ages, but not its own requests", func() {
+		a := servers("v1", "thun", 1)[0]
+		h := &host{Announcement: a}
+		h.observe(start, Outcome{Result: ResultOK, Limit: 20, Utilization: 1.5})
+		Expect(h.load(start, 0.5)).To(BeNumerically("~", 1.5, 0.01))
+		Expect(h.load(start.Add(5*loadTime), 0.5)).To(BeNumerically("~", 0.5, 0.02))
+		h.inFlight = 30
+		Expect(h.load(start.Add(5*loadTime), 0.5)).To(BeNumerically("~", 1.5, 0.02))
+	})
+
 	It("uses another data centre, then an ejected backend server, before it fails", func() {
 		p := picker(1, config(all), append(servers("v1", "thun", 1), servers("v1", "bern", 2)...))
 		failed := Outcome{Result: ResultFailed}
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -107,6 +107,10 @@
 	// Connections bounds the connections to it, at least Slots. Spare ones
 	// replace silent connections without delay.
 	Connections int `json:"connections" validate:"min=1,max=10000,gtefield=Slots"`
+	// ColdLoad is the part of the stated rate of a cold backend server that it is
+	// given; default 1. More shortens the recovery of a whole data centre, and a
+	// backend server that states its rate without a margin may fall over.
+	ColdLoad float64 `json:"cold_load" validate:"min=0.1,max=3"`
 	// HealthPath is asked before the first request is sent; default /healthz.
 	HealthPath string `json:"health_path" validate:"startswith=/,max=1024"`
 }
@@ -184,7 +188,7 @@
 // DefaultNode returns the defaults of the fields that have one.
 func DefaultNode() Node {
 	return Node{
-		Backend:     Backend{HealthPath: "/healthz"},
+		Backend:     Backend{HealthPath: "/healthz", ColdLoad: 1},
 		ClaimGroups: 4,
 		Timeouts: NodeTimeouts{
 			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: 900 * time.Millisecond,
