Keep streams to control hosts in the own data centre; ask one host for the floor

Settings name control hosts without their data centres, so a node begins with any of them; lease, evidence and directory streams never went elsewhere, and the tree took a control host of any data centre for a preferred parent.

A stream to another data centre now moves once a control host of the own one answers, and the tree prefers those of the own data centre.

One confirmed answer suffices; a quorum, then all, are asked only without one.

--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -50,8 +50,10 @@
 
 // AttachOptions are the settings of Attach.
 type AttachOptions struct {
-	Self   model.HostID
-	Follow FollowOptions
+	Self model.HostID
+	// DataCentre is that of this node.
+	DataCentre model.DataCentre
+	Follow     FollowOptions
 	// Candidates returns the parents to try, the best first.
 	Candidates func() []Parent
 	// Preferred returns the candidates that the tree gives to this node; nil
@@ -258,16 +260,22 @@
 	}
 }
 
-// better returns the preferred parents if the present one is not among them.
+// better returns the preferred parents if the present one is not among them, and
+// those of the own data centre if it is in another one. Its data centre is taken
+// from the list: a node may have attached before it knew where its parent is.
 func (at *attacher) better(present Parent) []Parent {
 	if at.o.Preferred == nil {
 		return nil
 	}
 	ps := at.o.Preferred()
-	if slices.ContainsFunc(ps, func(p Parent) bool { return p.Host == present.Host }) {
+	i := slices.IndexFunc(ps, func(p Parent) bool { return p.Host == present.Host })
+	if i < 0 {
+		return ps
+	}
+	if ps[i].DataCentre == at.o.DataCentre {
 		return nil
 	}
-	return ps
+	return slices.DeleteFunc(slices.Clone(ps), func(p Parent) bool { return p.DataCentre != at.o.DataCentre })
 }
 
 // move goes from one parent to the best of the others that need no waiting. If
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -27,6 +28,13 @@
 	uplinkMaxDelay    = 2 * time.Second
 	// uplinkSettled is how long a stream lives before the back-off starts anew.
 	uplinkSettled = 2 * time.Second
+	// uplinkReview is how long a stream to a control host of another data centre
+	// lives before one of the own data centre is tried. A shorter time follows a
+	// return sooner and costs a connection each time.
+	uplinkReview = 8 * time.Second
+	// uplinkFirstReview comes soon: the settings need not state the data centres of
+	// control hosts, which a node learns within its first second.
+	uplinkFirstReview = 1500 * time.Millisecond
 )
 
 // controlHosts returns the control hosts in this node's order of preference:
@@ -84,6 +92,11 @@
 		if err == nil || ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(err, errMoved) {
+			n.log.Info("stream moves to the own data centre", "method", method, "from", string(host.Host))
+			i = -1
+			continue
+		}
 		n.log.Info("stream to control host ended", "method", method, "peer", string(host.Host), "reason", err.Error())
 		if time.Since(started) > uplinkSettled {
 			delays.Reset()
@@ -102,7 +115,48 @@
 		return err
 	}
 	defer st.Abort()
-	return serve(ctx, st)
+	ctx, move := context.WithCancelCause(ctx)
+	var review sync.WaitGroup
+	defer review.Wait()
+	defer move(nil)
+	review.Go(func() { n.review(ctx, host, method, move) })
+	err = serve(ctx, st)
+	if errors.Is(context.Cause(ctx), errMoved) {
+		return errMoved
+	}
+	return err
+}
+
+// errMoved ends a stream to another data centre once one of the own data centre
+// has a control host that answers.
+var errMoved = errors.New("a control host of the own data centre answers")
+
+// review ends a stream to another data centre as soon as a control host of the own
+// one answers: bytes between data centres are billed. The stream goes on meanwhile.
+func (n *Node) review(ctx context.Context, present distribute.Parent, method string, move context.CancelCauseFunc) {
+	after := uplinkFirstReview
+	for {
+		wait(ctx, after/2+rand.N(after))
+		after = uplinkReview
+		if ctx.Err() != nil {
+			return
+		}
+		hosts := n.controlHosts()
+		i := slices.IndexFunc(hosts, func(h distribute.Parent) bool { return h.Host == present.Host })
+		if len(hosts) == 0 || hosts[0].DataCentre != n.cfg.DataCentre || i >= 0 && hosts[i].DataCentre == n.cfg.DataCentre {
+			continue
+		}
+		openCtx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
+		st, err := n.open(openCtx, hosts[0], method)
+		cancel()
+		if err != nil {
+			n.log.Info("control host of the own data centre does not answer", "method", method, "peer", string(hosts[0].Host), "reason", err.Error())
+			continue
+		}
+		st.Abort()
+		move(errMoved)
+		return
+	}
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -239,7 +293,7 @@
 // attach keeps the parent stream by which versions and endpoints arrive.
 func (n *Node) attach(ctx context.Context) error {
 	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
-		Self: n.cfg.Host,
+		Self: n.cfg.Host, DataCentre: n.cfg.DataCentre,
 		Follow: distribute.FollowOptions{
 			Subtree: n.subtree, Freshness: n.freshness, Progress: &distribute.Progress{}, Log: n.log,
 			Silence: n.cfg.Timeouts.ParentSilence,
@@ -315,15 +369,19 @@
 	n.log.Info("caught up from peer", "peer", string(p.host), "position", n.acceptor.Position().String())
 }
 
-const floorRetry = 300 * time.Millisecond
+const (
+	floorRetry = 300 * time.Millisecond
+	// floorAskTimeout bounds one round of questions. A shorter one passes over silent
+	// hosts sooner and asks more hosts that are merely busy.
+	floorAskTimeout = 600 * time.Millisecond
+)
 
 // learnFloor asks control hosts, and peers if those do not settle it, until it
 // knows the least position by which this node may route. While the source is out
 // it takes versions and endpoints from a peer, since no parent may be known.
 func (n *Node) learnFloor(ctx context.Context) error {
 	for ctx.Err() == nil {
-		answers := n.askPositions(ctx, n.controlHosts())
-		floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), 0)
+		answers, floor, ok := n.askControlHosts(ctx)
 		var peers []distribute.Parent
 		if !ok {
 			peers = n.floorSample()
@@ -342,6 +400,26 @@
 	return ctx.Err()
 }
 
+// askControlHosts asks the preferred control host, whose confirmed answer suffices,
+// then as many more as make up a quorum, then the others: when a whole fleet starts
+// at once, the handshakes of all nodes with all control hosts delay everything else.
+func (n *Node) askControlHosts(ctx context.Context) (answers []distribute.FloorAnswer, floor model.Position, ok bool) {
+	hosts := n.controlHosts()
+	quorum := len(hosts)/2 + 1
+	from := 0
+	for _, to := range []int{1, quorum, len(hosts)} {
+		if to <= from || to > len(hosts) {
+			continue
+		}
+		answers = append(answers, n.askPositions(ctx, hosts[from:to])...)
+		from = to
+		if floor, ok = distribute.Floor(answers, len(hosts), 0); ok {
+			break
+		}
+	}
+	return answers, floor, ok
+}
+
 // floorPeers bounds the peers asked for a floor. At least half of those asked
 // must answer: asking half of a large data centre would cost it more than the
 // restart is worth.
@@ -384,7 +462,7 @@
 }
 
 func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
-	ctx, cancel := context.WithTimeout(ctx, uplinkOpenTimeout)
+	ctx, cancel := context.WithTimeout(ctx, floorAskTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var answers []distribute.FloorAnswer
