Wait for the directory before a node takes its configuration

Streams and the floor now wait up to 600 ms for the first list of the control hosts if the settings name no data centre.

--- a/mesh/directory/directory.go
+++ b/mesh/directory/directory.go
@@ -24,13 +24,19 @@
 	settings []Host
 	index    uint64
 	hosts    []Host
+	// learned is closed at the first list.
+	learned chan struct{}
+	first   sync.Once
 }
 
 // New returns a directory that begins with the hosts of the settings.
 func New(settings []Host) *Directory {
-	return &Directory{settings: settings, hosts: settings}
+	return &Directory{settings: settings, hosts: settings, learned: make(chan struct{})}
 }
 
+// Learned returns a channel that is closed once a control host has sent a list.
+func (d *Directory) Learned() <-chan struct{} { return d.learned }
+
 // Hosts returns the control hosts; the caller must not change the list.
 func (d *Directory) Hosts() []Host {
 	d.mu.Lock()
@@ -77,6 +83,7 @@
 			}
 		}
 	}
+	d.first.Do(func() { close(d.learned) })
 	byName := func(a, b Host) int { return cmp.Compare(a.Host, b.Host) }
 	slices.SortFunc(hosts, byName)
 	d.index = l.Index
--- a/mesh/directory/directory_test.go
+++ b/mesh/directory/directory_test.go
@@ -41,3 +41,26 @@
 		t.Fatalf("hosts %+v", d.Hosts())
 	}
 }
+
+// Guards against a node that waits for a list which it has, or takes an empty one
+// for the word of a control host.
+func TestLearnedWithTheFirstList(t *testing.T) {
+	d := directory.New([]directory.Host{host("c1", "a:1")})
+	learned := func() bool {
+		select {
+		case <-d.Learned():
+			return true
+		default:
+			return false
+		}
+	}
+	d.Update(directory.List{Index: 3})
+	if learned() {
+		t.Error("an empty list is no list")
+	}
+	d.Update(directory.List{Index: 4, Hosts: []directory.Host{host("c1", "a:1")}})
+	d.Update(directory.List{Index: 5, Hosts: []directory.Host{host("c2", "a:2")}})
+	if !learned() {
+		t.Error("the first list is not noticed")
+	}
+}
--- a/mesh/node/directory.go
+++ b/mesh/node/directory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"balsamtrail.org/mesh/directory"
 	"balsamtrail.org/mesh/model"
@@ -33,3 +35,24 @@
 		})
 	})
 }
+
+// directoryWait bounds the wait for the data centres of the control hosts. A longer
+// one delays a start at which the control hosts of the settings are gone.
+const directoryWait = 600 * time.Millisecond
+
+// awaitDirectory waits until the node knows where the control hosts are, if its
+// settings do not say: what it then takes from one of its own data centre, such as
+// a copy of the configuration, need not cross data centres.
+func (n *Node) awaitDirectory(ctx context.Context) {
+	stated := slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return h.DataCentre != "" })
+	if stated {
+		return
+	}
+	timer := time.NewTimer(directoryWait)
+	defer timer.Stop()
+	select {
+	case <-n.directory.Learned():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/mesh/node/uplink.go
+++ b/mesh/node/uplink.go
@@ -170,6 +170,7 @@
 
 // announce renews the lease of the backend server until it has left.
 func (n *Node) announce(ctx context.Context) error {
+	n.awaitDirectory(ctx)
 	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
 		return membership.Announce(ctx, n.publisher, n.contact, st, membership.AnnounceOptions{
 			Renew: n.cfg.Timeouts.LeaseRenew, Lease: n.cfg.Timeouts.EndpointLease,
@@ -183,6 +184,7 @@
 
 // reportEvidence learns the active moves and reports the outcomes of calls.
 func (n *Node) reportEvidence(ctx context.Context) error {
+	n.awaitDirectory(ctx)
 	return n.keepStream(ctx, rollout.MethodEvidence, n.evidenceStream)
 }
 
@@ -292,6 +294,7 @@
 
 // attach keeps the parent stream by which versions and endpoints arrive.
 func (n *Node) attach(ctx context.Context) error {
+	n.awaitDirectory(ctx)
 	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
 		Self: n.cfg.Host, DataCentre: n.cfg.DataCentre,
 		Follow: distribute.FollowOptions{
@@ -380,6 +383,7 @@
 // knows the least position by which this node may route. While the source is out
 // it takes versions and endpoints from a peer, since no parent may be known.
 func (n *Node) learnFloor(ctx context.Context) error {
+	n.awaitDirectory(ctx)
 	for ctx.Err() == nil {
 		answers, floor, ok := n.askControlHosts(ctx)
 		var peers []distribute.Parent
--- a/mesh/node/uplink_test.go
+++ b/mesh/node/uplink_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"balsamtrail.org/mesh/directory"
@@ -131,3 +132,30 @@
 		}
 	}
 }
+
+// Guards against a copy of the configuration that every node takes from whichever
+// control host its settings name, across data centres.
+func TestStreamsWaitForTheDirectoryIfTheSettingsNameNoDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		waited := func(hosts []directory.Host, learn time.Duration) time.Duration {
+			n := &Node{directory: directory.New(hosts)}
+			if learn > 0 {
+				time.AfterFunc(learn, func() {
+					n.directory.Update(directory.List{Index: 1, Hosts: []directory.Host{{Host: "c9", DataCentre: "thun"}}})
+				})
+			}
+			began := time.Now()
+			n.awaitDirectory(t.Context())
+			return time.Since(began)
+		}
+		if got := waited([]directory.Host{{Host: "c1", DataCentre: "thun"}}, 0); got != 0 {
+			t.Errorf("waited %s though the settings state the data centre", got)
+		}
+		if got := waited([]directory.Host{{Host: "c1"}}, 100*time.Millisecond); got != 100*time.Millisecond {
+			t.Errorf("waited %s for a list that came after 100ms", got)
+		}
+		if got := waited([]directory.Host{{Host: "c1"}}, 0); got != directoryWait {
+			t.Errorf("waited %s for a list that never came", got)
+		}
+	})
+}
