--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -18,6 +18,7 @@
 	Backend    backendCmd    `cmd:"" help:"Run a stand-in backend server."`
 	Demo       demoCmd       `cmd:"" help:"Run the system on loopback under load and failures and write a table."`
 	Faults     scenariosCmd  `cmd:"" help:"Run failure scenarios on loopback, each with its assertions."`
+	Soak       soakCmd       `cmd:"" help:"Run random faults that overlap, seed by seed, and check the promises."`
 	Proxy      proxyCmd      `cmd:"" help:"Run the naive baseline: a plain HTTP proxy."`
 	Experiment experimentCmd `cmd:"" help:"Run an experiment with real processes and write a table."`
 	Capacity   capacityCmd   `cmd:"" help:"Measure what each role costs against its size."`
--- a/bench/demo/fleet.go
+++ b/bench/demo/fleet.go
@@ -102,7 +102,7 @@
 	}
 	c := settings.DefaultControl()
 	c.Process = p
-	c.DataDir = filepath.Join(f.dir, string(a.Host)+"-data")
+	c.DataDir = f.DataDir(a.Host)
 	c.Listen = settings.ControlListen{Peer: a.Peer, Operator: op}
 	c.DataCentres = f.DataCentres
 	c.OperatorTLS = settings.OperatorTLS{Certificate: p.Credentials.Certificate, Key: p.Credentials.Key}
@@ -155,7 +155,7 @@
 	n.Process = p
 	n.Listen = settings.NodeListen{Caller: addr[0], Outgoing: addr[1], Peer: addr[2], Call: addr[3], Admin: addr[4]}
 	n.Backend = settings.Backend{
-		Service: s.Service, Version: s.Version, URL: "http://" + addr[5], Slots: 20, Connections: 100, HealthPath: "/healthz",
+		Service: s.Service, Version: s.Version, URL: "http://" + addr[5], Slots: 20, Connections: 100, ColdLoad: 1, HealthPath: "/healthz",
 	}
 	file, err := f.write(string(host), n)
 	if err != nil {
@@ -222,3 +222,36 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// EditNode changes the settings file of a node before its next start.
+func (f *Fleet) EditNode(host model.HostID, edit func(*settings.Node) error) error {
+	n, err := settings.LoadNode(f.settingsFile(host))
+	if err != nil {
+		return err
+	}
+	if err := edit(&n); err != nil {
+		return err
+	}
+	_, err = f.write(string(host), n)
+	return err
+}
+
+// EditControl changes the settings file of a control host before its next start.
+func (f *Fleet) EditControl(host model.HostID, edit func(*settings.Control) error) error {
+	c, err := settings.LoadControl(f.settingsFile(host))
+	if err != nil {
+		return err
+	}
+	if err := edit(&c); err != nil {
+		return err
+	}
+	_, err = f.write(string(host), c)
+	return err
+}
+
+func (f *Fleet) settingsFile(host model.HostID) string {
+	return filepath.Join(f.dir, string(host)+".json")
+}
+
+// DataDir returns the data folder of a control host.
+func (f *Fleet) DataDir(host model.HostID) string { return filepath.Join(f.dir, string(host)+"-data") }
--- /dev/null
+++ b/bench/demo/logs.go
@@ -0,0 +1,47 @@
+package demo
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 4 << 20
+
+// ScanLogs looks for broken invariants, panics and data races in all logs of a folder.
+func ScanLogs(dir string) []string {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var found []string
+	for _, file := range files {
+		found = append(found, scanLog(file)...)
+	}
+	return found
+}
+
+func scanLog(file string) []string {
+	f, err := os.Open(file)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer f.Close()
+	var found []string
+	sc := bufio.NewScanner(f)
+	sc.Buffer(nil, maxLogLine)
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") ||
+			strings.HasPrefix(line, "fatal error:") || strings.HasPrefix(line, "WARNING: DATA RACE") {
+			found = append(found, fmt.Sprintf("%s: %s", filepath.Base(file), line))
+		}
+	}
+	if err := sc.Err(); err != nil {
+		found = append(found, fmt.Sprintf("%s: %v", filepath.Base(file), err))
+	}
+	return found
+}
--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -140,3 +141,31 @@
 	var k map[string]int
 	return k, ask("http://"+b.BackendAddress+"/_standin/keys", &k)
 }
+
+// Client returns an operator client that uses only the given control hosts; all of
+// them if none is given.
+func (f *Fleet) Client(hosts ...*ControlHost) (*operator.Client, error) {
+	if len(hosts) == 0 {
+		hosts = f.Controls
+	}
+	pool, err := f.Authority()
+	if err != nil {
+		return nil, err
+	}
+	var servers []string
+	for _, h := range hosts {
+		servers = append(servers, "https://"+h.Operator)
+	}
+	return operator.NewClient(operator.ClientConfig{Servers: servers, Token: token, CA: pool})
+}
+
+// Authority returns the certificates that sign all processes.
+func (f *Fleet) Authority() (*x509.CertPool, error) {
+	pem, err := os.ReadFile(filepath.Join(f.dir, "ca", "ca.pem"))
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	return pool, nil
+}
--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -55,7 +55,7 @@
 	refuse = true
 	send("shed")
 	runs := map[string]int{}
-	if err := readRuns(file, runs); err != nil {
+	if err := ReadRuns(file, runs); err != nil {
 		t.Fatal(err)
 	}
 	if runs["once"] != 1 || runs["twice"] != 2 || runs["shed"] != 0 || duplicates(runs) != 1 {
--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -1,12 +1,9 @@
 package experiment
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -134,7 +131,9 @@
 	}
 	res.checkWrites(report.Keys(), runs)
 	res.checkRequests(report)
-	res.checkLogs(s.Dir)
+	for _, found := range demo.ScanLogs(s.Dir) {
+		res.violate("%s", found)
+	}
 	if len(res.Violations) > 0 {
 		return res, fmt.Errorf("%d violations", len(res.Violations))
 	}
@@ -228,33 +227,3 @@
 		r.violate("%d lookups and writes were sent, fewer than %d", sent, faultsRequests)
 	}
 }
-
-// checkLogs looks for broken invariants and panics in all logs.
-func (r *FaultsResult) checkLogs(dir string) {
-	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
-	for _, file := range files {
-		if err := r.checkLog(file); err != nil {
-			r.violate("%s: %v", filepath.Base(file), err)
-		}
-	}
-}
-
-// maxLogLine bounds a line of a log.
-const maxLogLine = 4 << 20
-
-func (r *FaultsResult) checkLog(file string) error {
-	f, err := os.Open(file)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	sc := bufio.NewScanner(f)
-	sc.Buffer(nil, maxLogLine)
-	for sc.Scan() {
-		line := sc.Text()
-		if strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
-			r.violate("%s: %s", filepath.Base(file), line)
-		}
-	}
-	return sc.Err()
-}
--- a/bench/experiment/runs.go
+++ b/bench/experiment/runs.go
@@ -58,8 +58,8 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-// readRuns adds the runs of each key in a file to runs; a missing file has none.
-func readRuns(file string, runs map[string]int) error {
+// ReadRuns adds the runs of each key in a file to runs; a missing file has none.
+func ReadRuns(file string, runs map[string]int) error {
 	f, err := os.Open(file)
 	if os.IsNotExist(err) {
 		return nil
--- a/bench/experiment/system.go
+++ b/bench/experiment/system.go
@@ -242,7 +242,7 @@
 func (s *system) runs(side string) (map[string]int, error) {
 	out := map[string]int{}
 	for i := range s.fleet.Servers {
-		if err := readRuns(s.runsFile(side, i), out); err != nil {
+		if err := ReadRuns(s.runsFile(side, i), out); err != nil {
 			return nil, err
 		}
 	}
--- a/bench/faults/env.go
+++ b/bench/faults/env.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -80,35 +79,16 @@
 	if len(hosts) == 0 {
 		hosts = e.Controls
 	}
-	pool, err := e.authority()
-	if err != nil {
-		return nil, err
-	}
-	var servers []string
-	for _, h := range hosts {
-		servers = append(servers, "https://"+h.Operator)
-	}
-	c, err := operator.NewClient(operator.ClientConfig{Servers: servers, Token: token, CA: pool})
+	c, err := e.Client(hosts...)
 	if err == nil {
 		e.clients = append(e.clients, c)
 	}
 	return c, err
 }
 
-// authority returns the certificates that sign all processes.
-func (e *env) authority() (*x509.CertPool, error) {
-	pem, err := os.ReadFile(filepath.Join(e.dir, "ca", "ca.pem"))
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM(pem)
-	return pool, nil
-}
-
 // https returns a plain client of the operator interface.
 func (e *env) https() (*http.Client, error) {
-	pool, err := e.authority()
+	pool, err := e.Authority()
 	if err != nil {
 		return nil, err
 	}
--- a/bench/faults/silent.go
+++ b/bench/faults/silent.go
@@ -19,7 +19,7 @@
 // relays stand between all nodes and control hosts, and between all nodes.
 type relays struct {
 	tcp []*relay.TCP
-	udp []*udpRelay
+	udp []*relay.UDP
 }
 
 // swallow makes all open connections silent.
@@ -28,19 +28,19 @@
 		tcp += t.Swallow()
 	}
 	for _, u := range r.udp {
-		udp += u.swallow()
+		udp += u.Swallow()
 	}
 	return tcp, udp
 }
 
 func (r *relays) front(target string, wg *sync.WaitGroup) (string, error) {
-	u, err := listenUDP(target)
+	u, err := relay.ListenUDP(target)
 	if err != nil {
 		return "", err
 	}
 	r.udp = append(r.udp, u)
-	wg.Go(u.run)
-	return u.addr(), nil
+	wg.Go(u.Run)
+	return u.Addr(), nil
 }
 
 // place changes the settings of the prepared processes so that connections to
@@ -116,7 +116,7 @@
 		e.endLoad()
 		cancel()
 		for _, u := range r.udp {
-			u.close()
+			u.Close()
 		}
 		wg.Wait()
 	}()
--- /dev/null
+++ b/bench/load/compare.go
@@ -0,0 +1,29 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// CompareRuns compares what callers were told of their writes with the runs of each
+// key and lists what must not be: a write that ran twice, one that was answered and
+// did not run, and one that was refused as not run and ran.
+func CompareRuns(told map[string]KeyReport, runs map[string]int) []string {
+	var found []string
+	for _, key := range slices.Sorted(maps.Keys(runs)) {
+		if n := runs[key]; n > 1 {
+			found = append(found, fmt.Sprintf("write %s ran %d times", key, n))
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(told)) {
+		t := told[key]
+		if t.OK && runs[key] == 0 {
+			found = append(found, fmt.Sprintf("write %s was answered and did not run", key))
+		}
+		if t.NotRun && runs[key] > 0 {
+			found = append(found, fmt.Sprintf("write %s was refused as not run and ran", key))
+		}
+	}
+	return found
+}
--- a/bench/relay/relay.go
+++ b/bench/relay/relay.go
@@ -1,6 +1,6 @@
-// Package relay forwards TCP or UDP between two addresses and can swallow all
-// bytes of the connections that are open, as a middlebox does that has lost
-// track of them; connections made afterwards work.
+// Package relay forwards TCP or UDP between two addresses and harms what passes:
+// it can swallow all bytes of the connections that are open, as a middlebox does
+// that has lost track of them, delay or reset them, or drop one direction.
 package relay
 
 import (
@@ -9,12 +9,17 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // TCP relays connections from a listener to a target.
 type TCP struct {
 	target string
 	lis    net.Listener
+	// delay is added to what passes, in nanoseconds.
+	delay atomic.Int64
+	// oneWay drops what comes back from the target.
+	oneWay atomic.Bool
 
 	// mu guards conns.
 	mu    sync.Mutex
@@ -22,6 +27,7 @@
 }
 
 type pair struct {
+	relay   *TCP
 	swallow atomic.Bool
 	a, b    net.Conn
 }
@@ -62,24 +68,28 @@
 		return
 	}
 	defer b.Close()
-	p := &pair{a: a, b: b}
+	p := &pair{relay: t, a: a, b: b}
 	t.mu.Lock()
 	t.conns = append(t.conns, p)
 	t.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = a.Close(); _ = b.Close() })
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(a, b) })
-	wg.Go(func() { p.copy(b, a) })
+	wg.Go(func() { p.copy(a, b, &t.oneWay) })
+	wg.Go(func() { p.copy(b, a, &atomic.Bool{}) })
 	wg.Wait()
 }
 
 // copy moves bytes until the source ends; swallowed bytes vanish, and an end
-// is not passed on either.
-func (p *pair) copy(dst, src net.Conn) {
+// is not passed on either. Bytes that a cut has dropped leave the connection silent.
+func (p *pair) copy(dst, src net.Conn, cut *atomic.Bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		if n > 0 && cut.Load() {
+			p.swallow.Store(true)
+		}
+		time.Sleep(time.Duration(p.relay.delay.Load()))
 		if p.swallow.Load() {
 			if err != nil {
 				return
@@ -109,6 +119,27 @@
 	}
 }
 
+// Delay adds d to what passes from now on.
+func (t *TCP) Delay(d time.Duration) { t.delay.Store(int64(d)) }
+
+// CutAnswers drops all bytes of the target, or ends that.
+func (t *TCP) CutAnswers(cut bool) { t.oneWay.Store(cut) }
+
+// Reset ends all open connections without an orderly end.
+func (t *TCP) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.conns {
+		for _, c := range []net.Conn{p.a, p.b} {
+			if tc, ok := c.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	t.conns = nil
+}
+
 // Swallow makes all open connections silent for good.
 func (t *TCP) Swallow() int {
 	t.mu.Lock()
--- a/bench/faults/udp.go
+++ b/bench/relay/udp.go
@@ -1,19 +1,22 @@
-package faults
+package relay
 
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
-// udpRelay forwards datagrams and can drop those of all flows seen so far. A
+// UDP forwards datagrams and can drop those of all flows seen so far. A
 // flow is known by its source port, as a middlebox knows it.
-type udpRelay struct {
+type UDP struct {
 	front  *net.UDPConn
 	target *net.UDPAddr
 
 	// mu guards flows and their fields.
 	mu    sync.Mutex
 	flows map[string]*udpFlow
+	// oneWay drops what comes back from the target.
+	oneWay atomic.Bool
 }
 
 type udpFlow struct {
@@ -21,8 +24,8 @@
 	silent bool
 }
 
-// listenUDP returns a relay in front of the target; run serves.
-func listenUDP(target string) (*udpRelay, error) {
+// ListenUDP returns a relay in front of the target; Run serves.
+func ListenUDP(target string) (*UDP, error) {
 	addr, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, err
@@ -31,15 +34,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &udpRelay{front: front, target: addr, flows: map[string]*udpFlow{}}, nil
+	return &UDP{front: front, target: addr, flows: map[string]*udpFlow{}}, nil
 }
 
-func (r *udpRelay) addr() string { return r.front.LocalAddr().String() }
+// Addr returns the address to send to.
+func (r *UDP) Addr() string { return r.front.LocalAddr().String() }
 
 const maxDatagram = 64 << 10
 
-// run relays until close.
-func (r *udpRelay) run() {
+// Run relays until Close.
+func (r *UDP) Run() {
 	buf := make([]byte, maxDatagram)
 	for {
 		n, src, err := r.front.ReadFromUDP(buf)
@@ -53,7 +57,7 @@
 }
 
 // flow returns the flow of a source, or nil if it is silent.
-func (r *udpRelay) flow(src *net.UDPAddr) *udpFlow {
+func (r *UDP) flow(src *net.UDPAddr) *udpFlow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.flows[src.String()]
@@ -73,7 +77,7 @@
 }
 
 // backward returns the answers of one flow until its socket is closed.
-func (r *udpRelay) backward(f *udpFlow, src *net.UDPAddr) {
+func (r *UDP) backward(f *udpFlow, src *net.UDPAddr) {
 	buf := make([]byte, maxDatagram)
 	for {
 		n, err := f.back.Read(buf)
@@ -83,14 +87,17 @@
 		r.mu.Lock()
 		silent := f.silent
 		r.mu.Unlock()
-		if !silent {
+		if !silent && !r.oneWay.Load() {
 			_, _ = r.front.WriteToUDP(buf[:n], src)
 		}
 	}
 }
 
-// swallow makes all flows seen so far silent for good and returns their number.
-func (r *udpRelay) swallow() int {
+// CutAnswers drops all datagrams of the target, or ends that.
+func (r *UDP) CutAnswers(cut bool) { r.oneWay.Store(cut) }
+
+// Swallow makes all flows seen so far silent for good and returns their number.
+func (r *UDP) Swallow() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
@@ -103,7 +110,8 @@
 	return n
 }
 
-func (r *udpRelay) close() {
+// Close ends the relay and its flows.
+func (r *UDP) Close() {
 	_ = r.front.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/bench/soak/inject.go
@@ -0,0 +1,353 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/settings"
+)
+
+const (
+	// settleTime excuses a host behind a fault: two lease times, in which others
+	// learn of it, and a start.
+	settleTime = 5 * time.Second
+	// bindTime is the time within which a process that cannot bind its addresses ends.
+	bindTime = 400 * time.Millisecond
+	// stopBound is the time that a planned stop may take: 1.5 s until the departure
+	// is known, 2 s of the longest route, and a margin for a busy machine.
+	stopBound = 10 * time.Second
+	// repairLimit is the time until the control group is whole again behind a fault
+	// of one of its hosts.
+	repairLimit = 20 * time.Second
+	callDelay   = 150 * time.Millisecond
+	// tornBytes are appended to a log as a write that a loss of power cut off.
+	tornBytes = 37
+)
+
+// injector brings the drawn faults about and repairs each of them. At most one
+// control host and a third of the backend servers of a service are harmed at a
+// time, unless the fault is the loss of all nodes of a data centre.
+type injector struct {
+	r  *run
+	wg sync.WaitGroup
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	busy   map[model.HostID]bool
+	inUse  map[model.ServiceName]int
+	counts map[Fault]int
+	// active counts the faults in progress, calm is when the last one was repaired.
+	active int
+	calm   time.Time
+}
+
+// controlGroup and operators are groups of targets besides the services.
+const (
+	controlGroup model.ServiceName = "control"
+	operators    model.ServiceName = "operators"
+	herd         model.ServiceName = "herd"
+)
+
+func newInjector(r *run) *injector {
+	return &injector{r: r, busy: map[model.HostID]bool{}, inUse: map[model.ServiceName]int{}, counts: map[Fault]int{}}
+}
+
+// play injects rounds until ctx ends and waits until all is repaired.
+func (j *injector) play(ctx context.Context, p *Plan) {
+	defer j.wg.Wait()
+	for ctx.Err() == nil {
+		round := p.Next()
+		var events sync.WaitGroup
+		for _, e := range round.Events {
+			events.Go(func() {
+				if sleep(ctx, e.After) {
+					j.hit(ctx, e)
+				}
+			})
+		}
+		events.Wait()
+		sleep(ctx, round.Pause)
+	}
+}
+
+// sleep waits for d; it returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (j *injector) hit(ctx context.Context, e Event) {
+	f := j.r.fleet
+	control := f.Controls[e.Target%uint64(len(f.Controls))]
+	server := f.Servers[e.Target%uint64(len(f.Servers))]
+	switch e.Fault {
+	case KillControl, PauseControl, StopControl, WipeControl, TearControl, SilenceStreams, CutStreams:
+		j.with(e, control.Host, controlGroup, 1, func() error { return errors.Join(j.hitControl(e, control), j.groupIsWhole(ctx)) })
+	case PublishNote, RaceNotes:
+		j.with(e, "operator", operators, 1, func() error { return j.r.operate(ctx, e) })
+	case TakeOut:
+		j.with(e, "operator", operators, 1, func() error { return j.takeOut(ctx, e) })
+	case KillHerd:
+		dc := f.DataCentres[e.Target%uint64(len(f.DataCentres))]
+		j.with(e, model.HostID(dc), herd, 1, func() error { return j.hitHerd(e, dc) })
+	default:
+		bound := 0
+		for _, s := range f.Servers {
+			if s.Service == server.Service {
+				bound++
+			}
+		}
+		j.with(e, server.Host, server.Service, bound/3, func() error { return j.hitServer(e, server) })
+	}
+}
+
+// with reserves a target for a fault; one whose target is in use is left out.
+func (j *injector) with(e Event, host model.HostID, group model.ServiceName, bound int, f func() error) {
+	j.mu.Lock()
+	if j.busy[host] || j.inUse[group] >= bound {
+		j.mu.Unlock()
+		return
+	}
+	j.busy[host] = true
+	j.inUse[group]++
+	j.counts[e.Fault]++
+	j.active++
+	j.mu.Unlock()
+	j.r.harm(host, e.Last+settleTime)
+	j.r.say("%s: %s for %s", e.Fault, host, e.Last.Round(time.Millisecond))
+	err := f()
+	j.r.harm(host, settleTime)
+	if err != nil {
+		j.r.violate("%s at %s: %v", e.Fault, host, err)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.busy, host)
+	j.inUse[group]--
+	j.active--
+	j.calm = time.Now()
+}
+
+// alone reports whether the caller's fault is the only one, and was so for some time.
+func (j *injector) alone() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.active == 1 && time.Since(j.calm) > settleTime
+}
+
+// hitControl harms one control host.
+func (j *injector) hitControl(e Event, c *demo.ControlHost) error {
+	switch e.Fault {
+	case SilenceStreams:
+		j.r.relays.streams[c.Host].Swallow()
+		time.Sleep(e.Last)
+		return nil
+	case CutStreams:
+		j.r.relays.streams[c.Host].CutAnswers(true)
+		time.Sleep(e.Last)
+		j.r.relays.streams[c.Host].CutAnswers(false)
+		return nil
+	case PauseControl:
+		return pause(c.Process, e.Last)
+	case StopControl:
+		return restart(c.Process, e.Last, stop)
+	case WipeControl:
+		return restart(c.Process, e.Last, func(p *demo.Process) error {
+			p.Kill()
+			// The group exists, so that a host with an empty disk joins it.
+			err := j.r.fleet.EditControl(c.Host, func(s *settings.Control) error {
+				for i := range s.ControlHosts {
+					s.ControlHosts[i].Voter = false
+				}
+				return nil
+			})
+			return errors.Join(err, os.RemoveAll(j.r.fleet.DataDir(c.Host)))
+		})
+	case TearControl:
+		return restart(c.Process, e.Last, func(p *demo.Process) error {
+			p.Kill()
+			return tear(j.r.fleet.DataDir(c.Host))
+		})
+	}
+	return restart(c.Process, e.Last, kill)
+}
+
+// groupIsWhole waits until the control group reports no problem.
+func (j *injector) groupIsWhole(ctx context.Context) error {
+	c, err := j.r.fleet.Client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	return demo.Eventually(repairLimit, func() error {
+		one, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		st, err := c.Status(one)
+		switch {
+		case ctx.Err() != nil:
+			return nil // the run is over; checkRecovered decides
+		case err != nil:
+			return err
+		case len(st.Status.Problems) > 0:
+			return fmt.Errorf("not whole %s after the repair: %s", repairLimit, strings.Join(st.Status.Problems, "; "))
+		}
+		return nil
+	})
+}
+
+// tear appends to the newest file of each log what a cut-off write leaves.
+func tear(dir string) error {
+	newest := map[string]string{}
+	err := filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".wal") {
+			newest[filepath.Dir(path)] = max(newest[filepath.Dir(path)], path)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for _, path := range newest {
+		f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			return err
+		}
+		_, err = f.Write(slices.Repeat([]byte{0x5a}, tornBytes))
+		if err = errors.Join(err, f.Close()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// hitServer harms a node, its backend server or the way to it.
+func (j *injector) hitServer(e Event, s *demo.BackendServer) error {
+	calls := j.r.relays.calls[s.Host]
+	switch e.Fault {
+	case KillNode:
+		return restart(s.Node, e.Last, kill)
+	case PauseNode:
+		return pause(s.Node, e.Last)
+	case StopNode:
+		return restart(s.Node, e.Last, func(p *demo.Process) error { return j.stopInUse(p, s) })
+	case KillServer:
+		return restart(s.Backend, e.Last, kill)
+	case PauseServer:
+		return pause(s.Backend, e.Last)
+	case ColdServer:
+		return post("http://" + s.BackendAddress + "/_standin/cold")
+	case DelayCalls:
+		calls.Delay(callDelay)
+		defer calls.Delay(0)
+	case ResetCalls:
+		calls.Reset()
+	case CutCalls:
+		calls.CutAnswers(true)
+		defer calls.CutAnswers(false)
+	case SilenceCalls:
+		calls.Swallow()
+	}
+	time.Sleep(e.Last)
+	return nil
+}
+
+// hitHerd kills all nodes of a data centre and starts them together.
+func (j *injector) hitHerd(e Event, dc model.DataCentre) error {
+	var errs [64]error
+	var wg sync.WaitGroup
+	n := 0
+	for _, s := range j.r.fleet.Servers {
+		if s.DataCentre != dc || n == len(errs) {
+			continue
+		}
+		j.r.harm(s.Host, e.Last+settleTime)
+		slot := &errs[n]
+		n++
+		wg.Go(func() { *slot = restart(s.Node, e.Last, kill) })
+	}
+	wg.Wait()
+	return errors.Join(errs[:]...)
+}
+
+// stopInUse stops a node by plan while callers use a connection to it.
+func (j *injector) stopInUse(p *demo.Process, s *demo.BackendServer) error {
+	k := newKeeper(s.Caller)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.run()
+	}()
+	time.Sleep(bindTime)
+	alone := j.alone()
+	err := stop(p)
+	<-done
+	if alone && j.alone() {
+		j.r.keep(k.unanswered)
+	}
+	return err
+}
+
+func kill(p *demo.Process) error {
+	p.Kill()
+	return nil
+}
+
+// stop ends a process by plan. One that does not end in time writes its goroutines
+// to its log.
+func stop(p *demo.Process) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	err := demo.Eventually(stopBound, func() error {
+		if p.Running() {
+			return fmt.Errorf("%s did not end within %s of SIGTERM", p.Name, stopBound)
+		}
+		return nil
+	})
+	if err != nil {
+		_ = p.Signal(syscall.SIGQUIT)
+		time.Sleep(bindTime)
+		p.Kill()
+	}
+	return err
+}
+
+// restart ends a process and starts it again after a time, more than once while
+// another program holds one of its addresses.
+func restart(p *demo.Process, down time.Duration, end func(*demo.Process) error) error {
+	err := end(p)
+	time.Sleep(down)
+	again := demo.Eventually(startLimit, func() error {
+		if err := p.Start(); err != nil {
+			return err
+		}
+		time.Sleep(bindTime)
+		if !p.Running() {
+			return fmt.Errorf("%s did not stay up after its restart", p.Name)
+		}
+		return nil
+	})
+	return errors.Join(err, again)
+}
+
+func pause(p *demo.Process, last time.Duration) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return fmt.Errorf("pause: %w", err)
+	}
+	time.Sleep(last)
+	return p.Signal(syscall.SIGCONT)
+}
--- /dev/null
+++ b/bench/soak/relays.go
@@ -0,0 +1,59 @@
+package soak
+
+import (
+	"context"
+	"sync"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/relay"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/settings"
+)
+
+// relays stand in front of every node's calls, and of every control host as nodes
+// reach it.
+type relays struct {
+	calls   map[model.HostID]*relay.TCP
+	streams map[model.HostID]*relay.UDP
+}
+
+// placeRelays changes the settings of all processes so that nodes reach each other
+// and the control hosts through relays, which run until ctx ends.
+func placeRelays(ctx context.Context, f *demo.Fleet, background *sync.WaitGroup) (*relays, error) {
+	r := &relays{calls: map[model.HostID]*relay.TCP{}, streams: map[model.HostID]*relay.UDP{}}
+	fronts := map[model.HostID]string{}
+	for _, c := range f.Controls {
+		err := f.EditControl(c.Host, func(s *settings.Control) error {
+			s.AutoJoin = true
+			u, err := relay.ListenUDP(s.Listen.Peer)
+			if err != nil {
+				return err
+			}
+			context.AfterFunc(ctx, u.Close)
+			background.Go(u.Run)
+			r.streams[c.Host], fronts[c.Host] = u, u.Addr()
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	for _, s := range f.Servers {
+		err := f.EditNode(s.Host, func(n *settings.Node) error {
+			for i, h := range n.ControlHosts {
+				n.ControlHosts[i].Peer = fronts[h.Host]
+			}
+			t, err := relay.ListenTCP(ctx, "127.0.0.1:0", n.Listen.Call)
+			if err != nil {
+				return err
+			}
+			background.Go(func() { t.Run(ctx) })
+			r.calls[s.Host], n.Advertise.Call = t, t.Addr()
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/bench/soak/seeds.go
@@ -0,0 +1,16 @@
+package soak
+
+// regressions are the seeds that failed once, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Regressions returns the seeds that failed once.
+func Regressions() []uint64 {
+	var out []uint64
+	for _, r := range regressions {
+		out = append(out, r.seed)
+	}
+	return out
+}
--- /dev/null
+++ b/bench/soak/soak.go
@@ -0,0 +1,233 @@
+// Package soak runs the real programs as processes on loopback under random faults
+// that come in series and overlap, and checks from what callers, backend servers and
+// operators see that the promises hold. A seed determines the faults; what the
+// processes make of them also depends on the machine.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+// Options of a run.
+type Options struct {
+	// Bin is the folder of the programs, Dir that of settings, data and logs.
+	Bin, Dir string
+	Seed     uint64
+	// Length is how long faults are injected.
+	Length time.Duration
+	// Copies multiplies the usual fleet of ten backend servers.
+	Copies int
+	// Verbose writes a line for each fault.
+	Verbose bool
+	Out     io.Writer
+}
+
+// Result is what a run found.
+type Result struct {
+	Seed uint64
+	// Faults counts what was injected.
+	Faults map[Fault]int
+	// Sent and Answered count the requests of callers; Refused those that did not run.
+	Sent, Answered, Refused int64
+	// Writes ran, of those that callers sent.
+	Writes int
+	// Violations lists what must not happen.
+	Violations []string
+}
+
+// run is one run in progress.
+type run struct {
+	Options
+	fleet  *demo.Fleet
+	relays *relays
+	report *load.Report
+	start  time.Time
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	found []string
+	// harmed is the time until which a fault, or what it leaves behind, excuses a host.
+	harmed map[model.HostID]time.Time
+	// accepted is the greatest acknowledged note.
+	accepted uint64
+	// unanswered are writes on kept connections that a planned stop left without an answer.
+	unanswered []string
+}
+
+const (
+	startLimit = 30 * time.Second
+	// recoverLimit is the time after the last repair until all is well again.
+	recoverLimit = 20 * time.Second
+	// maxFound bounds the violations that are listed.
+	maxFound = 40
+)
+
+// violate notes what must not happen.
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.found) < maxFound {
+		r.found = append(r.found, fmt.Sprintf("%.1f s: ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// Run plays one seed. The error says that the run could not be played; violations
+// stand in the result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{Options: o, start: time.Now(), harmed: map[model.HostID]time.Time{}, report: load.NewReport(time.Now())}
+	var err error
+	if r.fleet, err = demo.NewFleet(o.Dir, o.Bin, []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}); err != nil {
+		return nil, err
+	}
+	defer r.fleet.KillAll()
+	var background sync.WaitGroup // of the relays
+	defer background.Wait()
+	defer cancel()
+	if err := r.prepare(ctx, &background); err != nil {
+		return nil, err
+	}
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	r.start = time.Now()
+	j := newInjector(r)
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	var callers sync.WaitGroup
+	callers.Go(func() { r.watch(loadCtx) })
+	callers.Go(func() { load.New(r.report).Run(loadCtx, r.flows()) })
+	faultCtx, endFaults := context.WithTimeout(ctx, o.Length)
+	j.play(faultCtx, NewPlan(o.Seed))
+	endFaults()
+	r.checkRecovered(ctx)
+	endLoad()
+	callers.Wait()
+	return r.result(j.counts)
+}
+
+// prepare describes all processes with relays between them.
+func (r *run) prepare(ctx context.Context, background *sync.WaitGroup) error {
+	places := map[model.ServiceName][]model.DataCentre{
+		"ledger": {"thun", "thun", "thun", "bern-altstadt", "bern-altstadt", "burgdorf", "burgdorf"},
+		"roster": {"thun", "bern-altstadt", "burgdorf"},
+	}
+	for range max(r.Copies, 1) {
+		for _, service := range []model.ServiceName{"ledger", "roster"} {
+			for _, dc := range places[service] {
+				runs := filepath.Join(r.Dir, fmt.Sprintf("%d.runs", len(r.fleet.Servers)))
+				spec := demo.Spec{Service: service, Version: "v1", DataCentre: dc, Flags: []string{"--runs", runs, "--warm"}}
+				if _, err := r.fleet.Add(spec); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	var err error
+	r.relays, err = placeRelays(ctx, r.fleet, background)
+	return err
+}
+
+func (r *run) startAll() error {
+	for _, c := range r.fleet.Controls {
+		if err := c.Start(); err != nil {
+			return err
+		}
+	}
+	for _, s := range r.fleet.Servers {
+		if err := s.Start(); err != nil {
+			return err
+		}
+	}
+	if err := demo.Eventually(startLimit, func() error { return r.publish(1) }); err != nil {
+		return err
+	}
+	return demo.Eventually(startLimit, r.allServe)
+}
+
+// allServe returns an error unless each node answers a lookup of each service.
+func (r *run) allServe() error {
+	client := &http.Client{Timeout: askTimeout}
+	for _, s := range r.fleet.Servers {
+		for _, path := range []string{"/cabinets/7", "/rosters/3"} {
+			resp, err := client.Get(s.Caller + path) //nolint:noctx // bounded by the client's timeout
+			if err != nil {
+				return err
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("%s%s: status %d", s.Host, path, resp.StatusCode)
+			}
+		}
+	}
+	return nil
+}
+
+// flows are the requests of callers, which keep their connections.
+func (r *run) flows() []load.Flow {
+	var targets []string
+	for _, s := range r.fleet.Servers {
+		targets = append(targets, s.Caller)
+	}
+	pace := float64(max(r.Copies, 1))
+	flow := func(name string, kind model.Kind, service, method, path string, rate float64) load.Flow {
+		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate * pace,
+			BodyBytes: 256, Timeout: 2 * time.Second, Targets: targets, Resends: 5}
+	}
+	return []load.Flow{
+		flow("lookups", model.KindLookup, "ledger", http.MethodGet, "/cabinets/7", 100),
+		flow("rosters", model.KindLookup, "roster", http.MethodGet, "/rosters/3", 40),
+		flow("writes", model.KindWrite, "ledger", http.MethodPost, "/restocks", 30),
+		flow("urgent", model.KindUrgent, "ledger", http.MethodGet, "/urgent/1", 10),
+	}
+}
+
+// Series plays several seeds, writes a line for each and keeps the folders of those
+// that failed.
+func Series(ctx context.Context, o Options, seeds []uint64) error {
+	var failed []uint64
+	dir := o.Dir
+	for _, seed := range seeds {
+		o.Seed, o.Dir = seed, filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+		res, err := Run(ctx, o)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		switch {
+		case err != nil:
+			failed = append(failed, seed)
+			_, _ = fmt.Fprintf(o.Out, "seed %d: not played: %v\n", seed, err)
+			continue
+		case len(res.Violations) > 0:
+			failed = append(failed, seed)
+		default:
+			if err := os.RemoveAll(o.Dir); err != nil {
+				return err
+			}
+		}
+		res.write(o.Out)
+	}
+	if len(failed) > 0 {
+		return fmt.Errorf("%w: seeds %v, logs in %s", ErrViolated, failed, dir)
+	}
+	return nil
+}
+
+// ErrViolated is returned if a promise was broken or a run could not be played.
+var ErrViolated = errors.New("a promise was broken")
--- /dev/null
+++ b/bench/soak/watch.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/experiment"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/bench/standin"
+	"balsamtrail.org/mesh/model"
+)
+
+// watchInterval is how often each node is asked for its state.
+const watchInterval = 250 * time.Millisecond
+
+// harm excuses a host for a time.
+func (r *run) harm(host model.HostID, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.harmed[host] = time.Now().Add(d)
+}
+
+// say writes one line of progress if the run is verbose.
+func (r *run) say(format string, args ...any) {
+	if r.Verbose {
+		_, _ = fmt.Fprintf(r.Out, "  %6.1f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+// seen is what was last seen of a node in one lifetime of its process.
+type seen struct {
+	status demo.NodeStatus
+	known  bool
+}
+
+// watch follows every node until ctx ends: no step back, no violated invariant.
+func (r *run) watch(ctx context.Context) {
+	last := make([]seen, len(r.fleet.Servers))
+	for sleep(ctx, watchInterval) {
+		for i, s := range r.fleet.Servers {
+			st, err := s.Status()
+			if err != nil {
+				continue // a node that is down or paused
+			}
+			r.compare(s, last[i], st)
+			last[i] = seen{status: st, known: true}
+		}
+	}
+}
+
+// compare checks a node's state against the former one of the same lifetime.
+func (r *run) compare(s *demo.BackendServer, was seen, st demo.NodeStatus) {
+	if st.Violations > 0 {
+		r.violate("node %s counted %d violations of invariants", s.Host, st.Violations)
+	}
+	if !was.known || st.UptimeMs < was.status.UptimeMs {
+		return
+	}
+	before, now := was.status.Position, st.Position
+	if now.Epoch < before.Epoch || now.Epoch == before.Epoch && now.Index < before.Index {
+		r.violate("node %s went back from position %d to %d", s.Host, before.Index, now.Index)
+	}
+}
+
+// checkRecovered waits until every process serves and knows what was accepted.
+func (r *run) checkRecovered(ctx context.Context) {
+	if err := demo.Eventually(recoverLimit, r.allServe); err != nil {
+		r.violate("not recovered %s after the last repair: %v", recoverLimit, err)
+	}
+	for _, c := range r.fleet.Controls {
+		err := demo.Eventually(recoverLimit, func() error { return r.knowsAccepted(ctx, c) })
+		if err != nil {
+			r.violate("control host %s: %v", c.Host, err)
+		}
+	}
+}
+
+// knowsAccepted returns an error unless a control host shows the newest accepted note.
+func (r *run) knowsAccepted(ctx context.Context, h *demo.ControlHost) error {
+	c, err := r.fleet.Client(h)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	one, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := c.Notes(one, 0, 1)
+	if err != nil {
+		return err
+	}
+	if want := r.lastAccepted(); len(a.Notes) == 0 || a.Notes[0].Note.Number < want {
+		return fmt.Errorf("does not show note %d, which was acknowledged", want)
+	}
+	return nil
+}
+
+// keep remembers writes that were read by a node under a planned stop and got no answer.
+func (r *run) keep(keys []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unanswered = append(r.unanswered, keys...)
+}
+
+// result compares what callers were told with what ran.
+func (r *run) result(counts map[Fault]int) (*Result, error) {
+	runs := map[string]int{}
+	for i := range r.fleet.Servers {
+		if err := experiment.ReadRuns(filepath.Join(r.Dir, fmt.Sprintf("%d.runs", i)), runs); err != nil {
+			return nil, err
+		}
+	}
+	res := &Result{Seed: r.Seed, Faults: counts, Writes: len(runs)}
+	for _, found := range load.CompareRuns(r.report.Keys(), runs) {
+		r.violate("%s", found)
+	}
+	for _, key := range r.unanswered {
+		if runs[key] > 0 {
+			r.violate("a planned stop cut write %s, which ran", key)
+		}
+	}
+	if n := r.report.Count(load.OutcomeWrong); n > 0 {
+		r.violate("%d wrong or cut answers: %s", n, strings.Join(r.report.Details(), "; "))
+	}
+	for _, found := range demo.ScanLogs(r.Dir) {
+		r.violate("%s", found)
+	}
+	for _, f := range r.report.Flows() {
+		res.Sent += f.Sent
+		res.Answered += f.Outcomes[load.OutcomeOK]
+		res.Refused += f.Outcomes[load.OutcomeNotRun]
+	}
+	res.Violations = r.found
+	return res, nil
+}
+
+// write writes a line, and one for each violation.
+func (res *Result) write(w io.Writer) {
+	n := 0
+	for _, c := range res.Faults {
+		n += c
+	}
+	verdict := "ok"
+	if len(res.Violations) > 0 {
+		verdict = "FAILED"
+	}
+	_, _ = fmt.Fprintf(w, "seed %d: %s: %d faults of %d kinds, %d requests, %d answered, %d not run, %d writes ran\n",
+		res.Seed, verdict, n, len(res.Faults), res.Sent, res.Answered, res.Refused, res.Writes)
+	for _, v := range res.Violations {
+		_, _ = fmt.Fprintf(w, "  %s\n", v)
+	}
+}
+
+// keeper is a caller that uses one connection until the process behind it is gone.
+type keeper struct {
+	base string
+	// unanswered are the keys of writes that were sent whole and got no answer.
+	unanswered []string
+}
+
+func newKeeper(base string) *keeper { return &keeper{base: base} }
+
+// run sends writes one behind the other until the connection ends. A write whose
+// connection ends before any byte of an answer may have crossed an orderly close;
+// whether it ran shows later.
+func (k *keeper) run() {
+	address := strings.TrimPrefix(k.base, "http://")
+	conn, err := net.DialTimeout("tcp", address, askTimeout) //nolint:noctx // bounded by its timeout
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("%d-keeper%010d%04d", time.Now().Unix(), time.Now().UnixNano()%1e10, i)
+		if err := k.send(conn, address, key); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		if err != nil {
+			k.unanswered = append(k.unanswered, key)
+			return
+		}
+		if resp.Close {
+			return
+		}
+		time.Sleep(keeperPause)
+	}
+}
+
+// keeperPause keeps one connection from loading its node.
+const keeperPause = 10 * time.Millisecond
+
+func (k *keeper) send(conn net.Conn, address, key string) error {
+	body := "kept connection"
+	req, err := http.NewRequest(http.MethodPost, k.base+"/restocks", strings.NewReader(body)) //nolint:noctx // written to a connection
+	if err != nil {
+		return err
+	}
+	req.Host = address
+	req.Header.Set(standin.HeaderIdempotencyKey, key)
+	req.Header.Set(standin.HeaderTimeout, "2000")
+	var b bytes.Buffer
+	if err := req.Write(&b); err != nil {
+		return err
+	}
+	_, err = conn.Write(b.Bytes())
+	return err
+}
+
+// post asks a stand-in to change its state.
+func post(url string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
--- a/mesh/control/operations.go
+++ b/mesh/control/operations.go
@@ -8,9 +8,9 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
+	"balsamtrail.org/mesh/compress"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
@@ -37,32 +37,13 @@
 	Return(ctx context.Context, dc model.DataCentre) error
 }
 
-// The documents of declarations are stored compressed: they repeat themselves, and
-// each goes through the log of every control host.
-var (
-	documentEncoder = newDocumentEncoder()
-	documentDecoder = newDocumentDecoder()
-)
+// documents packs the documents of declarations, which repeat themselves and are kept
+// in the state of every control host.
+var documents = compress.New(compress.Config{Most: maxDocumentBytes, Window: 1 << 20, Fast: true})
 
 // maxDocumentBytes bounds a decompressed document.
 const maxDocumentBytes = 64 << 20
 
-func newDocumentEncoder() *zstd.Encoder {
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(1<<20))
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return e
-}
-
-func newDocumentDecoder() *zstd.Decoder {
-	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDocumentBytes))
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return d
-}
-
 // frontEndOperator stands in the audit for operators that a front end does not name.
 const frontEndOperator model.OperatorName = "front-end"
 
@@ -114,7 +95,7 @@
 
 // Declare implements Operations.
 func (c *Control) Declare(ctx context.Context, d note.Declare) (note.Result, error) {
-	d.Document = documentEncoder.EncodeAll(d.Document, nil)
+	d.Document = documents.Pack(d.Document)
 	return c.order(ctx, note.Command{Declare: &d})
 }
 
@@ -140,7 +121,7 @@
 	if err != nil || len(d.Document) == 0 {
 		return d, err
 	}
-	if d.Document, err = documentDecoder.DecodeAll(d.Document, nil); err != nil {
+	if d.Document, err = documents.Unpack(d.Document); err != nil {
 		return d, eris.Wrapf(ErrCorrupt, "document of version %d: %v", d.Version, err)
 	}
 	return d, nil
--- a/mesh/note/codec.go
+++ b/mesh/note/codec.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"balsamtrail.org/mesh/compress"
 )
 
 // The encoding is canonical, so that equal values have equal bytes, and keeps
@@ -47,10 +49,33 @@
 }
 
 // EncodeCommand returns the bytes of a log entry.
-func EncodeCommand(c Command) ([]byte, error) { return encode(c) }
+func EncodeCommand(c Command) ([]byte, error) {
+	b, err := encode(c)
+	if err != nil {
+		return nil, err
+	}
+	return commands.Pack(b), nil
+}
 
 // DecodeCommand reads the bytes of a log entry.
-func DecodeCommand(b []byte) (Command, error) { return decode[Command](b) }
+func DecodeCommand(b []byte) (Command, error) {
+	plain, err := commands.Unpack(b)
+	if err != nil {
+		return Command{}, eris.Wrapf(ErrMalformed, "decompress command: %v", err)
+	}
+	return decode[Command](plain)
+}
+
+// commands packs large commands: a declaration states a whole configuration, whose
+// routes repeat each other, and goes to the disk of every control host.
+var commands = compress.New(compress.Config{Above: packAbove, Most: maxCommand, Window: 1 << 20, Fast: true})
+
+const (
+	// packAbove is the size in bytes of a command above the usual notes.
+	packAbove = 4 << 10
+	// maxCommand bounds a command after decompression, in bytes.
+	maxCommand = 64 << 20
+)
 
 // EncodeResult returns the bytes of a result.
 func EncodeResult(r Result) ([]byte, error) { return encode(r) }
--- a/mesh/note/declare_test.go
+++ b/mesh/note/declare_test.go
@@ -1,6 +1,8 @@
 package note
 
 import (
+	"fmt"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -33,6 +35,22 @@
 
 	// An operator whose answer was lost sends the same declaration again, perhaps
 	// after others were accepted.
+	// Guards against a log that carries each whole configuration at its full size to
+	// every control host.
+	It("travels small and comes back whole", func() {
+		var names []model.RouteName
+		for i := range 400 {
+			names = append(names, model.RouteName(fmt.Sprintf("route-%d", i)))
+		}
+		c := declare(5, 0, 1, names...)
+		b, err := EncodeCommand(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(b)).To(BeNumerically("<", 8<<10))
+		got, err := DecodeCommand(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Declare).To(Equal(c.Declare))
+	})
+
 	It("accepts a resend without effect", func() {
 		first := declare(5, 0, 1, "a")
 		Expect(d.do(first).Err()).To(Succeed())
--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -18,8 +18,9 @@
 	// so that this node learns when the refusals end.
 	minStay = 0.05
 	// A call leaves the own data centre for a less loaded one only where it would
-	// soon have to wait, from leaveLoad, and if the other has leaveMargin more room:
-	// bytes between data centres are billed.
+	// soon have to wait, from leaveLoad, and if it would not there, by leaveMargin:
+	// bytes between data centres are billed, and when all are crowded, as after a
+	// loss of all power, a move elsewhere only costs connections.
 	leaveLoad   = 0.9
 	leaveMargin = 0.25
 	// usualWeight averages the usual load of a version over about 20 reports.
@@ -141,7 +142,9 @@
 }
 
 // crowded reports whether a call had better go to the less loaded alternative.
-func crowded(load, other float64) bool { return load >= leaveLoad && load > other+leaveMargin }
+func crowded(load, other float64) bool {
+	return load >= leaveLoad && other < leaveLoad && load > other+leaveMargin
+}
 
 // leaveOwn decides whether a call goes to another data centre although the own
 // one has backend servers. The part that leaves grows with the refusals in the
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -333,7 +333,9 @@
 	if o.Result != ResultFailed && o.Result != ResultCancelled {
 		view.observeLoad(o.Utilization)
 	}
-	view.groupOf(h, p.cfg.DataCentre).observe(pressing(h, o.Result))
+	if !lacksRoom(o) {
+		view.groupOf(h, p.cfg.DataCentre).observe(pressing(h, o.Result))
+	}
 	due = due || !h.ejected(now) && h.failsAlone(view)
 	if due && view.mayEject(now) {
 		length := h.eject(now)
@@ -343,6 +345,12 @@
 	}
 }
 
+// lacksRoom reports a refusal that the reported load explains. The choice among data
+// centres compares loads already; only refusals in spite of room say more.
+func lacksRoom(o Outcome) bool {
+	return (o.Result == ResultRefused || o.Result == ResultDeclined) && o.Utilization >= leaveLoad
+}
+
 // pressing returns the result as it counts for leaving the data centre. A server
 // that keeps failing counts as one that refuses: some calls must go elsewhere to
 // learn whether the others fail too.
--- a/mesh/routing/picker_test.go
+++ b/mesh/routing/picker_test.go
@@ -78,7 +78,24 @@
 		Expect(away(0.8, 0.1)).To(BeZero(), "nothing waits")
 		Expect(away(1.2, 0.4)).To(BeNumerically(">", 800))
 		away(1.2, 1.2) // reports of the room that there was are forgotten
-		Expect(away(1.2, 1.2)).To(BeNumerically("<", 200), "nobody has more room")
+		Expect(away(1.2, 1.2)).To(BeNumerically("<", 50), "nobody has more room")
+		Expect(away(1.6, 1.1)).To(BeNumerically("<", 50), "a shorter queue is no room")
+	})
+
+	// Guards against a fleet that opens connections between all of its data centres
+	// when every one of them refuses for lack of room.
+	It("stays in the own data centre when all refuse for lack of room", func() {
+		p := picker(1, config(all), append(servers("v1", "thun", 4), servers("v1", "bern", 4)...))
+		n := 0
+		for i := range 2000 {
+			call(p, start.Add(time.Duration(i)*10*time.Millisecond), func(a membership.Announcement) Outcome {
+				if a.DataCentre != "thun" {
+					n++
+				}
+				return Outcome{Result: ResultDeclined, Limit: 20, Utilization: 1.5}
+			})
+		}
+		Expect(n).To(BeNumerically("<", 100))
 	})
 
 	It("forgets a report of the load as it ages, but not its own requests", func() {
