--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,17 @@
 experiment-faults: build
 	./bin/bench experiment faults --bin bin
 
+# Random faults that overlap, over real processes; SEEDS selects the seeds.
+SEEDS ?= fresh:5
+soak: build
+	./bin/bench soak --bin bin --seeds $(SEEDS)
+
+# Each fuzz target for FUZZTIME.
+FUZZTIME ?= 20s
+fuzz:
+	grep -rhoE --include='*_test.go' '^func Fuzz[A-Za-z]+' mesh platform -H | sed 's|/[^/]*_test.go:func | |' | \
+	while read -r dir name; do $(GO) test ./$$dir -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME) || exit 1; done
+
 walkthrough: build
 	./examples/walkthrough.sh
 
--- a/bench/demo/notes.go
+++ b/bench/demo/notes.go
@@ -1,7 +1,7 @@
 package demo
 
-// firstNote sets up both services of the Aare cooperative.
-const firstNote = `{
+// FirstNote sets up both services of the Aare cooperative.
+const FirstNote = `{
   "number": 1,
   "title": "cabinet ledger and roster desk",
   "services": {"added": [
--- a/bench/demo/scenario.go
+++ b/bench/demo/scenario.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	d.say("3 control hosts elected a leader; %d nodes started", len(d.f.Servers))
-	if err := d.f.Publish(firstNote); err != nil {
+	if err := d.f.Publish(FirstNote); err != nil {
 		return err
 	}
 	if err := Eventually(10*time.Second, d.allRoutable); err != nil {
--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -185,13 +185,15 @@
 // checkWrites compares what callers were told with what ran.
 func (r *FaultsResult) checkWrites(told map[string]load.KeyReport, runs map[string]int) {
 	r.Keys = len(told)
-	for key, n := range runs {
+	for _, found := range load.CompareRuns(told, runs) {
+		r.violate("%s", found)
+	}
+	for _, n := range runs {
 		if n > 0 {
 			r.Ran++
 		}
 		if n > 1 {
 			r.Duplicates++
-			r.violate("write %s ran %d times", key, n)
 		}
 	}
 	for key, t := range told {
@@ -203,11 +205,9 @@
 		}
 		if t.OK && runs[key] == 0 {
 			r.AnsweredNotRan++
-			r.violate("write %s was answered and did not run", key)
 		}
 		if t.NotRun && runs[key] > 0 {
 			r.UntrueNotRun++
-			r.violate("write %s was refused as not run and ran", key)
 		}
 	}
 }
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"balsamtrail.org/bench/demo"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/operator"
@@ -26,37 +27,13 @@
 // noteText returns a note that differs from all others.
 func noteText(number uint64, title string) string {
 	if number == 1 {
-		return firstNote
+		return demo.FirstNote
 	}
 	return fmt.Sprintf(`{"number": %d, "title": %q, "routes": {"changed": [
     {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
      "timeout": "%dms", "max_retries": 2, "hedge": false}]}}`, number, title, 1000+number%500)
 }
 
-// firstNote sets up two services.
-const firstNote = `{
-  "number": 1,
-  "title": "cabinet ledger and roster desk",
-  "services": {"added": [
-    {"name": "ledger", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"},
-    {"name": "roster", "slots": 20, "connections": 100, "queue_limit": 40, "queue_timeout": "500ms"}
-  ]},
-  "routes": {"added": [
-    {"name": "cabinet-status", "path_prefix": "/cabinets", "methods": ["GET"], "service": "ledger", "kind": "lookup",
-     "timeout": "1s", "max_retries": 2, "hedge": true},
-    {"name": "restock", "path_prefix": "/restocks", "methods": ["POST"], "service": "ledger", "kind": "write",
-     "timeout": "2s", "max_retries": 2, "hedge": false},
-    {"name": "urgent", "path_prefix": "/urgent", "methods": ["GET"], "service": "ledger", "kind": "urgent",
-     "timeout": "500ms", "max_retries": 2, "hedge": false},
-    {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
-     "timeout": "1s", "max_retries": 2, "hedge": false}
-  ]},
-  "moves": [
-    {"service": "ledger", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"},
-    {"service": "roster", "to": "v1", "by": "2030-01-01T00:00:00Z", "watch_for": "10s"}
-  ]
-}`
-
 // publish publishes a note and remembers it once it is acknowledged.
 func (r *run) publish(number uint64) error {
 	c, err := r.fleet.Client()
--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"balsamtrail.org/bench/demo"
+	"balsamtrail.org/bench/load"
+	"balsamtrail.org/mesh/model"
+)
+
+// Guards against a seed that does not bring the same faults again, and against a
+// plan that leaves a kind out.
+func TestPlanFollowsTheSeed(t *testing.T) {
+	a, b, other := NewPlan(7), NewPlan(7), NewPlan(8)
+	kinds := map[Fault]bool{}
+	same := true
+	for range 200 {
+		x := a.Next()
+		if !reflect.DeepEqual(x, b.Next()) {
+			t.Fatal("one seed, two plans")
+		}
+		same = same && reflect.DeepEqual(x, other.Next())
+		for _, e := range x.Events {
+			kinds[e.Fault] = true
+			if e.Last < minLast || e.Last > maxLast {
+				t.Errorf("%s lasts %s", e.Fault, e.Last)
+			}
+		}
+	}
+	if same {
+		t.Error("two seeds, one plan")
+	}
+	if len(kinds) != len(faults) {
+		t.Errorf("%d of %d kinds drawn", len(kinds), len(faults))
+	}
+}
+
+// Guards against a soak that harms more than the system promises to bear.
+func TestAtMostOneControlHostIsHarmed(t *testing.T) {
+	j := newInjector(&run{harmed: map[model.HostID]time.Time{}, start: time.Now()})
+	inside := make(chan struct{})
+	release := make(chan struct{})
+	go j.with(Event{Fault: KillControl}, "c1", controlGroup, 1, func() error {
+		close(inside)
+		<-release
+		return nil
+	})
+	<-inside
+	for _, host := range []model.HostID{"c1", "c2"} {
+		j.with(Event{Fault: PauseControl}, host, controlGroup, 1, func() error {
+			t.Errorf("%s harmed as well", host)
+			return nil
+		})
+	}
+	close(release)
+}
+
+// Guards against a check that passes whatever happens.
+func TestChecksFindBrokenPromises(t *testing.T) {
+	r := &run{Options: Options{Dir: t.TempDir()}, fleet: &demo.Fleet{}, report: load.NewReport(time.Now()), start: time.Now()}
+	s := &demo.BackendServer{Host: "n1"}
+	status := func(index uint64, uptime int64) demo.NodeStatus {
+		st := demo.NodeStatus{UptimeMs: uptime}
+		st.Position.Index = index
+		return st
+	}
+	r.compare(s, seen{status: status(7, 100), known: true}, status(8, 200))
+	r.compare(s, seen{status: status(7, 100), known: true}, status(1, 50)) // another process
+	if len(r.found) > 0 {
+		t.Fatalf("found %v", r.found)
+	}
+	r.compare(s, seen{status: status(7, 100), known: true}, status(6, 200))
+	r.compare(s, seen{}, demo.NodeStatus{Violations: 1})
+	if err := os.WriteFile(filepath.Join(r.Dir, "n1.log"), []byte("panic: x\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	res, err := r.result(nil)
+	if err != nil || len(res.Violations) != 3 {
+		t.Errorf("%v, found %q", err, res.Violations)
+	}
+	told := map[string]load.KeyReport{"lost": {OK: true}, "untrue": {NotRun: true}, "good": {OK: true}}
+	if found := load.CompareRuns(told, map[string]int{"good": 1, "untrue": 1, "twice": 2}); len(found) != 3 {
+		t.Errorf("found %q", found)
+	}
+}
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -12,6 +12,7 @@
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/note"
 )
 
 // refusalBody is the body of every answer that the node itself gives.
@@ -34,8 +35,12 @@
 // When a refused caller had better come back. The times are spread, so that
 // callers that were refused together do not return together.
 const (
-	// comeBackBusy is about the time of one request at a backend server that has no room.
+	// comeBackBusy stands for routes without a latency target. It is about the time of
+	// one request at a backend server that has no room.
 	comeBackBusy = 60 * time.Millisecond
+	// comeBackParts of the latency target pass until a caller comes back, and up to
+	// twice that: two further tries of it then still meet the target.
+	comeBackParts = 5
 	// comeBackDown is for a lack that lasts longer, such as that of a configuration
 	// or of any backend server.
 	comeBackDown = 300 * time.Millisecond
@@ -106,9 +111,16 @@
 func refuseCall(w http.ResponseWriter, c *call, t *try) {
 	invariant.Check(!c.mayHaveRun, invariant.TrueNotRun, "refused as not run after a try of unknown outcome",
 		"route", string(c.route.Name), "tried", c.attempts.Tried())
-	comeBack := comeBackBusy
-	if errors.Is(t.err, errNoServer) {
-		comeBack = comeBackDown
+	refuseFor(w, http.StatusServiceUnavailable, t.reason, comeBack(c.route, errors.Is(t.err, errNoServer)))
+}
+
+// comeBack returns the least time after which a refused caller had better come back.
+func comeBack(r note.Route, noServer bool) time.Duration {
+	switch {
+	case noServer:
+		return comeBackDown
+	case r.LatencyTarget > 0:
+		return r.LatencyTarget / comeBackParts
 	}
-	refuseFor(w, http.StatusServiceUnavailable, t.reason, comeBack)
+	return comeBackBusy
 }
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -260,3 +260,18 @@
 		t.Errorf("a later priority waits %s", got)
 	}
 }
+
+// Guards against callers that use up their tries within one moment of overload, or
+// come back when the answer is late in any case.
+func TestRefusedCallersComeBackWithinTheTarget(t *testing.T) {
+	for target, want := range map[time.Duration]time.Duration{
+		0: comeBackBusy, 200 * time.Millisecond: 40 * time.Millisecond, time.Second: 200 * time.Millisecond,
+	} {
+		if got := comeBack(note.Route{LatencyTarget: target}, false); got != want {
+			t.Errorf("target %s: %s, want %s", target, got, want)
+		}
+	}
+	if got := comeBack(note.Route{LatencyTarget: time.Second}, true); got != comeBackDown {
+		t.Errorf("without a server: %s", got)
+	}
+}
