Keep the backend server of a stopping node at work until shortly before the end

Each announces its departure at SIGTERM and goes on for 3 s, since callers need that long to notice it; its backend server is idle for 3.5 s a restart, and the roster desk has one of three servers left ("1 tried: no backend server available", 473 lines in two seconds). The departure is now announced 1.5 s before the node takes no more work, in which every other node hears of it.

--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -38,9 +38,9 @@
 	// comeBackBusy stands for routes without a latency target. It is about the time of
 	// one request at a backend server that has no room.
 	comeBackBusy = 60 * time.Millisecond
-	// comeBackParts of the latency target pass until a caller comes back, and up to
-	// twice that: two further tries of it then still meet the target.
-	comeBackParts = 5
+	// comeBackPart of the latency target passes until a caller comes back, and up to
+	// twice that: its next try then still meets the target.
+	comeBackPart = 0.3
 	// comeBackDown is for a lack that lasts longer, such as that of a configuration
 	// or of any backend server.
 	comeBackDown = 300 * time.Millisecond
@@ -120,7 +120,7 @@
 	case noServer:
 		return comeBackDown
 	case r.LatencyTarget > 0:
-		return r.LatencyTarget / comeBackParts
+		return time.Duration(comeBackPart * float64(r.LatencyTarget))
 	}
 	return comeBackBusy
 }
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -265,7 +265,7 @@
 // come back when the answer is late in any case.
 func TestRefusedCallersComeBackWithinTheTarget(t *testing.T) {
 	for target, want := range map[time.Duration]time.Duration{
-		0: comeBackBusy, 200 * time.Millisecond: 40 * time.Millisecond, time.Second: 200 * time.Millisecond,
+		0: comeBackBusy, 200 * time.Millisecond: 60 * time.Millisecond, time.Second: 300 * time.Millisecond,
 	} {
 		if got := comeBack(note.Route{LatencyTarget: target}, false); got != want {
 			t.Errorf("target %s: %s, want %s", target, got, want)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -266,15 +266,22 @@
 	return nil
 }
 
+// departTime is how long before it takes no more work a stopping node says that it
+// leaves; within that every node hears of it. Callers may need longer to go elsewhere,
+// and the backend server need not be idle meanwhile.
+const departTime = 1500 * time.Millisecond
+
 // stop ends the node without cutting a request.
 func (n *Node) stop(servers []*httpServer, stopCalls context.CancelFunc, callsDone <-chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Timeouts.Drain)
 	defer cancel()
 	n.log.Info("planned stop begun", "drain_limit", n.cfg.Timeouts.Drain.String())
 	n.entry.stopping.Store(true)
-	n.publisher.Leave()
 	n.children.Drain(n.cfg.Timeouts.Leave / 2)
-	wait(ctx, n.cfg.Timeouts.Leave)
+	depart := min(n.cfg.Timeouts.Leave, departTime)
+	wait(ctx, n.cfg.Timeouts.Leave-depart)
+	n.publisher.Leave()
+	wait(ctx, depart)
 	n.gate.Drain()
 	for _, s := range servers {
 		s.stop(ctx)
--- a/mesh/node/stop_test.go
+++ b/mesh/node/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"balsamtrail.org/mesh/admission"
@@ -69,3 +70,37 @@
 		t.Errorf("state %s, %d violations", n.publisher.Current().State, invariant.Violations()-before)
 	}
 }
+
+// Guards against a backend server that is idle while its node waits for callers to
+// go elsewhere: a restart of each node in turn then takes too many out at a time.
+func TestBackendServerWorksUntilShortlyBeforeTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, release := stoppingNode(t, 10*time.Second)
+		release(admission.Outcome{Result: admission.ResultOK})
+		n.cfg.Timeouts.Leave = 3 * time.Second
+		began := time.Now()
+		states := func() (membership.State, int) { return n.publisher.Current().State, n.gate.Limit() }
+		var left, closed time.Duration
+		go func() {
+			for closed == 0 {
+				time.Sleep(10 * time.Millisecond)
+				state, limit := states()
+				if left == 0 && state == membership.StateLeft {
+					left = time.Since(began)
+				}
+				if limit == 0 {
+					closed = time.Since(began)
+				}
+			}
+		}()
+		stopNode(n)
+		synctest.Wait()
+		time.Sleep(20 * time.Millisecond)
+		if left < 1400*time.Millisecond || left > 1600*time.Millisecond {
+			t.Errorf("departure announced after %s", left)
+		}
+		if closed < 2900*time.Millisecond {
+			t.Errorf("no work from %s on", closed)
+		}
+	})
+}
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -144,8 +144,9 @@
 	// 15s. A longer one interrupts no slow request, a shorter one stops sooner.
 	Drain time.Duration `json:"drain" validate:"min=0s,max=10m"`
 	// Leave is how long a stopping node goes on taking requests: within it every
-	// entry node and caller has learned of the departure; default 1500ms. A longer
-	// one suits callers that learn of it late; it counts towards Drain.
+	// caller has learned of the departure, and other nodes within its last 1.5 s;
+	// default 1500ms. A longer one suits callers that learn of it late; it counts
+	// towards Drain.
 	Leave time.Duration `json:"leave" validate:"min=0s,max=1m"`
 	// ReturnRamp is how long a returning data centre takes to get its full part of
 	// calls; default 30s. A longer one is gentler to cold backend servers and
