--- a/bench/cmd/bench/soak.go
+++ b/bench/cmd/bench/soak.go
@@ -46,7 +46,7 @@
 	if n, ok := strings.CutPrefix(s, "fresh:"); ok {
 		count, err := strconv.Atoi(n)
 		if err != nil || count < 1 || count > maxSeeds {
-			return nil, fmt.Errorf("seeds %q: want a number up to %d behind fresh:", s, maxSeeds)
+			return nil, fmt.Errorf("seeds %q: want fresh:N with N up to %d", s, maxSeeds)
 		}
 		var out []uint64
 		for range count {
--- a/bench/soak/inject.go
+++ b/bench/soak/inject.go
@@ -212,7 +212,7 @@
 // tear appends to the newest file of each log what a cut-off write leaves.
 func tear(dir string) error {
 	newest := map[string]string{}
-	err := filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
+	err := filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
 		if err == nil && strings.HasSuffix(path, ".wal") {
 			newest[filepath.Dir(path)] = max(newest[filepath.Dir(path)], path)
 		}
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	defer c.Close()
-	_, err = r.order(context.Background(), func(ctx context.Context, op model.OperationID) (note.Result, error) {
+	err = r.order(context.Background(), func(ctx context.Context, op model.OperationID) (note.Result, error) {
 		n, err := note.ParseNote([]byte(noteText(number, "start")))
 		if err != nil {
 			return note.Result{}, err
@@ -68,18 +68,18 @@
 }
 
 // order sends an order, again with its operation id while the answer is not clear.
-func (r *run) order(ctx context.Context, send func(context.Context, model.OperationID) (note.Result, error)) (res note.Result, err error) {
+func (r *run) order(ctx context.Context, send func(context.Context, model.OperationID) (note.Result, error)) (err error) {
 	op := operator.NewOperationID()
 	for range orderTries {
 		one, cancel := context.WithTimeout(ctx, 2*askTimeout)
-		res, err = send(one, op)
+		_, err = send(one, op)
 		cancel()
 		if err == nil || errors.Is(err, operator.ErrConflict) || ctx.Err() != nil {
 			break
 		}
 		time.Sleep(bindTime)
 	}
-	return res, err
+	return err
 }
 
 // operate publishes a note, or two that race with the same number.
@@ -107,7 +107,7 @@
 				r.violate("note: %v", err)
 				return
 			}
-			_, err = r.order(ctx, func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.Publish(ctx, op, n) })
+			err = r.order(ctx, func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.Publish(ctx, op, n) })
 			won[i] = err == nil
 		})
 	}
@@ -157,7 +157,7 @@
 		return err
 	}
 	defer c.Close()
-	_, err = r.order(ctx, func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.TakeOut(ctx, op, dc) })
+	err = r.order(ctx, func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.TakeOut(ctx, op, dc) })
 	if err != nil {
 		return nil //nolint:nilerr // not accepted while a fault lasts; nothing was promised
 	}
@@ -171,7 +171,7 @@
 	}
 	// The return is owed however long it takes: the data centre must not stay out.
 	for range orderTries {
-		if _, err = r.order(context.WithoutCancel(ctx), func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.Return(ctx, op, dc) }); err == nil {
+		if err = r.order(context.WithoutCancel(ctx), func(ctx context.Context, op model.OperationID) (note.Result, error) { return c.Return(ctx, op, dc) }); err == nil {
 			return nil
 		}
 	}
