Keep lines for requests whose outcome is unknown; log answers that are cut

An answer that is cut on its way had no line either, since the cut ends the handler first; the test found none before.

--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -62,6 +62,8 @@
 	reasonBodyRead = "request body not received"
 	reasonNoKey    = "a write needs an Idempotency-Key"
 	reasonNoClaim  = "claim service unavailable"
+	// reasonCut is that of an answer that was cut on its way to the caller.
+	reasonCut = "answer cut before its end"
 )
 
 // ServeHTTP serves one request from its route to its answer.
@@ -173,13 +175,16 @@
 func (e *entry) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	started := time.Now()
 	var t *try
+	// An answer that is cut ends the handler by a panic, which net/http expects.
+	cut := true
+	defer func() { e.record(c, t, time.Since(started), cut) }()
 	if c.route.Kind == model.KindWrite && !c.route.Unkeyed {
 		t = e.write(ctx, w, c)
 	} else {
 		t = e.dispatcher.dispatch(ctx, c)
 		e.respond(ctx, w, c, t)
 	}
-	e.record(c, t, time.Since(started))
+	cut = false
 }
 
 // respond sends the answer of an idempotent request or says why there is none.
@@ -196,8 +201,19 @@
 	}
 }
 
+// logs decides whether a request has a line in the log.
+func (e *entry) logs(c *call, t *try, late, cut bool) bool {
+	switch {
+	case cut || !t.answered() && !t.notRun():
+		return e.logged.Failed()
+	case !t.answered(), t.resp.Status >= http.StatusInternalServerError, late, c.attempts != nil && len(c.attempts.Tried()) > 1:
+		return e.logged.Notable()
+	}
+	return e.logged.Usual()
+}
+
 // record writes the log line of a routing decision and counts its outcome.
-func (e *entry) record(c *call, t *try, took time.Duration) {
+func (e *entry) record(c *call, t *try, took time.Duration, cut bool) {
 	if t == nil {
 		return
 	}
@@ -210,13 +226,16 @@
 		telemetry.Counter("entry.unanswered." + c.route.Kind.String()).Inc(1)
 	}
 	late := c.route.LatencyTarget > 0 && took > c.route.LatencyTarget
-	notable := status == 0 || status >= http.StatusInternalServerError || late || c.attempts != nil && len(c.attempts.Tried()) > 1
-	if notable && !e.logged.Notable() || !notable && !e.logged.Usual() {
+	reason := t.reason
+	if cut {
+		reason = reasonCut
+	}
+	if !e.logs(c, t, late, cut) {
 		return
 	}
 	e.log.Info("request routed", "request", c.id, "route", string(c.route.Name), "kind", c.route.Kind.String(),
 		"service", string(c.service), "version", string(t.server.Version), "host", string(t.server.Host),
 		"data_centre", string(t.server.DataCentre), "choice", t.server.Reason, "tried", c.attempts.Tried(), "status", status,
-		"not_run", t.notRun(), "reason", t.reason, "ms", float64(took.Microseconds())/1000, "late", late,
+		"not_run", t.notRun(), "reason", reason, "ms", float64(took.Microseconds())/1000, "late", late,
 		"position", e.dispatcher.position().String())
 }
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -275,3 +276,26 @@
 		t.Errorf("without a server: %s", got)
 	}
 }
+
+// Guards against a request whose answer was cut and that nobody can explain, since
+// the cut ends its handler before the line is written.
+func TestCutAnswerHasALine(t *testing.T) {
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		return &callmux.Response{Status: http.StatusOK, Header: map[string][]string{}, Body: &brokenBody{}}, nil
+	}), &recordingClaims{})
+	var out bytes.Buffer
+	e.log = slog.New(slog.NewJSONHandler(&out, nil))
+	func() {
+		defer func() {
+			if r := recover(); r != http.ErrAbortHandler { //nolint:errorlint // the value that net/http names
+				t.Errorf("ended by %v", r)
+			}
+		}()
+		r := httptest.NewRequest(http.MethodGet, "/cabinets/7", nil)
+		r.Header.Set(HeaderRequestID, "id-1")
+		e.ServeHTTP(httptest.NewRecorder(), r)
+	}()
+	if line := out.String(); !strings.Contains(line, reasonCut) || !strings.Contains(line, "id-1") {
+		t.Errorf("line %q", line)
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -90,7 +90,7 @@
 // refuse logs and counts a refusal and builds its response.
 func (s *serving) refuse(req *callmux.Request, reason string, notRun bool) *callmux.Response {
 	telemetry.Counter("serving.refused").Inc(1)
-	if s.logged.Notable() {
+	if notRun && s.logged.Notable() || !notRun && s.logged.Failed() {
 		s.logRefusal(req, reason, notRun)
 	}
 	return &callmux.Response{
--- a/mesh/telemetry/telemetry_test.go
+++ b/mesh/telemetry/telemetry_test.go
@@ -67,6 +67,16 @@
 	if logged < detailBurst || logged > 2*detailBurst+detailRate {
 		t.Errorf("%d lines in detail", logged)
 	}
+	// Refusals under overload must not crowd out requests with an unknown outcome.
+	failed := 0
+	for range 100_000 {
+		if r.Failed() {
+			failed++
+		}
+	}
+	if failed < failureBurst || failed > 2*failureBurst+failureRate+detailRate {
+		t.Errorf("%d lines of failures after the others were used up", failed)
+	}
 	usual := 0
 	for range 1000 {
 		if r.Usual() {
