Tear logs in the soak as a loss of power does

The trace shows the log refused at the 37 bytes of 0x5a that the soak had appended, as a record whose checksum does not match. A loss of power leaves a prefix of a record or blocks that read as zeros, which the log cuts; other bytes are damage and must be refused.

--- a/bench/soak/inject.go
+++ b/bench/soak/inject.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,7 +29,9 @@
 	// of one of its hosts.
 	repairLimit = 20 * time.Second
 	callDelay   = 150 * time.Millisecond
-	// tornBytes are appended to a log as a write that a loss of power cut off.
+	// tornBytes of zeros are appended to a log, as blocks that a loss of power left
+	// allocated and not written. Other bytes would be damage, which a control host
+	// rightly refuses.
 	tornBytes = 37
 )
 
@@ -226,7 +227,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = f.Write(slices.Repeat([]byte{0x5a}, tornBytes))
+		_, err = f.Write(make([]byte, tornBytes))
 		if err = errors.Join(err, f.Close()); err != nil {
 			return err
 		}
