--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -116,6 +116,9 @@
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Length)
 	j.play(faultCtx, NewPlan(o.Seed))
 	endFaults()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	r.checkRecovered(ctx)
 	endLoad()
 	callers.Wait()
--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -219,8 +219,8 @@
 }
 
 // Hopeless reports whether a waiter with a priority would give up before its turn,
-// as far as the pace of its class and of the class before it shows. Refused at once,
-// its caller has more time left for another try.
+// as far as the pace of its class shows. Refused at once, its caller has more time
+// left for another try.
 func (q *Queue) Hopeless(now time.Time, w *Waiter) bool {
 	if w.Priority == 0 {
 		return false
--- a/mesh/routing/elapsed.go
+++ b/mesh/routing/elapsed.go
@@ -38,6 +38,9 @@
 	defer e.mu.Unlock()
 	g := e.routes[route]
 	if g == nil {
+		if len(e.routes) >= maxElapsedRoutes {
+			e.forget(now)
+		}
 		if len(e.routes) >= maxElapsedRoutes {
 			return 0
 		}
@@ -50,3 +53,12 @@
 	g.present = max(g.present, timeout)
 	return max(g.present, g.former) - timeout
 }
+
+// forget drops the routes without a request for two windows, such as those that are gone.
+func (e *Elapsed) forget(now time.Time) {
+	for name, g := range e.routes {
+		if now.Sub(g.since) > 2*elapsedWindow {
+			delete(e.routes, name)
+		}
+	}
+}
--- a/mesh/routing/elapsed_test.go
+++ b/mesh/routing/elapsed_test.go
@@ -1,8 +1,11 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"balsamtrail.org/mesh/model"
 )
 
 // Guards against a repeated request that is taken for a fresh one, and against a
@@ -29,3 +32,16 @@
 		}
 	}
 }
+
+// Guards against routes that come and go until there is no room for the present ones.
+func TestElapsedForgetsRoutesThatAreGone(t *testing.T) {
+	e := NewElapsed()
+	for i := range maxElapsedRoutes {
+		e.Observe(start, model.RouteName(fmt.Sprint(i)), time.Second)
+	}
+	later := start.Add(3 * elapsedWindow)
+	e.Observe(later, "new", time.Second)
+	if got := e.Observe(later, "new", 600*time.Millisecond); got != 400*time.Millisecond {
+		t.Errorf("waiting for %v", got)
+	}
+}
