--- a/mesh/telemetry/telemetry_test.go
+++ b/mesh/telemetry/telemetry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -87,3 +88,23 @@
 		t.Errorf("%d of 1000 usual requests", usual)
 	}
 }
+
+// BenchmarkRequestLine measures the processor time of a line about a request.
+func BenchmarkRequestLine(b *testing.B) {
+	log, stop := OpenLog(io.Discard, slog.LevelInfo, "n1", "node")
+	defer stop()
+	for b.Loop() {
+		log.Info("request routed", "request", "8efa13d82bde88ff", "route", "r-pdbbpy4", "kind", "lookup", "service", "nomi63a",
+			"version", "v1", "host", "sidecar-medina-6", "data_centre", "medina", "choice", "own data centre",
+			"tried", []string{"sidecar-medina-2", "sidecar-medina-6"}, "status", 200, "not_run", false, "reason", "",
+			"ms", 266.756, "late", true, "position", "1.25")
+	}
+}
+
+// BenchmarkSuppressedLine measures the processor time of a line that the bound leaves out.
+func BenchmarkSuppressedLine(b *testing.B) {
+	r := NewRequests()
+	for b.Loop() {
+		r.Notable()
+	}
+}
