--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -299,3 +299,33 @@
 		t.Errorf("line %q", line)
 	}
 }
+
+// stuckOutput never takes a byte until it is released.
+type stuckOutput struct{ release chan struct{} }
+
+func (o stuckOutput) Write(p []byte) (int, error) {
+	<-o.release
+	return len(p), nil
+}
+
+// Guards against requests that wait for a log whose reader has stopped.
+func TestBlockedLogDelaysNoRequest(t *testing.T) {
+	e := newTestEntry(t, scriptedCaller(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+		return refusal(true), nil
+	}), &recordingClaims{})
+	out := stuckOutput{release: make(chan struct{})}
+	log, stop := telemetry.OpenLog(out, slog.LevelDebug, "n1", "node")
+	defer stop()
+	defer close(out.release)
+	e.log, e.dispatcher.log = log, log
+	const requests, limit = 500, 5 * time.Second
+	for range requests {
+		began := time.Now()
+		if w := lookup(e); w.Code != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", w.Code)
+		}
+		if took := time.Since(began); took > limit {
+			t.Fatalf("a request took %s", took)
+		}
+	}
+}
