Remove state of the soak that nothing read

The times until which a fault excuses a host were kept and never used, since the checks ask whether another fault is near; nor was a wait group of the injector. No check or bound changes.

--- a/bench/soak/inject.go
+++ b/bench/soak/inject.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// settleTime excuses a host behind a fault: two lease times, in which others
-	// learn of it, and a start.
+	// settleTime must pass behind a fault until another counts as alone: two lease
+	// times, in which others learn of it, and a start.
 	settleTime = 5 * time.Second
 	// bindTime is the time within which a process that cannot bind its addresses ends.
 	bindTime = 400 * time.Millisecond
@@ -39,8 +39,7 @@
 // control host and a third of the backend servers of a service are harmed at a
 // time, unless the fault is the loss of all nodes of a data centre.
 type injector struct {
-	r  *run
-	wg sync.WaitGroup
+	r *run
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -63,9 +62,8 @@
 	return &injector{r: r, busy: map[model.HostID]bool{}, inUse: map[model.ServiceName]int{}, counts: map[Fault]int{}}
 }
 
-// play injects rounds until ctx ends and waits until all is repaired.
+// play injects rounds until ctx ends; each round is repaired when it is over.
 func (j *injector) play(ctx context.Context, p *Plan) {
-	defer j.wg.Wait()
 	for ctx.Err() == nil {
 		round := p.Next()
 		var events sync.WaitGroup
@@ -128,10 +126,8 @@
 	j.counts[e.Fault]++
 	j.active++
 	j.mu.Unlock()
-	j.r.harm(host, e.Last+settleTime)
 	j.r.say("%s: %s for %s", e.Fault, host, e.Last.Round(time.Millisecond))
 	err := f()
-	j.r.harm(host, settleTime)
 	if err != nil {
 		j.r.violate("%s at %s: %v", e.Fault, host, err)
 	}
@@ -275,7 +271,6 @@
 		if s.DataCentre != dc || n == len(errs) {
 			continue
 		}
-		j.r.harm(s.Host, e.Last+settleTime)
 		slot := &errs[n]
 		n++
 		wg.Go(func() { *slot = restart(s.Node, e.Last, kill) })
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -58,8 +58,6 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	found []string
-	// harmed is the time until which a fault, or what it leaves behind, excuses a host.
-	harmed map[model.HostID]time.Time
 	// accepted is the greatest acknowledged note.
 	accepted uint64
 	// unanswered are writes on kept connections that a planned stop left without an answer.
@@ -91,7 +89,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &run{Options: o, start: time.Now(), harmed: map[model.HostID]time.Time{}, report: load.NewReport(time.Now())}
+	r := &run{Options: o, start: time.Now(), report: load.NewReport(time.Now())}
 	var err error
 	if r.fleet, err = demo.NewFleet(o.Dir, o.Bin, []model.DataCentre{"thun", "bern-altstadt", "burgdorf"}); err != nil {
 		return nil, err
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -41,7 +41,7 @@
 
 // Guards against a soak that harms more than the system promises to bear.
 func TestAtMostOneControlHostIsHarmed(t *testing.T) {
-	j := newInjector(&run{harmed: map[model.HostID]time.Time{}, start: time.Now()})
+	j := newInjector(&run{start: time.Now()})
 	inside := make(chan struct{})
 	release := make(chan struct{})
 	go j.with(Event{Fault: KillControl}, "c1", controlGroup, 1, func() error {
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -17,19 +17,11 @@
 	"balsamtrail.org/bench/experiment"
 	"balsamtrail.org/bench/load"
 	"balsamtrail.org/bench/standin"
-	"balsamtrail.org/mesh/model"
 )
 
 // watchInterval is how often each node is asked for its state.
 const watchInterval = 250 * time.Millisecond
 
-// harm excuses a host for a time.
-func (r *run) harm(host model.HostID, d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.harmed[host] = time.Now().Add(d)
-}
-
 // say writes one line of progress if the run is verbose.
 func (r *run) say(format string, args ...any) {
 	if r.Verbose {
