Log requests without a route and show the age of the source contact

The line 'request not routed' now has the position and the time since the last contact with the source; the gauge distribute.source_age_ms shows the same on nodes and control hosts.

Measured: TestRequestWithoutRouteIsLogged; the tests of node, distribute and control pass.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -99,6 +99,7 @@
 	c.leaderWork = newLeader(c)
 	c.register()
 	registerTrafficGauges()
+	distribute.RegisterSourceAge(c.freshness)
 	return c, nil
 }
 
--- a/mesh/distribute/subtree.go
+++ b/mesh/distribute/subtree.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 )
@@ -117,5 +119,15 @@
 	return min(max(0, now.Sub(f.at)), maxSourceAge)
 }
 
+// metricSourceAge is the name of the gauge of the process's source age in
+// milliseconds.
+const metricSourceAge = "distribute.source_age_ms"
+
+// RegisterSourceAge adds the source age of this process to the metrics.
+func RegisterSourceAge(f *Freshness) {
+	// The only error is that the gauge exists, as for a second node in one test process.
+	_ = metrics.NewRegisteredFunctionalGauge(metricSourceAge, nil, func() int64 { return f.Age(time.Now()).Milliseconds() })
+}
+
 // maxSourceAge is the upper limit of a source age.
 const maxSourceAge = 365 * 24 * time.Hour
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -41,6 +41,9 @@
 	stopping atomic.Bool
 	// logSampler decides which requests get a log line.
 	logSampler *telemetry.RequestSampler
+	// sourceAge returns the time since the last contact with the source of the
+	// configuration.
+	sourceAge func() time.Duration
 	// background tracks completions and releases of claims that are still running
 	// after their request was answered.
 	background sync.WaitGroup
@@ -77,23 +80,23 @@
 	}
 	table := e.table()
 	if table == nil {
-		refuseNotRun(w, http.StatusServiceUnavailable, reasonNoConfig)
+		e.refuse(w, r, http.StatusServiceUnavailable, reasonNoConfig)
 		return
 	}
 	if !e.callLimiter.TryAcquire(1) {
 		telemetry.Counter("entry.refused").Inc(1)
-		refuseNotRun(w, http.StatusServiceUnavailable, reasonTooManyCalls)
+		e.refuse(w, r, http.StatusServiceUnavailable, reasonTooManyCalls)
 		return
 	}
 	defer e.callLimiter.Release(1)
 	route, err := matchRequest(table, r)
 	if err != nil {
-		refuseNotRun(w, routeStatus(err), err.Error())
+		e.refuse(w, r, routeStatus(err), err.Error())
 		return
 	}
 	body, releaseBody, err := e.readBody(w, r)
 	if err != nil {
-		refuseNotRun(w, bodyStatus(err), err.Error())
+		e.refuse(w, r, bodyStatus(err), err.Error())
 		return
 	}
 	defer releaseBody()
@@ -106,6 +109,17 @@
 	e.serve(ctx, w, c)
 }
 
+// refuse refuses a request before it is routed, and logs the position and the age of
+// the configuration that decided it.
+func (e *entry) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	refuseNotRun(w, status, reason)
+	if e.logSampler.AllowNotable() {
+		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
+			"status", status, "reason", reason, "position", e.dispatcher.position().String(),
+			"source_age_ms", e.sourceAge().Milliseconds())
+	}
+}
+
 // latencyDeadlineOf returns the time by which the caller should have its answer: the
 // route's latency target, counted from the caller's first attempt. It is zero if the
 // route has no target.
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -87,6 +87,7 @@
 	return &entry{
 		elapsed: routing.NewElapsedEstimator(),
 		log:     log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20, logSampler: telemetry.NewRequestSampler(),
+		sourceAge:   func() time.Duration { return 1500 * time.Millisecond },
 		callLimiter: semaphore.NewWeighted(1000), bodyLimiter: semaphore.NewWeighted(bodyMemoryBytes),
 	}
 }
@@ -303,6 +304,21 @@
 	}
 }
 
+// Guards against a request without a route whose id leads to no log line.
+func TestRequestWithoutRouteIsLogged(t *testing.T) {
+	e := newTestEntry(t, nil, nil)
+	var out bytes.Buffer
+	e.log = slog.New(slog.NewJSONHandler(&out, nil))
+	r := httptest.NewRequest(http.MethodGet, "/unknown", nil)
+	r.Header.Set(HeaderRequestID, "id-1")
+	e.ServeHTTP(httptest.NewRecorder(), r)
+	for _, want := range []string{`"request":"id-1"`, `"status":404`, `"position":"0.0"`, `"source_age_ms":1500`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in %q", want, out.String())
+		}
+	}
+}
+
 // blockedWriter blocks every write until it is released.
 type blockedWriter struct{ release chan struct{} }
 
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -128,8 +128,13 @@
 		State: membership.StateServing,
 	}, n.started)
 	n.recorder = rollout.NewRecorder(n.cfg.Host, n.publisher.Current().Incarnation)
+	distribute.RegisterSourceAge(n.freshness)
 }
 
+// sourceAge returns the time since the last contact with the source of the configuration,
+// directly or through parents.
+func (n *Node) sourceAge() time.Duration { return n.freshness.Age(time.Now()) }
+
 // buildDataPlane creates the parts that carry requests.
 func (n *Node) buildDataPlane(creds *peer.Credentials, self peer.Identity, base *url.URL) {
 	n.gate = admission.NewGate(admission.Config{
@@ -173,7 +178,7 @@
 	n.entry = &entry{
 		elapsed: routing.NewElapsedEstimator(),
 		log:     n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
-		logSampler: logSampler, service: n.cfg.Backend.Service,
+		logSampler: logSampler, sourceAge: n.sourceAge, service: n.cfg.Backend.Service,
 		callLimiter: semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
 		bodyLimiter: semaphore.NewWeighted(max(bodyMemoryBytes, n.cfg.Limits.BodyBytes)),
 	}
