Show with a failing test that a node stays with an isolated control host

Its control host was cut off from the others but still served it, and a node leaves such a parent only after the parent's contact with the source is 2.5 s old and has stayed so for another second. The bound for an accepted version is 2 s.

--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -250,6 +250,34 @@
 	})
 }
 
+// TestNodeLeavesIsolatedControlHost guards against a node that stays behind the
+// accepted version for more than 2 s because its control host, which still
+// serves it, is cut off from the others.
+func TestNodeLeavesIsolatedControlHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t.Context())
+		isolated, connected := n.start(sourceIdentity), n.start(peer.Identity{Role: peer.RoleControl, DataCentre: "bern", Host: "c2"})
+		contact, isolate := context.WithCancel(t.Context())
+		isolated.keepFresh(contact)
+		connected.keepFresh(t.Context())
+		node := n.start(nodeIdentity("n1"))
+		var candidates []Parent
+		for _, p := range []*process{isolated, connected} {
+			p.eps.Merge(servingAnnouncement("h", "ledger", 1))
+			candidates = append(candidates, Parent{Host: p.id.Host, Role: p.id.Role, DataCentre: p.id.DataCentre})
+		}
+		n.attach(node, candidates...)
+		time.Sleep(5 * time.Second)
+		if isolated.serve.Admission.Children() != 1 {
+			t.Fatal("the node is not attached to its first candidate")
+		}
+		isolate()
+		publish(t, connected, 1, configOf(route("r", "ledger", 0)))
+		time.Sleep(2 * time.Second)
+		expectPosition(t, node, 1)
+	})
+}
+
 // TestAttachRedirect guards against a node that knows only the source and finds
 // no parent after the source has refused it, and against alternatives that
 // would close a cycle.
