Move nodes from a control host that is cut off from the others

Cause: a control host that is cut off from the others goes on serving its nodes, and they left it only when its contact with the source had been older than 2.5 s for another second. The class of the fault: a failure detector that waits longer than the bound that depends on it, since leaving was a loss of the only parent and so had to be rare.

A node whose control host has had no contact for 1 s now looks for a control host with newer contact and leaves the old stream only after another one, whose first frame states a recent contact, has admitted it. While none has contact, as during an election, it stays and looks again after a second. Nodes deeper in the tree keep their parents: the newer contact reaches them through those.

TestNodeLeavesIsolatedControlHost failed before (n1 is at 0.0, want 1.1) and passes; the other tests of distribute and node pass unchanged.

--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -36,7 +36,16 @@
 	stalePenalty = 10 * time.Second
 	// stableAfter is how long a stream must last before the backoff is reset.
 	stableAfter = 2 * time.Second
-	// initialStaleTimeout is how long a node stays with the first stale parent.
+	// outdatedRetryInterval is the mean time between two rounds in which a node
+	// looks for a control host with newer contact to the source than its own. A
+	// longer interval delays versions after an election, in which all of them
+	// are outdated.
+	outdatedRetryInterval = time.Second
+	// outdatedPenalty is how long a candidate is skipped that was outdated too.
+	// It is below the shortest time between two rounds.
+	outdatedPenalty = outdatedRetryInterval / 2
+	// initialStaleTimeout is how long a node stays with the first stale node as
+	// its parent.
 	// The timeout doubles with each further one: while the source is
 	// unreachable every parent is stale, and switching does not help.
 	initialStaleTimeout = time.Second
@@ -161,8 +170,11 @@
 	startedAt time.Time
 	cancel    context.CancelFunc
 	handoff   chan time.Duration
-	ready     chan struct{}
+	outdated  chan time.Duration
+	ready     chan time.Duration
 	done      chan error
+	// sourceAge is the source age of the parent when it admitted this node.
+	sourceAge time.Duration
 }
 
 // attacher keeps a node attached to one parent.
@@ -217,7 +229,7 @@
 	}
 	at.start(ctx, att, st)
 	select {
-	case <-att.ready:
+	case att.sourceAge = <-att.ready:
 		at.o.Log.Info("attached to parent", "parent", p.Host, "role", string(p.Role), "address", p.Address)
 		return att, nil
 	case err := <-att.done:
@@ -230,22 +242,31 @@
 func (at *attacher) start(ctx context.Context, att *attachment, st peer.Stream) {
 	ctx, att.cancel = context.WithCancel(ctx)
 	att.startedAt = time.Now()
-	att.handoff, att.ready, att.done = make(chan time.Duration, 1), make(chan struct{}), make(chan error, 1)
+	att.handoff, att.ready, att.done = make(chan time.Duration, 1), make(chan time.Duration, 1), make(chan error, 1)
 	o := at.o.Follow
-	o.Handoff, o.Ready, o.StaleTimeout = att.handoff, att.ready, at.selector.staleTimeout
+	o.Handoff, o.Ready = att.handoff, att.ready
+	if att.parent.Role == peer.RoleControl {
+		// Only a control host can be cut off from the source while others are
+		// not; its children pass the newer contact on to theirs.
+		att.outdated = make(chan time.Duration, 1)
+		o.Outdated = att.outdated
+	} else {
+		o.StaleTimeout = at.selector.staleTimeout
+	}
 	go func() {
 		defer att.cancel()
 		att.done <- Follow(ctx, at.a, at.eps, st, o)
 	}()
 }
 
-// maintain waits until the stream ends. A parent that stops or is not a
-// preferred one is left only after another one has admitted this node.
+// maintain waits until the stream ends. A parent that stops, is outdated or is
+// not a preferred one is left only after another one has admitted this node.
 func (at *attacher) maintain(ctx context.Context, att *attachment) (*attachment, error) {
 	var leaveTimer <-chan time.Time
 	interval := initialImproveInterval
 	improveTimer := time.NewTimer(jitter(interval))
 	defer improveTimer.Stop()
+	var nextSearch time.Time
 	for {
 		select {
 		case err := <-att.done:
@@ -256,15 +277,23 @@
 		case <-leaveTimer:
 			leaveTimer = nil
 			others := at.selector.all(time.Now(), at.o.Candidates())
-			if next, err := at.switchParent(ctx, att, others); err == nil {
+			if next, err := at.switchParent(ctx, att, others, maxSourceAge); err == nil {
 				att = next
 			} else {
 				leaveTimer = time.After(jitter(failurePenalty))
 			}
+		case age := <-att.outdated:
+			if time.Now().Before(nextSearch) {
+				continue
+			}
+			if next, ok := at.findNewerContact(ctx, att, age); ok {
+				att = next
+			}
+			nextSearch = time.Now().Add(jitter(outdatedRetryInterval))
 		case <-improveTimer.C:
 			interval = min(2*interval, maxImproveInterval)
 			if better := at.betterParents(att.parent); len(better) > 0 {
-				if next, err := at.switchParent(ctx, att, better); err == nil {
+				if next, err := at.switchParent(ctx, att, better, outdatedLimit); err == nil {
 					att, interval = next, initialImproveInterval
 				}
 			}
@@ -293,18 +322,46 @@
 	return slices.DeleteFunc(slices.Clone(ps), func(p Parent) bool { return p.DataCentre != at.o.DataCentre })
 }
 
+// findNewerContact switches to another control host whose contact with the
+// source is recent. It tries all that are available; the current stream stays
+// open until one of them has admitted this node.
+func (at *attacher) findNewerContact(ctx context.Context, att *attachment, age time.Duration) (*attachment, bool) {
+	at.o.Log.Info("parent is outdated", "parent", att.parent.Host, "source_age", age.String())
+	others := slices.DeleteFunc(slices.Clone(at.o.Candidates()), func(p Parent) bool { return p.Role != peer.RoleControl })
+	for range others {
+		next, err := at.switchParent(ctx, att, others, outdatedLimit)
+		if err == nil {
+			return next, true
+		}
+		if errors.Is(err, errNoOtherParent) {
+			break
+		}
+	}
+	return nil, false
+}
+
+// errNoOtherParent is returned by switchParent if there is no candidate that can
+// be tried at once.
+var errNoOtherParent = errors.New("no other parent available")
+
 // switchParent attaches to the best of the other parents that can be tried at
-// once, and then leaves the current one. If that fails, the current stream
-// stays open.
-func (at *attacher) switchParent(ctx context.Context, att *attachment, others []Parent) (*attachment, error) {
+// once and has a source age of at most maxAge, and then leaves the current one.
+// If that fails, the current stream stays open.
+func (at *attacher) switchParent(ctx context.Context, att *attachment, others []Parent, maxAge time.Duration) (*attachment, error) {
 	others = slices.DeleteFunc(slices.Clone(others), func(p Parent) bool { return p.Host == att.parent.Host })
 	p, wait, ok := at.selector.next(time.Now(), others)
 	if !ok || wait > 0 {
-		return nil, eris.Wrap(ErrBusy, "no other parent available")
+		return nil, errNoOtherParent
 	}
+	penalty := failurePenalty
 	next, err := at.connect(ctx, p)
+	if err == nil && next.sourceAge > maxAge {
+		next.cancel()
+		_ = <-next.done
+		penalty, err = outdatedPenalty, eris.Wrapf(ErrStale, "%s had contact with the source %s ago", p.Host, next.sourceAge)
+	}
 	if err != nil {
-		at.selector.skipUntil[p] = time.Now().Add(failurePenalty)
+		at.selector.skipUntil[p] = time.Now().Add(penalty)
 		at.o.Log.Info("parent not switched", "parent", att.parent.Host, "candidate", p.Host, "reason", err.Error())
 		return nil, err
 	}
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -21,6 +21,12 @@
 // HeartbeatInterval to it at each level.
 const staleLimit = 2500 * time.Millisecond
 
+// outdatedLimit is the source age above which a node looks for a control host
+// with newer contact. With a heartbeat, an attempt that times out and a
+// handshake it is within the 2 s in which an accepted version has to be in
+// force.
+const outdatedLimit = time.Second
+
 // reportBatchDelay is the delay between a change and its report, so that one
 // report covers several changes of a subtree.
 const reportBatchDelay = 150 * time.Millisecond
@@ -54,10 +60,14 @@
 	// Handoff receives the delay after which the parent wants this child to
 	// switch to another parent.
 	Handoff chan<- time.Duration
-	// Ready is closed at the first frame from the parent that is not a refusal,
-	// which shows that it has admitted this child.
-	Ready chan<- struct{}
-	Log   *slog.Logger
+	// Ready receives the parent's source age with its first frame that is not a
+	// refusal, which shows that it has admitted this child. It must have room
+	// for one value.
+	Ready chan<- time.Duration
+	// Outdated, if set, receives the parent's source age while that is above
+	// outdatedLimit. It must have room for one value.
+	Outdated chan<- time.Duration
+	Log      *slog.Logger
 }
 
 // BusyError is returned when the parent refuses this child.
@@ -240,7 +250,7 @@
 		return &BusyError{RetryAfter: b.RetryAfter, Reason: b.Reason, Alternatives: b.Alternatives}
 	}
 	if !r.ready && r.o.Ready != nil {
-		close(r.o.Ready)
+		r.o.Ready <- f.sourceAge()
 	}
 	r.ready = true
 	switch {
@@ -263,6 +273,12 @@
 
 func (r *childReader) heartbeat(now time.Time, h heartbeatFrame) error {
 	r.o.Freshness.RecordContact(now, h.SourceAge)
+	if h.SourceAge > outdatedLimit {
+		select {
+		case r.o.Outdated <- h.SourceAge:
+		default: // not requested, or the last one is still waiting
+		}
+	}
 	if h.SourceAge <= staleLimit || r.o.StaleTimeout == 0 {
 		r.staleSince = time.Time{}
 		return nil
--- a/mesh/distribute/message.go
+++ b/mesh/distribute/message.go
@@ -159,6 +159,14 @@
 	Done bool `cbor:"7,keyasint,omitempty"`
 }
 
+// sourceAge returns the source age in a heartbeat, 0 in other frames.
+func (f downFrame) sourceAge() time.Duration {
+	if f.Heartbeat == nil {
+		return 0
+	}
+	return f.Heartbeat.SourceAge
+}
+
 // compareFrame opens an exchange; the reply is a compareFrame too.
 type compareFrame struct {
 	Position model.Position `cbor:"1,keyasint"`
