Take the source contact of a control host from its last quorum contact

The log now reports when a quorum last replied: the leader knows it from the replies, and states its age in each append for the others. The age that a control host states to its children starts there.

TestQuorumContactEndsWithThePartition: with the former rule (contact while a leader is known) the cut hosts report contact 100 ms after the cut, at the end of the test's time; now none after two heartbeats.

--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -96,9 +96,7 @@
 			c.log.Info("lease expiry resumed")
 		}
 		suspended = !leaderKnown
-		if leaderKnown {
-			c.freshness.RecordContact(now, 0)
-		}
+		c.freshness.RecordContact(st.QuorumContact, 0)
 		c.leaseHolder().Sweep(now, c.leaderWork.otherHoldings())
 		c.endpoints.Prune(now)
 	}
--- a/mesh/replog/cluster_test.go
+++ b/mesh/replog/cluster_test.go
@@ -58,6 +58,30 @@
 	s.checkConvergence()
 }
 
+// Guards against a host on the smaller side of a partition that still reports
+// contact with a quorum after two heartbeats, and one on the larger side that
+// does not after an election.
+func TestQuorumContactEndsWithThePartition(t *testing.T) {
+	s := newSim(t, 3, "a", "b", "c", "d", "e")
+	s.commitProposals(3)
+	leader := s.awaitLeader()
+	follower := s.others(leader.id)[0]
+	cutAt := s.now
+	s.partition(leader.id, follower.id)
+	s.steps(electionSteps(1) / 2)
+	for _, h := range []*simHost{leader, follower} {
+		if after := h.eng.core.QuorumContact().Sub(cutAt); after > 2*simHeartbeat {
+			t.Errorf("%s reports contact %s after the cut", h.id, after)
+		}
+	}
+	s.steps(electionSteps(6))
+	for _, h := range s.others(leader.id)[1:] {
+		if age := s.now.Sub(h.eng.core.QuorumContact()); age > 3*simHeartbeat {
+			t.Errorf("%s has had no contact for %s", h.id, age)
+		}
+	}
+}
+
 // Guards against a partitioned host that raises its term and deposes the leader
 // when it rejoins.
 func TestRejoiningHostDoesNotDisruptLeader(t *testing.T) {
--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -89,6 +89,9 @@
 	// lastLeaderContact is the time of the last message from the leader of the
 	// current term.
 	lastLeaderContact time.Time
+	// quorumContact is the time at which the leader last had contact with a
+	// quorum, as far as its messages tell; see QuorumContact.
+	quorumContact time.Time
 
 	progress      map[model.HostID]*progress
 	nextBroadcast time.Time
@@ -316,6 +319,7 @@
 		m.Term = c.term
 	}
 	if m.Kind == MsgAppend || m.Kind == MsgSnapshot {
+		m.QuorumAge = c.now.Sub(c.quorumReplied())
 		c.out.EarlyMessages = append(c.out.EarlyMessages, m)
 		return
 	}
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -99,6 +99,9 @@
 	// MembersCommitted reports whether the entry that set Members is committed.
 	MembersCommitted bool `json:"membersCommitted"`
 	DiskFull         bool `json:"diskFull"`
+	// QuorumContact is the time of the last contact with a quorum; see
+	// Core.QuorumContact.
+	QuorumContact time.Time `json:"-"`
 	// Err is the error that stopped the log; nil while it runs.
 	Err error `json:"-"`
 }
--- a/mesh/replog/message.go
+++ b/mesh/replog/message.go
@@ -1,6 +1,10 @@
 package replog
 
-import "balsamtrail.org/mesh/model"
+import (
+	"time"
+
+	"balsamtrail.org/mesh/model"
+)
 
 // DiskID identifies the data directory of one host in one group. It is random
 // and generated when the directory is created, so a host that lost its disk gets
@@ -120,6 +124,9 @@
 	// LeaderTransfer marks a MsgVote of a campaign that the leader requested. The
 	// recipient considers it even if the leader is alive.
 	LeaderTransfer bool `cbor:"17,keyasint,omitempty"`
+	// QuorumAge is how long before a message of the leader a quorum had last
+	// replied to it.
+	QuorumAge time.Duration `cbor:"18,keyasint,omitempty"`
 }
 
 // SnapshotChunk is a part of a snapshot, or in a reply the offset of the next
--- a/mesh/replog/replication.go
+++ b/mesh/replog/replication.go
@@ -166,6 +166,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.lastLeaderContact = c.now
+	c.recordQuorumContact(m)
 	c.resetElectionDeadline()
 }
 
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -261,6 +261,7 @@
 		Group: l.cfg.Group, Self: l.cfg.Self, Disk: l.id, Role: core.role, Term: core.term, Leader: core.leader,
 		Commit: core.commit, LastIndex: core.log.last(), SnapshotIndex: core.snapshot.Index,
 		Members: core.Members(), MembersCommitted: core.membersCommitted(), DiskFull: l.diskFullPaused,
+		QuorumContact: core.QuorumContact(),
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
