Switch only to a control host with recent source contact

A node now switches only to a control host whose contact is at most half of the limit old, and logs the attachment when it takes place.

TestElectionMovesNoNode fails with the former limit (the node left its control host) and passes now.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -85,7 +85,7 @@
 		store: distribute.NewStore(), endpoints: membership.NewTable(), leaseKeeper: membership.NewLeaseKeeperWithDuration(cfg.Timeouts.EndpointLease),
 		admission:   distribute.NewAdmission(admissionConfig(cfg.Limits)),
 		nodeSubtree: distribute.NewSubtree(nil), hostSubtree: distribute.NewSubtree(nil),
-		freshness: &distribute.Freshness{}, evidence: newEvidence(cfg.Host, uint64(time.Now().UnixMilli())),
+		evidence: newEvidence(cfg.Host, uint64(time.Now().UnixMilli())),
 	}
 	for _, o := range options {
 		o(c)
@@ -96,6 +96,7 @@
 	if err := c.openLogs(); err != nil {
 		return nil, err
 	}
+	c.freshness = &distribute.Freshness{Contact: c.quorumContact}
 	c.leaderWork = newLeader(c)
 	c.register()
 	registerTrafficGauges()
--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -56,6 +56,10 @@
 	return c.store.Position(), c.configLog.Status().Leader != ""
 }
 
+// quorumContact returns the time of this host's last contact with a quorum of the
+// control hosts.
+func (c *Control) quorumContact() time.Time { return c.configLog.Status().QuorumContact }
+
 func (c *Control) serveWatch(ctx context.Context, st peer.Stream) error {
 	return distribute.Serve(ctx, c.store, c.endpoints, st, c.serveOptions(st.Peer()))
 }
@@ -85,8 +89,7 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		st := c.configLog.Status()
-		leaderKnown := st.Leader != ""
+		leaderKnown := c.configLog.Status().Leader != ""
 		switch {
 		case !leaderKnown && !suspended:
 			c.leaseKeeper.Suspend()
@@ -96,7 +99,6 @@
 			c.log.Info("lease expiry resumed")
 		}
 		suspended = !leaderKnown
-		c.freshness.RecordContact(st.QuorumContact, 0)
 		c.leaseHolder().Sweep(now, c.leaderWork.otherHoldings())
 		c.endpoints.Prune(now)
 	}
--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -177,6 +177,12 @@
 	sourceAge time.Duration
 }
 
+// end ends the stream and returns the error with which Follow returned.
+func (att *attachment) end() error {
+	att.cancel()
+	return <-att.done
+}
+
 // attacher keeps a node attached to one parent.
 type attacher struct {
 	a        *Acceptor
@@ -202,6 +208,7 @@
 		}
 		att, err := at.connect(ctx, p)
 		if err == nil {
+			at.logAttached(p)
 			att, err = at.maintain(ctx, att)
 		}
 		if ctx.Err() != nil {
@@ -230,7 +237,6 @@
 	at.start(ctx, att, st)
 	select {
 	case att.sourceAge = <-att.ready:
-		at.o.Log.Info("attached to parent", "parent", p.Host, "role", string(p.Role), "address", p.Address)
 		return att, nil
 	case err := <-att.done:
 		att.startedAt = time.Time{}
@@ -238,6 +244,10 @@
 	}
 }
 
+func (at *attacher) logAttached(p Parent) {
+	at.o.Log.Info("attached to parent", "parent", p.Host, "role", string(p.Role), "address", p.Address)
+}
+
 // start runs Follow in a goroutine.
 func (at *attacher) start(ctx context.Context, att *attachment, st peer.Stream) {
 	ctx, att.cancel = context.WithCancel(ctx)
@@ -293,7 +303,7 @@
 		case <-improveTimer.C:
 			interval = min(2*interval, maxImproveInterval)
 			if better := at.betterParents(att.parent); len(better) > 0 {
-				if next, err := at.switchParent(ctx, att, better, outdatedLimit); err == nil {
+				if next, err := at.switchParent(ctx, att, better, recentLimit); err == nil {
 					att, interval = next, initialImproveInterval
 				}
 			}
@@ -329,7 +339,7 @@
 	at.o.Log.Info("parent is outdated", "parent", att.parent.Host, "source_age", age.String())
 	others := slices.DeleteFunc(slices.Clone(at.o.Candidates()), func(p Parent) bool { return p.Role != peer.RoleControl })
 	for range others {
-		next, err := at.switchParent(ctx, att, others, outdatedLimit)
+		next, err := at.switchParent(ctx, att, others, recentLimit)
 		if err == nil {
 			return next, true
 		}
@@ -356,8 +366,7 @@
 	penalty := failurePenalty
 	next, err := at.connect(ctx, p)
 	if err == nil && next.sourceAge > maxAge {
-		next.cancel()
-		_ = <-next.done
+		_ = next.end()
 		penalty, err = outdatedPenalty, eris.Wrapf(ErrStale, "%s had contact with the source %s ago", p.Host, next.sourceAge)
 	}
 	if err != nil {
@@ -365,8 +374,8 @@
 		at.o.Log.Info("parent not switched", "parent", att.parent.Host, "candidate", p.Host, "reason", err.Error())
 		return nil, err
 	}
-	att.cancel()
-	endErr := <-att.done
+	at.logAttached(p)
+	endErr := att.end()
 	at.o.Log.Info("parent switched", "parent", att.parent.Host, "for", p.Host, "reason", endErr.Error())
 	return next, nil
 }
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -278,6 +278,29 @@
 	})
 }
 
+// TestElectionMovesNoNode guards against nodes that change between control hosts
+// that have all lost the source, as in an election.
+func TestElectionMovesNoNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t.Context())
+		var hosts []*process
+		var candidates []Parent
+		for i := range 3 {
+			p := n.start(peer.Identity{Role: peer.RoleControl, DataCentre: "thun", Host: model.HostID(fmt.Sprintf("c%d", i))})
+			p.serve.Freshness.RecordContact(time.Now(), time.Duration(i)*HeartbeatInterval)
+			hosts = append(hosts, p)
+			candidates = append(candidates, Parent{Host: p.id.Host, Role: p.id.Role, DataCentre: p.id.DataCentre})
+		}
+		n.attach(n.start(nodeIdentity("n1")), candidates[2], candidates[1], candidates[0])
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if hosts[2].serve.Admission.Children() != 1 {
+				t.Fatal("the node left its control host")
+			}
+		}
+	})
+}
+
 // TestAttachRedirect guards against a node that knows only the source and finds
 // no parent after the source has refused it, and against alternatives that
 // would close a cycle.
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -27,6 +27,11 @@
 // force.
 const outdatedLimit = time.Second
 
+// recentLimit is the greatest source age of a control host that is worth a
+// switch. The hosts on both sides of a cut, and all hosts in an election, have
+// nearly the same age at first.
+const recentLimit = outdatedLimit / 2
+
 // reportBatchDelay is the delay between a change and its report, so that one
 // report covers several changes of a subtree.
 const reportBatchDelay = 150 * time.Millisecond
--- a/mesh/distribute/subtree.go
+++ b/mesh/distribute/subtree.go
@@ -95,6 +95,10 @@
 // Freshness tracks when this process last had contact with the source, directly
 // or through its parents. One mutex guards it.
 type Freshness struct {
+	// Contact, if set, returns the time of the last direct contact with the
+	// source. It is set before the first use.
+	Contact func() time.Time
+
 	mu sync.Mutex
 	at time.Time
 }
@@ -111,6 +115,9 @@
 // Age returns the source age, the time since the last contact with the source.
 // It is maxSourceAge if there has been no contact.
 func (f *Freshness) Age(now time.Time) time.Duration {
+	if f.Contact != nil {
+		f.RecordContact(f.Contact(), 0)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.at.IsZero() {
