Renew leases elsewhere when the control host has lost the leader

A node marks a control host as isolated when a reply to a renewal says that the leader is not reachable while the node itself has recent contact with the source through its parents; in an election it has none and stays. All streams leave a marked control host at once, and fail back only after the leader has confirmed a position through it.

TestStreamsLeaveAnIsolatedControlHost failed before ('the evidence stream stays with the isolated control host'). TestStreamsStayDuringAnElection guards the other side and passed before as well.

--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -50,10 +50,10 @@
 	return membership.ServeAnnounce(ctx, c.leaseHolder(), st)
 }
 
-// positionAndLeader returns the position in force on this host and whether a
-// leader is known.
+// positionAndLeader returns the position in force on this host and whether it is
+// in contact with the leader's quorum.
 func (c *Control) positionAndLeader() (model.Position, bool) {
-	return c.store.Position(), c.configLog.Status().Leader != ""
+	return c.store.Position(), c.freshness.Recent(time.Now())
 }
 
 // quorumContact returns the time of this host's last contact with a quorum of the
--- a/mesh/distribute/subtree.go
+++ b/mesh/distribute/subtree.go
@@ -126,6 +126,10 @@
 	return min(max(0, now.Sub(f.at)), maxSourceAge)
 }
 
+// Recent reports whether the last contact with the source is recent enough for a
+// node to stay with its control host.
+func (f *Freshness) Recent(now time.Time) bool { return f.Age(now) <= outdatedLimit }
+
 // metricSourceAge is the name of the gauge of the process's source age in
 // milliseconds.
 const metricSourceAge = "distribute.source_age_ms"
--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -26,6 +26,8 @@
 	// LeaseDuration. The wait for a reply is limited to half of it, so that time
 	// remains to renew with another control host.
 	LeaseDuration time.Duration
+	// OnReply, if set, is called with each reply.
+	OnReply func(RenewalReply)
 }
 
 func (o AnnounceOptions) withDefaults() AnnounceOptions {
@@ -153,6 +155,9 @@
 			return err
 		}
 		c.store(time.Now(), r)
+		if o.OnReply != nil {
+			o.OnReply(r)
+		}
 		if r.NewerRecord != nil {
 			p.Observe(*r.NewerRecord)
 		} else if a.State == StateLeft {
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -88,7 +88,7 @@
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = reconnectMinDelay, reconnectMaxDelay
 	for i := 0; ctx.Err() == nil; i++ {
-		hosts := n.controlHosts()
+		hosts := n.isolatedLast(n.controlHosts())
 		if i >= len(hosts) {
 			hosts = append(hosts, n.byPreference(n.directory.Fallback())...)
 		}
@@ -103,6 +103,11 @@
 			i = -1
 			continue
 		}
+		if errors.Is(err, errIsolated) {
+			n.log.Info("moving control stream from an isolated control host", "method", method, "from", string(host.Host))
+			i = -1
+			continue
+		}
 		n.log.Info("control stream ended", "method", method, "peer", string(host.Host), "reason", err.Error())
 		if time.Since(started) > backoffResetAfter {
 			delays.Reset()
@@ -121,14 +126,15 @@
 		return err
 	}
 	defer st.Abort()
-	ctx, failBack := context.WithCancelCause(ctx)
-	var failbackWatch sync.WaitGroup
-	defer failbackWatch.Wait()
-	defer failBack(nil)
-	failbackWatch.Go(func() { n.watchFailback(ctx, host, method, failBack) })
+	ctx, end := context.WithCancelCause(ctx)
+	var watches sync.WaitGroup
+	defer watches.Wait()
+	defer end(nil)
+	watches.Go(func() { n.watchFailback(ctx, host, method, end) })
+	watches.Go(func() { n.watchIsolation(ctx, host.Host, end) })
 	err = serve(ctx, st)
-	if errors.Is(context.Cause(ctx), errFailback) {
-		return errFailback
+	if cause := context.Cause(ctx); errors.Is(cause, errFailback) || errors.Is(cause, errIsolated) {
+		return cause
 	}
 	return err
 }
@@ -153,6 +159,11 @@
 		if len(hosts) == 0 || hosts[0].DataCentre != n.cfg.DataCentre || i >= 0 && hosts[i].DataCentre == n.cfg.DataCentre {
 			continue
 		}
+		if n.isIsolated(hosts[0].Host) && !n.reachesLeader(ctx, hosts[0]) {
+			n.log.Info("control host in the local data centre is isolated", "method", method, "peer", string(hosts[0].Host))
+			continue
+		}
+		n.isolation.clear(hosts[0].Host)
 		openCtx, cancel := context.WithTimeout(ctx, streamOpenTimeout)
 		st, err := n.open(openCtx, hosts[0], method)
 		cancel()
@@ -182,6 +193,7 @@
 	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
 		return membership.Announce(ctx, n.publisher, n.contact, st, membership.AnnounceOptions{
 			RenewInterval: n.cfg.Timeouts.LeaseRenew, LeaseDuration: n.cfg.Timeouts.EndpointLease,
+			OnReply: func(r membership.RenewalReply) { n.noteReachability(st.Peer().Host, r) },
 		})
 	})
 }
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -41,6 +41,7 @@
 	contact    *membership.Contact
 	subtree    *distribute.Subtree
 	freshness  *distribute.Freshness
+	isolation  isolation
 	children   *distribute.Admission
 	newerPeers chan newerPeer
 	// cachedPeers are the peers read from the cache file; set by New only.
