Keep skipping a failed parent when its data centre becomes known

The selector now identifies a candidate by host and address.

TestSkippedCandidateStaysSkipped failed before ({c1 control thun 127.0.0.1:1}, true) and passes now.

--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -82,16 +82,24 @@
 	Log  *slog.Logger
 }
 
+// candidate identifies a parent to the selector. A host whose address has changed
+// counts as a new one, a host whose data centre has become known does not.
+type candidate struct {
+	host    model.HostID
+	address string
+}
+
+func candidateOf(p Parent) candidate { return candidate{host: p.Host, address: p.Address} }
+
 // parentSelector decides which candidate is tried next. It is used by one
 // goroutine.
 type parentSelector struct {
 	self model.HostID
-	// skipUntil is the time until which each candidate is skipped. A candidate
-	// whose address has changed counts as a new one.
-	skipUntil map[Parent]time.Time
+	// skipUntil is the time until which each candidate is skipped.
+	skipUntil map[candidate]time.Time
 	// failures counts the failures of each candidate since a stream last lasted
 	// for stableAfter.
-	failures          map[Parent]int
+	failures          map[candidate]int
 	alternatives      []Parent
 	alternativesUntil time.Time
 	retryBackoff      *backoff.ExponentialBackOff
@@ -101,7 +109,7 @@
 func newParentSelector(self model.HostID) *parentSelector {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = initialBackoff, maxBackoff
-	return &parentSelector{self: self, skipUntil: map[Parent]time.Time{}, failures: map[Parent]int{}, retryBackoff: b, staleTimeout: initialStaleTimeout}
+	return &parentSelector{self: self, skipUntil: map[candidate]time.Time{}, failures: map[candidate]int{}, retryBackoff: b, staleTimeout: initialStaleTimeout}
 }
 
 // all returns the candidates, and the alternatives that have not expired.
@@ -119,9 +127,9 @@
 // failurePenalty, because the only live parent may have been stale just before
 // it reached the source again.
 func (s *parentSelector) next(now time.Time, candidates []Parent) (p Parent, wait time.Duration, ok bool) {
-	for p, t := range s.skipUntil {
+	for c, t := range s.skipUntil {
 		if !now.Before(t) {
-			delete(s.skipUntil, p)
+			delete(s.skipUntil, c)
 		}
 	}
 	candidates = slices.DeleteFunc(slices.Clone(candidates), func(p Parent) bool {
@@ -131,9 +139,10 @@
 		return p, 0, false
 	}
 	best := slices.MinFunc(candidates, func(a, b Parent) int {
-		return cmp.Or(s.skipUntil[a].Compare(s.skipUntil[b]), cmp.Compare(s.failures[a], s.failures[b]))
+		x, y := candidateOf(a), candidateOf(b)
+		return cmp.Or(s.skipUntil[x].Compare(s.skipUntil[y]), cmp.Compare(s.failures[x], s.failures[y]))
 	})
-	return best, min(max(0, s.skipUntil[best].Sub(now)), failurePenalty), true
+	return best, min(max(0, s.skipUntil[candidateOf(best)].Sub(now)), failurePenalty), true
 }
 
 // failed records why a parent was lost and returns the backoff before the next
@@ -153,14 +162,14 @@
 	if lifetime >= stableAfter || len(s.failures) >= maxTrackedCandidates {
 		clear(s.failures)
 	}
-	s.failures[p]++
+	s.failures[candidateOf(p)]++
 	if errors.Is(err, ErrStale) {
 		penalty = stalePenalty
 		s.staleTimeout = min(2*s.staleTimeout, maxStaleTimeout)
 	} else if lifetime > 2*s.staleTimeout {
 		s.staleTimeout = initialStaleTimeout
 	}
-	s.skipUntil[p] = now.Add(penalty)
+	s.skipUntil[candidateOf(p)] = now.Add(penalty)
 	return s.retryBackoff.NextBackOff()
 }
 
@@ -370,7 +379,7 @@
 		penalty, err = outdatedPenalty, eris.Wrapf(ErrStale, "%s had contact with the source %s ago", p.Host, next.sourceAge)
 	}
 	if err != nil {
-		at.selector.skipUntil[p] = time.Now().Add(penalty)
+		at.selector.skipUntil[candidateOf(p)] = time.Now().Add(penalty)
 		at.o.Log.Info("parent not switched", "parent", att.parent.Host, "candidate", p.Host, "reason", err.Error())
 		return nil, err
 	}
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -426,3 +426,18 @@
 		t.Fatalf("%v after %s, %v", p, wait, ok)
 	}
 }
+
+// TestSkippedCandidateStaysSkipped guards against a node that returns at once to
+// the parent that it has just left because it has meanwhile learned the parent's
+// data centre.
+func TestSkippedCandidateStaysSkipped(t *testing.T) {
+	c := newParentSelector("n2")
+	left := Parent{Host: "c1", Role: peer.RoleControl, Address: "127.0.0.1:1"}
+	other := Parent{Host: "c2", Role: peer.RoleControl, DataCentre: "bern", Address: "127.0.0.1:2"}
+	now := time.Unix(1000, 0)
+	c.failed(now, left, time.Minute, ErrTimeout)
+	left.DataCentre = "thun"
+	if p, _, ok := c.next(now, []Parent{left, other}); !ok || p != other {
+		t.Fatalf("%v, %v", p, ok)
+	}
+}
