Drop adopted leases on a control host that no longer leads

Adopted leases are dropped where a host does not lead, as only the leader learns that a node renews elsewhere.

TestFormerLeaderKeepsNoAdoptedLeases failed before ('n1 declared lapsed').

--- a/mesh/membership/announce_test.go
+++ b/mesh/membership/announce_test.go
@@ -200,3 +200,22 @@
 		}
 	})
 }
+
+// TestFormerLeaderKeepsNoAdoptedLeases guards against live nodes that are declared
+// lapsed by a former leader, which had adopted their leases while it was cut off.
+func TestFormerLeaderKeepsNoAdoptedLeases(t *testing.T) {
+	leader := newHolder()
+	now := time.Unix(1000, 0)
+	a := announcement("n1", 1, 1, StateServing)
+	leader.Table.Merge(a)
+	holdings := NewRemoteLeases()
+	holdings.Update(now, "other", []model.HostID{"n1"})
+	now = now.Add(ControlHostTimeout)
+	leader.Sweep(now, holdings)
+	for range 40 {
+		now = now.Add(SweepInterval)
+		if lapsed := leader.Sweep(now, nil); len(lapsed) != 0 {
+			t.Fatalf("%s declared lapsed", lapsed[0].Host)
+		}
+	}
+}
--- a/mesh/membership/lease.go
+++ b/mesh/membership/lease.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// dropAdopted drops all adopted leases.
+func (k *LeaseKeeper) dropAdopted() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for h, l := range k.leases {
+		if l.adopted {
+			delete(k.leases, h)
+		}
+	}
+}
+
 // Release drops the lease of a host that renews with another control host.
 func (k *LeaseKeeper) Release(h model.HostID) {
 	k.mu.Lock()
--- a/mesh/membership/remote_leases.go
+++ b/mesh/membership/remote_leases.go
@@ -166,12 +166,16 @@
 
 // Sweep expires the leases that are due, merges the lapsed records into the table
 // and returns them. Call it every SweepInterval. If remote is not nil, as on the
-// leader, Sweep also adopts the leases of unresponsive control hosts. A node whose
+// leader, Sweep also adopts the leases of unresponsive control hosts. On other hosts
+// it drops adopted leases: a former leader may have been the one that was cut off, and
+// no longer learns of renewals elsewhere. A node whose
 // record in the table is newer than the one leased here renews with another control
 // host and is not declared lapsed.
 func (h LeaseServer) Sweep(now time.Time, remote *RemoteLeases) []Announcement {
 	if remote != nil {
 		h.adoptOrphans(now, remote)
+	} else {
+		h.Keeper.dropAdopted()
 	}
 	due := slices.DeleteFunc(h.Keeper.Expire(now), func(lapsed Announcement) bool {
 		current, ok := h.Table.Get(lapsed.Host)
