Answer 503 instead of 404 while the configuration may be out of date

Callers do not retry after it, though the node had lost the source for seconds and could not know whether the route had been added.

--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"balsamtrail.org/mesh/claim"
+	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/routing"
@@ -41,9 +42,8 @@
 	stopping atomic.Bool
 	// logSampler decides which requests get a log line.
 	logSampler *telemetry.RequestSampler
-	// sourceAge returns the time since the last contact with the source of the
-	// configuration.
-	sourceAge func() time.Duration
+	// freshness holds the last contact with the source of the configuration.
+	freshness *distribute.Freshness
 	// background tracks completions and releases of claims that are still running
 	// after their request was answered.
 	background sync.WaitGroup
@@ -63,6 +63,7 @@
 // Refusal reasons of the entry side. No byte of the request has left the node.
 const (
 	reasonNoConfig        = "no configuration in force yet"
+	reasonOutdated        = "no route in a configuration that may be out of date"
 	reasonTooManyCalls    = "too many requests in flight"
 	reasonTooManyBodies   = "too many request bodies in flight"
 	reasonBodyNotReceived = "request body not received"
@@ -91,7 +92,8 @@
 	defer e.callLimiter.Release(1)
 	route, err := matchRequest(table, r)
 	if err != nil {
-		e.refuse(w, r, routeStatus(err), err.Error())
+		status, reason := e.unroutable(err)
+		e.refuse(w, r, status, reason)
 		return
 	}
 	body, releaseBody, err := e.readBody(w, r)
@@ -116,7 +118,7 @@
 	if e.logSampler.AllowNotable() {
 		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
 			"status", status, "reason", reason, "position", e.dispatcher.position().String(),
-			"source_age_ms", e.sourceAge().Milliseconds())
+			"source_age_ms", e.freshness.Age(time.Now()).Milliseconds())
 	}
 }
 
@@ -135,6 +137,17 @@
 	return now.Add(route.LatencyTarget - waited)
 }
 
+// unroutable returns the status and the reason for a request without a route. Callers
+// do not retry after a 404, so that it is given only while the node would know of a
+// route that was added.
+func (e *entry) unroutable(err error) (status int, reason string) {
+	status = routeStatus(err)
+	if status == http.StatusNotFound && !e.freshness.Recent(time.Now()) {
+		return http.StatusServiceUnavailable, reasonOutdated
+	}
+	return status, err.Error()
+}
+
 func routeStatus(err error) int {
 	switch {
 	case errors.Is(err, errAmbiguousPath):
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -179,7 +179,7 @@
 	n.entry = &entry{
 		elapsed: routing.NewElapsedEstimator(),
 		log:     n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
-		logSampler: logSampler, sourceAge: n.sourceAge, service: n.cfg.Backend.Service,
+		logSampler: logSampler, freshness: n.freshness, service: n.cfg.Backend.Service,
 		callLimiter: semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
 		bodyLimiter: semaphore.NewWeighted(max(bodyMemoryBytes, n.cfg.Limits.BodyBytes)),
 	}
