Keep the rate limit that a backend server states in its answers

Cause: nothing read the header; the serving node admitted by slots only. The class of the fault: load limits were taken from registration and configuration, never from answers.

The serving node applies the limit as a second rate of the pacer, which was for cold servers only, and ends it with an answer to a later request that does not state it. It sees every request to its server, so that the sum over all hosts needs no agreement between nodes. The part of the rate in use counts as utilization, so that entry nodes prefer other servers. The platform adapter translates the header; callers do not see it.

TestStatedRateLimitIsKept failed before (13,647 requests in 2 s with a limit of 20 a second).

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -280,6 +280,26 @@
 	g.armPaceTimer(now)
 }
 
+// SetRateLimit limits the requests to the rate that the backend server states in its
+// answers, in requests per second. A lower rate than minStatedRate is raised to it.
+func (g *Gate) SetRateLimit(rate float64) { g.setStatedRate(max(rate, minStatedRate)) }
+
+// ClearRateLimit ends the limit of SetRateLimit.
+func (g *Gate) ClearRateLimit() { g.setStatedRate(0) }
+
+func (g *Gate) setStatedRate(rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sched.pacer.stated.rate == rate {
+		return
+	}
+	now := time.Now()
+	g.sched.pacer.setStated(now, rate)
+	g.deliver(g.sched.dispatch(now)...)
+	g.armPaceTimer(now)
+	g.log.Info("rate limit of the backend server changed", "requests_per_second", rate)
+}
+
 // SetAvailable says whether there is a backend server to send requests to. While there
 // is none, all new and queued requests are refused.
 func (g *Gate) SetAvailable(available bool) {
@@ -310,7 +330,7 @@
 		s.Slots = g.sched.service.Slots
 	}
 	g.sched.service, g.sched.provisional = s, false
-	g.sched.pacer.rate = s.ColdRate * g.sched.coldLoad
+	g.sched.pacer.cold.rate = s.ColdRate * g.sched.coldLoad
 	g.sched.limiter.SetSlots(s.Slots)
 	g.sched.queue.limit = s.QueueLimit
 	g.deliver(g.sched.dispatch(time.Now())...)
--- a/mesh/admission/pacer_test.go
+++ b/mesh/admission/pacer_test.go
@@ -57,7 +57,7 @@
 					n++
 				}
 			}
-			if most := rate * (1 + pacerBurstTime + 0.05); float64(n) > most {
+			if most := rate * (1 + coldBurstTime + 0.05); float64(n) > most {
 				t.Fatalf("%d requests in the second from %s, want at most %.0f", n, from, most)
 			}
 		}
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -58,7 +58,7 @@
 		provisional: cfg.Provisional,
 		limiter:     NewLimiter(cfg.Service.Slots),
 		queue:       NewQueue(cfg.Service.QueueLimit, cfg.OverloadAfter),
-		pacer:       pacer{rate: cfg.Service.ColdRate * cfg.ColdLoad},
+		pacer:       pacer{cold: rateLimit{rate: cfg.Service.ColdRate * cfg.ColdLoad, burstTime: coldBurstTime}},
 		coldLoad:    cfg.ColdLoad,
 	}
 }
@@ -207,13 +207,15 @@
 }
 
 // utilization returns the number of running and queued requests as a fraction of the
-// limit. While requests wait for the rate limit of a cold backend server, all slots
-// count as used, however few requests run: the server has no capacity for more.
+// limit, or the part in use of the stated rate if that is greater. While requests wait
+// for a rate limit, all slots count as used, however few requests run: the server has no
+// capacity for more.
 func (s *scheduler) utilization(now time.Time) float64 {
 	limit := float64(max(s.limiter.Limit(), 1))
 	waiting := float64(s.queue.Len()) / limit
 	used := float64(s.inFlight) / limit
-	if waiting > 0 && s.pacer.active(now) {
+	used = max(used, s.pacer.utilization(now))
+	if waiting > 0 && len(s.pacer.active(now)) > 0 {
 		used = max(used, 1)
 	}
 	return used + waiting
@@ -225,5 +227,6 @@
 	s.unavailable, s.drainingSince = false, time.Time{}
 	s.service.Slots = slots
 	s.limiter.SetFixed(slots)
+	s.pacer.setStated(now, 0)
 	s.pacer.start(now, cold)
 }
--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -46,7 +46,7 @@
 	// because its rate limit lets only few requests run.
 	It("reports full load while requests wait for the rate limit of a cold backend server", func() {
 		s.service.ColdRate = 10
-		s.pacer.rate = 10
+		s.pacer.cold.rate = 10
 		s.start(now, 20, time.Second)
 		Expect(refusal(s.arrive(now, waiter(model.KindLookup)))).To(BeEmpty())
 		Expect(s.utilization(now)).To(BeNumerically("~", 0.05, 0.001))
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -40,6 +40,10 @@
 	// HeaderColdFor states in a health answer how much longer the backend server is
 	// cold, in milliseconds.
 	HeaderColdFor = "Balsamtrail-Cold-For-Ms"
+	// HeaderRateLimit states in an answer of a backend server how many requests per
+	// second it takes from all hosts together, as a decimal number, for as long as its
+	// answers say so.
+	HeaderRateLimit = "Balsamtrail-Rate-Limit"
 	// HeaderRetryAfter states in a refusal after how many milliseconds the caller
 	// should retry.
 	HeaderRetryAfter = "Balsamtrail-Retry-After-Ms"
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -153,15 +153,7 @@
 		acceptor: n.acceptor, endpoints: n.endpoints, picker: n.picker, gate: n.gate, routable: n.routable,
 	}
 	logSampler := telemetry.NewRequestSampler()
-	n.serving = &serving{
-		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
-		version:    func() model.ServiceVersion { return n.publisher.Current().Version },
-		logSampler: logSampler,
-		position:   n.acceptor.Position, onNewerPosition: n.recordNewerPeer,
-	}
-	if n.registration != nil {
-		n.serving.onUnreachable = n.registration.markUnreachable
-	}
+	n.serving = n.newServing(logSampler)
 	mux := callmux.Config{
 		Credentials: creds, DialTimeout: n.cfg.Timeouts.Connect, DrainLimit: n.cfg.Timeouts.Drain, Log: n.log,
 	}
@@ -185,6 +177,22 @@
 	}
 }
 
+func (n *Node) newServing(logSampler *telemetry.RequestSampler) *serving {
+	s := &serving{
+		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
+		version:    func() model.ServiceVersion { return n.publisher.Current().Version },
+		logSampler: logSampler,
+		position:   n.position, onNewerPosition: n.recordNewerPeer,
+	}
+	if n.registration != nil {
+		s.onUnreachable = n.registration.markUnreachable
+	}
+	return s
+}
+
+// position returns the position in force on this node.
+func (n *Node) position() model.Position { return n.acceptor.Position() }
+
 // claimTimeoutConnects is the timeout of one call to a control host, as a multiple of
 // timeouts.connect: one for the connection and one for the commit.
 const claimTimeoutConnects = 2
--- /dev/null
+++ b/mesh/node/notice_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
+	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
+	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/registration"
+	"balsamtrail.org/mesh/telemetry"
+)
+
+// startServing returns a node whose backend server, the given handler, has registered
+// as instance "a" with 16 slots.
+func startServing(t *testing.T, handler http.HandlerFunc) *Node {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	base, err := url.Parse(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startServingAt(t, base)
+}
+
+func startServingAt(t *testing.T, base *url.URL) *Node {
+	t.Helper()
+	n := &Node{
+		log:       slog.New(slog.DiscardHandler),
+		publisher: membership.NewPublisher(membership.Announcement{Host: "n1", Service: "ledger", DataCentre: "thun"}, time.Now()),
+		acceptor:  distribute.NewAcceptor("n1", distribute.NewStore(), membership.NewTable(), slog.New(slog.DiscardHandler)),
+		gate:      admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 16, QueueLimit: 12, QueueTimeout: 300 * time.Millisecond}}),
+		backend:   newBackend(backendConfig{base: base, connections: 100, dialTimeout: time.Second}),
+	}
+	t.Cleanup(n.backend.close)
+	n.cfg.Backend.Service, n.cfg.DataCentre = "ledger", "thun"
+	n.registration = newRegistrar(n, base.Host)
+	n.serving = n.newServing(telemetry.NewRequestSampler())
+	err := n.registration.Heartbeat(registration.Heartbeat{Instance: "a", Started: 1, Sequence: 1, Service: "ledger", DataCentre: "thun",
+		Address: base.Host, Version: "v1", Slots: 16, State: registration.StateReady})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// call sends one lookup from another node.
+func (n *Node) call(t *testing.T) *callmux.Response {
+	resp, err := n.serving.handle(t.Context(), peer.Identity{Role: peer.RoleNode, Host: "n2"}, &callmux.Request{
+		Service: "ledger", Version: "v1", Method: http.MethodGet, Path: "/status", Kind: model.KindLookup, Header: http.Header{},
+	})
+	if err != nil {
+		t.Error(err)
+		return &callmux.Response{Body: http.NoBody}
+	}
+	if resp.Body != nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	return resp
+}
+
+// Guards against a backend server that gets more than one and a half times the requests
+// that it has named as its limit.
+func TestStatedRateLimitIsKept(t *testing.T) {
+	const limit, seconds = 20, 2
+	var arrived atomic.Int64
+	n := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Balsamtrail-Rate-Limit", "20.0")
+	})
+	n.call(t)
+	var wg sync.WaitGroup
+	for range 40 {
+		wg.Go(func() {
+			for deadline := time.Now().Add(seconds * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+				n.call(t)
+			}
+		})
+	}
+	wg.Wait()
+	if got := arrived.Load(); got > limit*seconds*3/2 || got < limit*seconds/2 {
+		t.Errorf("%d requests in %d s with a limit of %d a second", got, seconds, limit)
+	}
+}
+
+// Guards against a limit that stays in force after the backend server has stopped
+// naming it.
+func TestRateLimitEndsWithItsNotice(t *testing.T) {
+	var named atomic.Bool
+	named.Store(true)
+	n := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
+		if named.Load() {
+			w.Header().Set("Balsamtrail-Rate-Limit", "4")
+		}
+	})
+	n.call(t)
+	named.Store(false)
+	began, answered := time.Now(), 0
+	for answered < 200 && time.Since(began) < 10*time.Second {
+		if n.call(t).Status == http.StatusOK {
+			answered++
+		}
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("%d requests took %s", answered, took)
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -50,6 +50,7 @@
 	// instance answers in its place; nil if the backend server does not register
 	// itself.
 	onUnreachable func(reason string)
+	notices       notices
 	// answeredCalls counts the answers since the last load report.
 	answeredCalls atomic.Int64
 }
@@ -125,6 +126,9 @@
 		idempotent: req.Kind.Idempotent(),
 	})
 	latency := time.Since(started)
+	if err == nil {
+		s.observeNotices(resp.Header, started)
+	}
 	switch {
 	case errors.Is(err, ErrNotRun):
 		release(admission.Outcome{Result: resultOfFailure(ctx), Latency: latency})
@@ -226,6 +230,7 @@
 	// received as the answer to a nested call.
 	header.Del(HeaderNotRun)
 	header.Del(HeaderOutcome)
+	header.Del(HeaderRateLimit)
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: header,
 		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
