Stop new requests to a server that says in an answer that it leaves

Cause of the gap: departures were taken from heartbeats and deregistrations only, and some servers report neither.

The serving node takes such an answer like a heartbeat in state draining: its gate closes before the answer is passed on, and the announcement follows. It is final for that start of the server. An answer with 421 comes from another instance and says nothing about the registered one.

TestLeavingServerGetsNoNewRequests failed before (4 requests, announced as serving).

--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -44,6 +44,9 @@
 	// second it takes from all hosts together, as a decimal number, for as long as its
 	// answers say so.
 	HeaderRateLimit = "Balsamtrail-Rate-Limit"
+	// HeaderLeaving says in an answer of a backend server that has registered itself
+	// that it leaves and wants no new requests; any value.
+	HeaderLeaving = "Balsamtrail-Leaving"
 	// HeaderRetryAfter states in a refusal after how many milliseconds the caller
 	// should retry.
 	HeaderRetryAfter = "Balsamtrail-Retry-After-Ms"
@@ -94,6 +97,9 @@
 	return b
 }
 
+// currentInstance returns the instance that requests name in HeaderInstance.
+func (b *backend) currentInstance() string { return *b.instance.Load() }
+
 // setInstance sets the instance that later requests name in HeaderInstance.
 func (b *backend) setInstance(id string) { b.instance.Store(&id) }
 
@@ -152,7 +158,7 @@
 		req.Header.Set("User-Agent", "") // stops net/http from adding its default
 	}
 	req.Header.Del(HeaderInstance)
-	if id := *b.instance.Load(); id != "" {
+	if id := b.currentInstance(); id != "" {
 		req.Header.Set(HeaderInstance, id)
 	}
 	if r.body != nil && r.length != 0 {
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -185,7 +185,7 @@
 		position:   n.position, onNewerPosition: n.recordNewerPeer,
 	}
 	if n.registration != nil {
-		s.onUnreachable = n.registration.markUnreachable
+		s.onUnreachable, s.onLeaving = n.registration.markUnreachable, n.registration.markLeaving
 	}
 	return s
 }
--- a/mesh/node/notice.go
+++ b/mesh/node/notice.go
@@ -17,9 +17,12 @@
 	limitedAt time.Time
 }
 
-// observeNotices applies what an answer to a request sent at the given time says about
-// the backend server.
-func (s *serving) observeNotices(h http.Header, sent time.Time) {
+// observeNotices applies what an answer says about the backend server. The request was
+// sent to the instance at the given time.
+func (s *serving) observeNotices(h http.Header, instance string, sent time.Time) {
+	if s.onLeaving != nil && h.Get(HeaderLeaving) != "" {
+		s.onLeaving(instance)
+	}
 	s.notices.mu.Lock()
 	defer s.notices.mu.Unlock()
 	rate, stated := statedRate(h)
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -118,3 +118,22 @@
 		t.Errorf("%d requests took %s", answered, took)
 	}
 }
+
+// Guards against new requests to a backend server that has said in an answer that it
+// leaves.
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	var arrived atomic.Int64
+	n := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Balsamtrail-Leaving", "1")
+	})
+	if resp := n.call(t); resp.Status != http.StatusOK || resp.Header["Balsamtrail-Leaving"] != nil {
+		t.Errorf("status %d, header %v", resp.Status, resp.Header)
+	}
+	for range 3 {
+		n.call(t)
+	}
+	if got := arrived.Load(); got != 1 || n.publisher.Current().State != membership.StateDraining {
+		t.Errorf("%d requests, announced as %s", got, n.publisher.Current().State)
+	}
+}
--- a/mesh/node/registrar.go
+++ b/mesh/node/registrar.go
@@ -102,6 +102,16 @@
 	return nil
 }
 
+// markLeaving stops new requests to an instance that has said in an answer that it
+// leaves. Its later heartbeats do not change that.
+func (r *registrar) markLeaving(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.registry.Leave(instance) == registration.Draining {
+		r.drain(instance, "leaving by its own answer")
+	}
+}
+
 // markUnreachable stops new requests to the backend server until its next heartbeat. A
 // refused connection or an answer from another instance shows that the registered
 // instance no longer runs.
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -50,7 +50,10 @@
 	// instance answers in its place; nil if the backend server does not register
 	// itself.
 	onUnreachable func(reason string)
-	notices       notices
+	// onLeaving is called when an answer of the instance says that it leaves; nil if the
+	// backend server does not register itself.
+	onLeaving func(instance string)
+	notices   notices
 	// answeredCalls counts the answers since the last load report.
 	answeredCalls atomic.Int64
 }
@@ -119,15 +122,15 @@
 // forward sends an admitted request to the backend server and returns its answer or a
 // refusal. Only backend.do may send it again, and only if it is idempotent.
 func (s *serving) forward(ctx context.Context, req *callmux.Request, release func(admission.Outcome)) *callmux.Response {
-	started := time.Now()
+	started, instance := time.Now(), s.backend.currentInstance()
 	resp, err := s.backend.do(ctx, backendRequest{
 		method: req.Method, path: req.Path, header: endToEndHeaders(req.Header),
 		body: req.Body, length: requestLength(req), timeout: remainingTime(ctx), budget: req.RetryBudget,
 		idempotent: req.Kind.Idempotent(),
 	})
 	latency := time.Since(started)
-	if err == nil {
-		s.observeNotices(resp.Header, started)
+	if err == nil && resp.StatusCode != http.StatusMisdirectedRequest { // that one is from another instance
+		s.observeNotices(resp.Header, instance, started)
 	}
 	switch {
 	case errors.Is(err, ErrNotRun):
@@ -231,6 +234,7 @@
 	header.Del(HeaderNotRun)
 	header.Del(HeaderOutcome)
 	header.Del(HeaderRateLimit)
+	header.Del(HeaderLeaving)
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: header,
 		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -78,6 +78,16 @@
 	return Renewed, nil
 }
 
+// Leave applies that an instance has said in an answer that it leaves. It returns
+// Draining if that is the current lifetime and was not known.
+func (r *Registry) Leave(instance string) Change {
+	if !r.known || r.draining || instance != r.current.Instance {
+		return Unchanged
+	}
+	r.draining = true
+	return Draining
+}
+
 // check validates the fields of a heartbeat and compares it with the settings.
 func (r *Registry) check(h Heartbeat) error {
 	switch {
