Let what a server has said outlive a restart of its serving node

LIMIT and DRAIN bind each host that has passed on the server's answer, also after the serving node has restarted; a restart excuses only the requests that begin there. The restarted node knew neither the limit nor the departure until the server's first answer.

What a server has said about itself goes with each answer to the entry node, which returns it with its requests to that server. The serving node applies it if it is about the current lifetime, identified by instance and time of start; a rate only until the server itself has answered. A server that leaves and whose node restarts gets no request from a node that knows of it.

Without the new call, TestRestartedNodeLearnsOfALeavingServerFromCallers fails (3 requests, announced as serving), as does TestRestartedNodeLearnsARateLimitFromCallers (10 requests at once with a limit of 2 a second).

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -281,8 +281,8 @@
 }
 
 // SetRateLimit limits the requests to the rate that the backend server states in its
-// answers, in requests per second. A lower rate than minStatedRate is raised to it.
-func (g *Gate) SetRateLimit(rate float64) { g.setStatedRate(max(rate, minStatedRate)) }
+// answers, in requests per second, which must be above 0.
+func (g *Gate) SetRateLimit(rate float64) { g.setStatedRate(rate) }
 
 // ClearRateLimit ends the limit of SetRateLimit.
 func (g *Gate) ClearRateLimit() { g.setStatedRate(0) }
--- a/mesh/admission/pacer.go
+++ b/mesh/admission/pacer.go
@@ -15,9 +15,6 @@
 	statedBurstTime = 0.25
 	// minBurst is the minimum burst, in requests.
 	minBurst = 1.0
-	// minStatedRate is the minimum of a stated rate, in requests per second. Only an
-	// answer tells that the limit has ended, so that some requests must get through.
-	minStatedRate = 0.5
 	// rateTimeConstant is the time constant of the moving average of the rate in use.
 	rateTimeConstant = time.Second
 )
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -33,6 +33,9 @@
 	// TimeToLatencyTarget is the time left until the latency target, counted from the caller's
 	// first attempt; negative once it has passed, 0 if the route has no target.
 	TimeToLatencyTarget time.Duration `cbor:"13,keyasint,omitempty"`
+	// Notice is what the backend server last said about itself, as far as the sender
+	// knows; nil if nothing.
+	Notice *ServerNotice `cbor:"14,keyasint,omitempty"`
 	// BodyLength is the exact length of Body in bytes if known, otherwise 0. It is
 	// not sent; a body of known length up to 16 KiB is sent in the frame of the head.
 	BodyLength int64 `cbor:"-"`
@@ -54,12 +57,29 @@
 	Utilization float32 `cbor:"7,keyasint,omitempty"`
 	// Refusal is set if the serving node or the backend server refused the request.
 	Refusal *Refusal `cbor:"5,keyasint,omitempty"`
+	// Notice is what the backend server has said about itself; nil if nothing.
+	Notice *ServerNotice `cbor:"8,keyasint,omitempty"`
 	// BodyLength is the exact length of Body if known; see Request.BodyLength.
 	BodyLength int64 `cbor:"-"`
 	// Body is never nil in a response that Do returns; the receiver closes it.
 	Body io.ReadCloser `cbor:"-"`
 }
 
+// ServerNotice is what a backend server has said about itself in its answers. Nodes that
+// have passed on such an answer return the notice with their requests, so that it outlives
+// a restart of the serving node.
+type ServerNotice struct {
+	// Instance and Started identify the lifetime of the server; see
+	// registration.Heartbeat.
+	Instance string `cbor:"1,keyasint"`
+	Started  int64  `cbor:"4,keyasint,omitempty"`
+	// RateLimit is the number of requests per second that the server takes from all
+	// hosts together; 0 if it states no limit.
+	RateLimit float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving is set if the server wants no new requests.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+}
+
 // Refusal says why a request was not served.
 type Refusal struct {
 	Reason string `cbor:"1,keyasint"`
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -77,9 +77,15 @@
 	conns *serverconn.Client
 	// transport is conns, wrapped by the platform adapter if there is one.
 	transport http.RoundTripper
-	// instance is the instance ID of the backend server that registered last; "" if it
-	// does not register itself.
-	instance atomic.Pointer[string]
+	// current is the lifetime of the backend server that registered last; the zero value
+	// if it does not register itself.
+	current atomic.Pointer[lifetime]
+}
+
+// lifetime is one run of a backend server. A restarted one may have the same instance ID.
+type lifetime struct {
+	instance string
+	started  int64
 }
 
 func newBackend(cfg backendConfig) *backend {
@@ -93,15 +99,12 @@
 	if cfg.adapter != nil {
 		b.transport = cfg.adapter(b.conns)
 	}
-	b.setInstance("")
+	b.setLifetime(lifetime{})
 	return b
 }
 
-// currentInstance returns the instance that requests name in HeaderInstance.
-func (b *backend) currentInstance() string { return *b.instance.Load() }
-
-// setInstance sets the instance that later requests name in HeaderInstance.
-func (b *backend) setInstance(id string) { b.instance.Store(&id) }
+// setLifetime sets the lifetime whose instance later requests name in HeaderInstance.
+func (b *backend) setLifetime(l lifetime) { b.current.Store(&l) }
 
 // backendRequest is a request to the backend server. length is -1 if it is unknown.
 type backendRequest struct {
@@ -158,7 +161,7 @@
 		req.Header.Set("User-Agent", "") // stops net/http from adding its default
 	}
 	req.Header.Del(HeaderInstance)
-	if id := b.currentInstance(); id != "" {
+	if id := b.current.Load().instance; id != "" {
 		req.Header.Set(HeaderInstance, id)
 	}
 	if r.body != nil && r.length != 0 {
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -35,6 +35,7 @@
 	sender          callSender
 	local           *serving
 	recorder        *rollout.Recorder
+	notices         knownNotices
 	position        func() model.Position
 	onNewerPosition func(from peer.Identity, pos model.Position)
 }
@@ -142,6 +143,7 @@
 		Method: c.method, Path: c.path, Header: c.header, Kind: c.route.Kind,
 		RetryBudget: lent, Position: d.position(), BodyLength: int64(len(c.body)),
 		Priority: c.route.Priority, MaxWait: maxSlotWait(c.route), TimeToLatencyTarget: c.timeToLatencyDeadline(),
+		Notice: d.notices.get(server.Host),
 	}
 	if len(c.body) > 0 {
 		req.Body = bytes.NewReader(c.body)
@@ -180,6 +182,9 @@
 func (d *dispatcher) observe(c *call, a *attempt) {
 	now := time.Now()
 	d.picker.Observe(now, a.server.Host, routing.Outcome{Result: a.result, Latency: a.latency, Limit: a.limit(), Utilization: a.utilization()})
+	if a.resp != nil {
+		d.notices.observe(a.server.Host, a.resp)
+	}
 	if a.resp != nil && d.position().Less(a.resp.Position) {
 		d.onNewerPosition(peer.Identity{Role: peer.RoleNode, DataCentre: a.server.DataCentre, Host: a.server.Host}, a.resp.Position)
 	}
--- a/mesh/node/node_test.go
+++ b/mesh/node/node_test.go
@@ -189,7 +189,7 @@
 		}
 	}
 	step("registered", true, func() error { return r.Heartbeat(heartbeat) })
-	if a := n.publisher.Current(); a.Version != "v1" || a.Slots != 3 || *n.backend.instance.Load() != "a" {
+	if a := n.publisher.Current(); a.Version != "v1" || a.Slots != 3 || n.backend.current.Load().instance != "a" {
 		t.Errorf("announced %+v", a)
 	}
 	step("lost", false, func() error { r.markUnreachable("connection refused"); return nil })
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +21,7 @@
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/registration"
+	"balsamtrail.org/mesh/routing"
 	"balsamtrail.org/mesh/telemetry"
 )
 
@@ -56,10 +59,10 @@
 	return n
 }
 
-// call sends one lookup from another node.
-func (n *Node) call(t *testing.T) *callmux.Response {
+// call sends one lookup from another node, which knows of the given notice.
+func (n *Node) call(t *testing.T, known *callmux.ServerNotice) *callmux.Response {
 	resp, err := n.serving.handle(t.Context(), peer.Identity{Role: peer.RoleNode, Host: "n2"}, &callmux.Request{
-		Service: "ledger", Version: "v1", Method: http.MethodGet, Path: "/status", Kind: model.KindLookup, Header: http.Header{},
+		Service: "ledger", Version: "v1", Method: http.MethodGet, Path: "/status", Kind: model.KindLookup, Header: http.Header{}, Notice: known,
 	})
 	if err != nil {
 		t.Error(err)
@@ -81,12 +84,12 @@
 		arrived.Add(1)
 		w.Header().Set("Balsamtrail-Rate-Limit", "20.0")
 	})
-	n.call(t)
+	n.call(t, nil)
 	var wg sync.WaitGroup
 	for range 40 {
 		wg.Go(func() {
 			for deadline := time.Now().Add(seconds * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-				n.call(t)
+				n.call(t, nil)
 			}
 		})
 	}
@@ -106,11 +109,11 @@
 			w.Header().Set("Balsamtrail-Rate-Limit", "4")
 		}
 	})
-	n.call(t)
+	n.call(t, nil)
 	named.Store(false)
 	began, answered := time.Now(), 0
 	for answered < 200 && time.Since(began) < 10*time.Second {
-		if n.call(t).Status == http.StatusOK {
+		if n.call(t, nil).Status == http.StatusOK {
 			answered++
 		}
 	}
@@ -127,13 +130,95 @@
 		arrived.Add(1)
 		w.Header().Set("Balsamtrail-Leaving", "1")
 	})
-	if resp := n.call(t); resp.Status != http.StatusOK || resp.Header["Balsamtrail-Leaving"] != nil {
+	if resp := n.call(t, nil); resp.Status != http.StatusOK || resp.Header["Balsamtrail-Leaving"] != nil {
 		t.Errorf("status %d, header %v", resp.Status, resp.Header)
 	}
 	for range 3 {
-		n.call(t)
+		n.call(t, nil)
 	}
 	if got := arrived.Load(); got != 1 || n.publisher.Current().State != membership.StateDraining {
 		t.Errorf("%d requests, announced as %s", got, n.publisher.Current().State)
 	}
 }
+
+// Guards against a restarted node that sends requests to a server of which other nodes
+// know that it leaves.
+func TestRestartedNodeLearnsOfALeavingServerFromCallers(t *testing.T) {
+	var arrived atomic.Int64
+	n := startServing(t, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+	for range 3 {
+		n.call(t, &callmux.ServerNotice{Instance: "a", Started: 1, Leaving: true})
+	}
+	if got := arrived.Load(); got != 0 || n.publisher.Current().State != membership.StateDraining {
+		t.Errorf("%d requests, announced as %s", got, n.publisher.Current().State)
+	}
+}
+
+// Guards against a notice about a former instance that stops requests to its successor.
+func TestNoticeOfAFormerInstanceIsIgnored(t *testing.T) {
+	n := startServing(t, func(http.ResponseWriter, *http.Request) {})
+	for _, former := range []callmux.ServerNotice{
+		{Instance: "former", Started: 1, Leaving: true, RateLimit: 1},
+		{Instance: "a", Started: 0, Leaving: true, RateLimit: 1}, // the same ID, as after a restart
+	} {
+		if resp := n.call(t, &former); resp.Status != http.StatusOK || resp.Notice != nil {
+			t.Errorf("%+v: status %d, notice %v", former, resp.Status, resp.Notice)
+		}
+	}
+}
+
+// Guards against a restarted node that sends more requests than a limit allows that other
+// nodes know of, and against a node that lets them override what it knows itself.
+func TestRestartedNodeLearnsARateLimitFromCallers(t *testing.T) {
+	var arrived atomic.Int64
+	n := startServing(t, func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		time.Sleep(100 * time.Millisecond)
+	})
+	known := &callmux.ServerNotice{Instance: "a", Started: 1, RateLimit: 2}
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { n.call(t, known) })
+	}
+	time.Sleep(50 * time.Millisecond) // before the first answer, which ends the limit
+	if got := arrived.Load(); got != 1 {
+		t.Errorf("%d requests at once with a limit of 2 a second", got)
+	}
+	wg.Wait()
+	for range 5 { // the server no longer states a limit
+		n.call(t, known)
+	}
+	if resp := n.call(t, known); resp.Notice != nil {
+		t.Errorf("notice %v after answers without one", resp.Notice)
+	}
+}
+
+// Guards against an entry node that forgets what an answer told it about a server, and
+// one that keeps it after an answer without a notice.
+func TestEntryPassesOnWhatItKnowsOfAServer(t *testing.T) {
+	var sent []*callmux.ServerNotice
+	told := &callmux.ServerNotice{Instance: "a", Started: 1, RateLimit: 5}
+	replies := []*callmux.Response{
+		{Status: http.StatusOK, Notice: told, Body: http.NoBody},
+		{Refusal: &callmux.Refusal{Reason: "test", NotRun: true, Declined: true}, Limit: 1, Body: http.NoBody},
+		{Status: http.StatusOK, Body: http.NoBody},
+		{Status: http.StatusOK, Body: http.NoBody},
+	}
+	e := newTestEntry(t, nil, nil)
+	e.dispatcher.sender = scriptedSender(func(_ context.Context, _ string, req *callmux.Request) (*callmux.Response, error) {
+		sent = append(sent, req.Notice)
+		return replies[len(sent)-1], nil
+	})
+	server := routing.Choice{Announcement: membership.Announcement{Host: "h1", Service: "ledger", Version: "v1", CallAddress: "h1"}}
+	route, err := e.table().Match(http.MethodGet, "/cabinets/7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range replies {
+		c := newCall(httptest.NewRequest(http.MethodGet, "/cabinets/7", nil), route, nil)
+		e.dispatcher.send(t.Context(), c, server).close()
+	}
+	if want := []*callmux.ServerNotice{nil, told, told, nil}; !slices.Equal(sent, want) {
+		t.Errorf("sent %v, want %v", sent, want)
+	}
+}
--- a/mesh/node/registrar.go
+++ b/mesh/node/registrar.go
@@ -68,7 +68,7 @@
 	n := r.n
 	n.log.Info("backend server registered", "instance", h.Instance, "started", h.Started, "sequence", h.Sequence,
 		"version", string(h.Version), "slots", h.Slots, "cold_for", h.ColdFor.String(), "draining", h.State == registration.StateDraining)
-	n.backend.setInstance(h.Instance)
+	n.backend.setLifetime(lifetime{instance: h.Instance, started: h.Started})
 	n.backend.conns.Reset()
 	n.gate.Start(h.Slots, h.ColdFor)
 	n.publisher.Restart(h.Version, h.Slots, time.Now())
@@ -102,13 +102,13 @@
 	return nil
 }
 
-// markLeaving stops new requests to an instance that has said in an answer that it
+// markLeaving stops new requests to a backend server that has said in an answer that it
 // leaves. Its later heartbeats do not change that.
-func (r *registrar) markLeaving(instance string) {
+func (r *registrar) markLeaving(l lifetime) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.registry.Leave(instance) == registration.Draining {
-		r.drain(instance, "leaving by its own answer")
+	if r.registry.Leave(l.instance, l.started) == registration.Draining {
+		r.drain(l.instance, "leaving by its own answer")
 	}
 }
 
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -50,10 +50,10 @@
 	// instance answers in its place; nil if the backend server does not register
 	// itself.
 	onUnreachable func(reason string)
-	// onLeaving is called when an answer of the instance says that it leaves; nil if the
-	// backend server does not register itself.
-	onLeaving func(instance string)
-	notices   notices
+	// onLeaving is called when an answer says that the backend server leaves; nil if it
+	// does not register itself.
+	onLeaving func(lifetime)
+	notice    serverNotice
 	// answeredCalls counts the answers since the last load report.
 	answeredCalls atomic.Int64
 }
@@ -66,6 +66,7 @@
 	if req.Service != s.service || req.Version != s.version() {
 		return s.decline(req, reasonWrongServer), nil
 	}
+	s.observeCaller(req.Notice)
 	deadline, _ := ctx.Deadline()
 	release, err := s.gate.Acquire(ctx, admission.Request{
 		Kind: req.Kind, Route: req.Route, Deadline: deadline, Priority: req.Priority, MaxWait: req.MaxWait,
@@ -102,7 +103,7 @@
 	}
 	return &callmux.Response{
 		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
-		Refusal: &callmux.Refusal{Reason: reason, NotRun: notRun},
+		Refusal: &callmux.Refusal{Reason: reason, NotRun: notRun}, Notice: s.notice.get(),
 	}
 }
 
@@ -122,7 +123,7 @@
 // forward sends an admitted request to the backend server and returns its answer or a
 // refusal. Only backend.do may send it again, and only if it is idempotent.
 func (s *serving) forward(ctx context.Context, req *callmux.Request, release func(admission.Outcome)) *callmux.Response {
-	started, instance := time.Now(), s.backend.currentInstance()
+	started, server := time.Now(), *s.backend.current.Load()
 	resp, err := s.backend.do(ctx, backendRequest{
 		method: req.Method, path: req.Path, header: endToEndHeaders(req.Header),
 		body: req.Body, length: requestLength(req), timeout: remainingTime(ctx), budget: req.RetryBudget,
@@ -130,7 +131,7 @@
 	})
 	latency := time.Since(started)
 	if err == nil && resp.StatusCode != http.StatusMisdirectedRequest { // that one is from another instance
-		s.observeNotices(resp.Header, instance, started)
+		s.observeAnswer(resp.Header, server, started)
 	}
 	switch {
 	case errors.Is(err, ErrNotRun):
@@ -238,8 +239,8 @@
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: header,
 		Position: s.position(), Limit: s.gate.Limit(), Utilization: float32(s.gate.Utilization()),
-		BodyLength: max(resp.ContentLength, 0),
-		Body:       &slotBody{ReadCloser: resp.Body, release: func() { release(o) }},
+		BodyLength: max(resp.ContentLength, 0), Notice: s.notice.get(),
+		Body: &slotBody{ReadCloser: resp.Body, release: func() { release(o) }},
 	}
 }
 
--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -78,10 +78,10 @@
 	return Renewed, nil
 }
 
-// Leave applies that an instance has said in an answer that it leaves. It returns
-// Draining if that is the current lifetime and was not known.
-func (r *Registry) Leave(instance string) Change {
-	if !r.known || r.draining || instance != r.current.Instance {
+// Leave applies that a lifetime has said in an answer that it ends. It returns Draining if
+// that is the current one and was not known.
+func (r *Registry) Leave(instance string, started int64) Change {
+	if !r.known || r.draining || instance != r.current.Instance || started != r.current.Started {
 		return Unchanged
 	}
 	r.draining = true
