Refuse heartbeats that state an absurd time for which a server is cold

Tried here with 23 odd heartbeats: none ends the process or replaces the registration, but coldLeftMs of 1e11 or 1e300 was accepted, so that the server's rate stayed limited for years.

TestOddHeartbeatsChangeNothing failed before ('cold for years: status 200', 'cold for ages: status 200'); the other 21 passed before. The configuration's durations were bounded by note.Validate already.

--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"regexp"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -21,8 +22,14 @@
 	ErrFormerLifetime = errors.New("heartbeat of a former lifetime")
 )
 
-// maxSlots bounds the number of slots in a heartbeat.
-const maxSlots = 10_000
+// Limits of a heartbeat.
+const (
+	// maxSlots is the number of slots.
+	maxSlots = 10_000
+	// maxColdFor is the time for which a backend server may still be cold. A longer one
+	// would limit its rate for good.
+	maxColdFor = time.Hour
+)
 
 var versionPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
@@ -99,8 +106,8 @@
 		return eris.Wrapf(ErrInvalid, "%d slots, want 1 to %d", h.Slots, maxSlots)
 	case !versionPattern.MatchString(string(h.Version)):
 		return eris.Wrapf(ErrInvalid, "version %q", h.Version)
-	case h.ColdFor < 0:
-		return eris.Wrapf(ErrInvalid, "cold for %s", h.ColdFor)
+	case h.ColdFor < 0 || h.ColdFor > maxColdFor:
+		return eris.Wrapf(ErrInvalid, "cold for %s, want at most %s", h.ColdFor, maxColdFor)
 	case h.Service != r.expected.Service || h.Address != r.expected.Address || h.DataCentre != r.expected.DataCentre:
 		return eris.Wrapf(ErrWrongBackendServer, "service %q at %s in %q, want %q at %s in %q",
 			h.Service, h.Address, h.DataCentre, r.expected.Service, r.expected.Address, r.expected.DataCentre)
