Bound the head of an answer and the bodies of answers to other requests

The body of an answer to another request was read until the deadline.

A head of more than 256 KiB, or such a body, ends the connection, and the request has an unknown outcome. An answer's own body was bounded already by 256 KiB of buffer and the request's deadline.

--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -27,6 +27,11 @@
 	// maxForeignAnswers bounds the number of answers read for one request, including
 	// informational ones and those to other requests.
 	maxForeignAnswers = 3
+	// maxHeadBytes bounds the bytes read for the head of an answer. A faulty server may
+	// send a head without end.
+	maxHeadBytes = 256 << 10
+	// maxForeignBodyBytes bounds the body that is read of an answer to another request.
+	maxForeignBodyBytes = 256 << 10
 	// keepAliveMargin is subtracted from the idle timeout that the server states, so
 	// that the connection is closed here first.
 	keepAliveMargin = 500 * time.Millisecond
@@ -43,6 +48,9 @@
 	// atomic because another goroutine writes long requests.
 	sent     atomic.Int64
 	received int64
+	// headLeft is the number of bytes that may still be read for the head of the answer;
+	// negative while a body is read.
+	headLeft int64
 	// reused is set once the connection has been returned to the pool.
 	reused bool
 	// idleSince is when the connection was returned to the pool; idleTimeout is how
@@ -52,7 +60,7 @@
 }
 
 func newConn(c *Client, raw net.Conn) *conn {
-	cn := &conn{client: c, raw: raw, idleTimeout: c.cfg.IdleTimeout}
+	cn := &conn{client: c, raw: raw, headLeft: -1, idleTimeout: c.cfg.IdleTimeout}
 	cn.r, cn.w = bufio.NewReaderSize(countingReader{cn}, bufferBytes), bufio.NewWriterSize(countingWriter{cn}, bufferBytes)
 	return cn
 }
@@ -60,11 +68,26 @@
 type countingReader struct{ cn *conn }
 
 func (r countingReader) Read(p []byte) (int, error) {
-	n, err := r.cn.raw.Read(p)
-	r.cn.received += int64(n)
+	cn := r.cn
+	if cn.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if cn.headLeft > 0 {
+		p = p[:min(int64(len(p)), cn.headLeft)]
+	}
+	n, err := cn.raw.Read(p)
+	cn.received += int64(n)
+	if cn.headLeft > 0 {
+		cn.headLeft -= int64(n)
+	}
 	return n, err
 }
 
+var (
+	errHeadTooLong        = errors.New("head of the answer is too long")
+	errForeignBodyTooLong = errors.New("answer to another request is too long")
+)
+
 type countingWriter struct{ cn *conn }
 
 func (w countingWriter) Write(p []byte) (int, error) {
@@ -141,7 +164,9 @@
 // one belongs to the request.
 func (cn *conn) read(req *http.Request) (*http.Response, error) {
 	for range maxForeignAnswers {
+		cn.headLeft = maxHeadBytes
 		resp, err := http.ReadResponse(cn.r, req)
+		cn.headLeft = -1
 		if err != nil {
 			return nil, err
 		}
@@ -152,8 +177,10 @@
 			return resp, nil
 		}
 		telemetry.Counter(MetricForeignAnswers).Inc(1)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes+1)); err != nil {
 			return nil, err
+		} else if n > maxForeignBodyBytes {
+			return nil, errForeignBodyTooLong
 		}
 		if resp.Close {
 			break
--- /dev/null
+++ b/mesh/serverconn/faulty_test.go
@@ -0,0 +1,91 @@
+package serverconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// faultyServer runs serve for each connection and returns a client of it.
+func faultyServer(t *testing.T, serve func(net.Conn, *bufio.Reader)) *Client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	c := New(Config{Address: l.Addr().String(), Connections: 10, DialTimeout: time.Second, EchoHeader: "X-Id"})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// get sends a request with an ID and reads its answer.
+func get(ctx context.Context, c *Client, id string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://server/", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("X-Id", id)
+	resp, err := c.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp, err
+}
+
+// Guards against a server whose answer has no end: the node must neither keep what it
+// sends nor hold the request until its deadline.
+func TestEndlessAnswersAreGivenUp(t *testing.T) {
+	const head, limit = "HTTP/1.1 200 OK\r\n", 4 << 20
+	for name, start := range map[string]string{
+		"status line": "HTTP/1.1 200 ", "header line": head + "X: ", "headers": head, "no answer": "",
+		"answers to other requests": "", "body of another answer": head + "X-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		more := map[string]string{"headers": "A: b\r\n", "answers to other requests": "HTTP/1.1 100 Continue\r\n\r\n",
+			"body of another answer": "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"}[name]
+		if more == "" {
+			more = "xxxxxxxxxxxxxxxx"
+		}
+		var sent atomic.Int64
+		c := faultyServer(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, start)
+			block := strings.Repeat(more, 1+(16<<10)/len(more))
+			for {
+				n, err := io.WriteString(c, block)
+				if sent.Add(int64(n)); err != nil {
+					return
+				}
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := get(ctx, c, "a")
+		if !errors.Is(err, ErrLost) || ctx.Err() != nil || sent.Load() > limit+16<<20 {
+			t.Errorf("%s: %v, context %v, %d bytes sent", name, err, ctx.Err(), sent.Load())
+		}
+		cancel()
+	}
+}
