Do not take a repeated refusal for the answer to a later request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run, or such a request ran twice. An answer with the ID of another request was passed over here already. Two cases were not told apart: a refusal without an ID, and one for a second request with the same ID on the same connection.

Once a server has echoed an ID, an answer without one on a kept connection leaves the outcome unknown and ends the connection. A connection on which a request failed is not reused for the same ID.

TestRepeatedRefusalIsNoAnswer failed before without an ID (503 after 1 run), TestRepeatedRefusalOfTheSameID failed before (503 after 1 run).

--- a/mesh/serverconn/client.go
+++ b/mesh/serverconn/client.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,7 +63,8 @@
 	// reuses more that the server has already closed.
 	IdleTimeout time.Duration
 	// EchoHeader is a request header that the server echoes in its answers; empty if
-	// it echoes none. An answer that echoes another value is discarded.
+	// it echoes none. An answer that echoes another value is discarded. Once the server
+	// has echoed a value, an answer without one is taken only on a new connection.
 	EchoHeader string
 }
 
@@ -104,6 +106,8 @@
 type Client struct {
 	cfg    Config
 	dialer net.Dialer
+	// echoes is set once an answer has echoed the ID of its request.
+	echoes atomic.Bool
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -134,7 +138,7 @@
 func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
 	mayResend, _ := req.Context().Value(allowResendKey{}).(bool)
 	mayResend = mayResend && (req.Body == nil || req.Body == http.NoBody)
-	cn, err := c.takeIdle(mayResend)
+	cn, err := c.takeIdle(mayResend, c.requestID(req))
 	if cn != nil {
 		resp, err := cn.exchange(req)
 		if err == nil || req.Context().Err() != nil || !errors.Is(err, ErrNotSent) && (!mayResend || !errors.Is(err, ErrStale)) {
@@ -151,9 +155,18 @@
 	return cn.exchange(req)
 }
 
+// requestID returns the value that the server echoes for a request; empty if none.
+func (c *Client) requestID(req *http.Request) string {
+	if c.cfg.EchoHeader == "" {
+		return ""
+	}
+	return req.Header.Get(c.cfg.EchoHeader)
+}
+
 // takeIdle removes a reusable connection from the pool and returns it, or nil if there
-// is none.
-func (c *Client) takeIdle(mayResend bool) (*conn, error) {
+// is none. A connection on which the latest request had the same ID and failed is not
+// reused: the ID could not tell the same answer once more from the next one.
+func (c *Client) takeIdle(mayResend bool, id string) (*conn, error) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,7 +180,7 @@
 			return nil, nil
 		}
 		c.idle = c.idle[:len(c.idle)-1]
-		if cn.isReusable() {
+		if (id == "" || cn.failedID != id) && cn.isReusable() {
 			return cn, nil
 		}
 		telemetry.Counter(MetricStale).Inc(1)
--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -53,6 +53,10 @@
 	headLeft int64
 	// reused is set once the connection has been returned to the pool.
 	reused bool
+	// requestID is the ID of the current request; see Config.EchoHeader.
+	requestID string
+	// failedID is the ID of the latest request if its answer was not a success.
+	failedID string
 	// idleSince is when the connection was returned to the pool; idleTimeout is how
 	// long it may stay there.
 	idleSince   time.Time
@@ -125,6 +129,7 @@
 func (cn *conn) exchange(req *http.Request) (*http.Response, error) {
 	cn.sent.Store(0)
 	cn.received = 0
+	cn.requestID = cn.client.requestID(req)
 	ctx := req.Context()
 	stop := context.AfterFunc(ctx, func() { _ = cn.raw.SetDeadline(time.Unix(1, 0)) })
 	written, err := cn.write(req)
@@ -173,8 +178,15 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if !cn.isForeign(req, resp) {
+		switch cn.owner(resp) {
+		case ownAnswer:
+			cn.failedID = ""
+			if resp.StatusCode >= http.StatusBadRequest {
+				cn.failedID = cn.requestID
+			}
 			return resp, nil
+		case unidentified:
+			return nil, errUnidentified
 		}
 		telemetry.Counter(MetricForeignAnswers).Inc(1)
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes+1)); err != nil {
@@ -189,14 +201,36 @@
 	return nil, errors.New("answers to other requests only")
 }
 
-// isForeign reports whether an answer echoes the ID of another request.
-func (cn *conn) isForeign(req *http.Request, resp *http.Response) bool {
-	name := cn.client.cfg.EchoHeader
-	if name == "" {
-		return false
+// answerOwner says to which request an answer belongs.
+type answerOwner int
+
+const (
+	ownAnswer answerOwner = iota
+	foreignAnswer
+	// unidentified is an answer without an ID of a server that otherwise echoes it, on a
+	// connection that has had other requests. It may be the repeated answer to one of them.
+	unidentified
+)
+
+var errUnidentified = errors.New("answer does not say to which request it belongs")
+
+// owner decides by the echoed ID whether an answer belongs to the current request.
+func (cn *conn) owner(resp *http.Response) answerOwner {
+	c := cn.client
+	if c.cfg.EchoHeader == "" || cn.requestID == "" {
+		return ownAnswer
+	}
+	switch resp.Header.Get(c.cfg.EchoHeader) {
+	case cn.requestID:
+		c.echoes.Store(true)
+		return ownAnswer
+	case "":
+		if cn.reused && c.echoes.Load() {
+			return unidentified
+		}
+		return ownAnswer
 	}
-	got := resp.Header.Get(name)
-	return got != "" && got != req.Header.Get(name)
+	return foreignAnswer
 }
 
 // fail closes the connection and returns the error for the request.
--- a/mesh/serverconn/faulty_test.go
+++ b/mesh/serverconn/faulty_test.go
@@ -89,3 +89,66 @@
 		cancel()
 	}
 }
+
+// Guards against a refusal of an earlier request that a server writes once more and that is
+// taken for the answer to a later one, which has run.
+func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
+	for name, id := range map[string]string{"with the earlier ID": "X-Id: refused\r\n", "without an ID": ""} {
+		var ran atomic.Int64
+		c := faultyServer(t, func(c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: full\r\nContent-Length: 0\r\n"
+				if req.Header.Get("X-Id") == "refused" {
+					_, _ = io.WriteString(c, refusal+"X-Id: refused\r\n\r\n")
+					continue
+				}
+				ran.Add(1)
+				_, _ = io.WriteString(c, refusal+id+"\r\n"+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: "+req.Header.Get("X-Id")+"\r\n\r\n")
+			}
+		})
+		if resp, err := get(t.Context(), c, "refused"); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("%s: %v", name, err)
+		}
+		resp, err := get(t.Context(), c, "b")
+		if err == nil && resp.StatusCode != http.StatusOK || err != nil && !errors.Is(err, ErrLost) || ran.Load() != 1 {
+			t.Errorf("%s: %v, %v after %d runs", name, resp, err, ran.Load())
+		}
+	}
+}
+
+// Guards against a refusal that is taken for the answer to a second attempt with the same
+// ID, which has run.
+func TestRepeatedRefusalOfTheSameID(t *testing.T) {
+	var ran atomic.Int64
+	c := faultyServer(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := "X-Id: " + req.Header.Get("X-Id") + "\r\n\r\n"
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: full\r\nContent-Length: 0\r\n" + id
+			if n == 0 && ran.Load() == 0 {
+				_, _ = io.WriteString(c, refusal)
+				ran.Store(-1)
+				continue
+			}
+			ran.Store(1)
+			if n > 0 {
+				_, _ = io.WriteString(c, refusal)
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+id)
+		}
+	})
+	if resp, err := get(t.Context(), c, "a"); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatal(err)
+	}
+	resp, err := get(t.Context(), c, "a")
+	if err == nil && resp.StatusCode != http.StatusOK || err != nil && !errors.Is(err, ErrLost) || ran.Load() != 1 {
+		t.Errorf("%v, %v after %d runs", resp, err, ran.Load())
+	}
+}
