Let the check for cut requests in the failure scenarios fire

The scenario searched the logs for 'planned stop cut requests', while the node writes 'planned stop cuts requests', so that it could not fail. Not run with the scenario yet when this was committed.

--- a/bench/faults/nodes.go
+++ b/bench/faults/nodes.go
@@ -283,7 +283,7 @@
 		return fmt.Errorf("node %s exited with %w", s.Host, err)
 	}
 	r.longestStop = max(r.longestStop, time.Since(began))
-	if n := r.e.countLog(string(s.Host), "planned stop cut requests"); n > 0 {
+	if n := r.e.countLog(string(s.Host), "planned stop cuts requests"); n > 0 {
 		return fmt.Errorf("node %s cut requests during its planned stop", s.Host)
 	}
 	if err := s.Node.Start(); err != nil {
