--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -44,10 +44,9 @@
 	// outdatedPenalty is how long a candidate is skipped that was outdated too.
 	// It is below the shortest time between two rounds.
 	outdatedPenalty = outdatedRetryInterval / 2
-	// initialStaleTimeout is how long a node stays with the first stale node as
-	// its parent.
-	// The timeout doubles with each further one: while the source is
-	// unreachable every parent is stale, and switching does not help.
+	// initialStaleTimeout is how long a node stays with the first stale parent
+	// that is a node too. The timeout doubles with each further one: while the
+	// source is unreachable every parent is stale, and switching does not help.
 	initialStaleTimeout = time.Second
 	// maxStaleTimeout is the upper limit of that timeout.
 	maxStaleTimeout = time.Minute
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -81,24 +81,24 @@
 	}
 	table := e.table()
 	if table == nil {
-		e.refuse(w, r, http.StatusServiceUnavailable, reasonNoConfig)
+		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonNoConfig)
 		return
 	}
 	if !e.callLimiter.TryAcquire(1) {
 		telemetry.Counter("entry.refused").Inc(1)
-		e.refuse(w, r, http.StatusServiceUnavailable, reasonTooManyCalls)
+		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyCalls)
 		return
 	}
 	defer e.callLimiter.Release(1)
 	route, err := matchRequest(table, r)
 	if err != nil {
 		status, reason := e.unroutable(err)
-		e.refuse(w, r, status, reason)
+		e.refuseUnrouted(w, r, status, reason)
 		return
 	}
 	body, releaseBody, err := e.readBody(w, r)
 	if err != nil {
-		e.refuse(w, r, bodyStatus(err), err.Error())
+		e.refuseUnrouted(w, r, bodyStatus(err), err.Error())
 		return
 	}
 	defer releaseBody()
@@ -111,9 +111,9 @@
 	e.serve(ctx, w, c)
 }
 
-// refuse refuses a request before it is routed, and logs the position and the age of
+// refuseUnrouted refuses a request before it has a route, and logs the position and the age of
 // the configuration that decided it.
-func (e *entry) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
+func (e *entry) refuseUnrouted(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	refuseNotRun(w, status, reason)
 	if e.logSampler.AllowNotable() {
 		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
--- a/mesh/node/isolation.go
+++ b/mesh/node/isolation.go
@@ -98,10 +98,10 @@
 	}
 }
 
-// noteReachability marks a control host whose reply says that it has lost the leader,
+// checkReachability marks a control host whose reply says that it has lost the leader,
 // if this node has recent contact with the source. Without that, all control hosts may
 // have lost it, as during an election.
-func (n *Node) noteReachability(host model.HostID, r membership.RenewalReply) {
+func (n *Node) checkReachability(host model.HostID, r membership.RenewalReply) {
 	if r.LeaderReachable || !n.freshness.Recent(time.Now()) || n.isIsolated(host) {
 		return
 	}
