Ignore what a late answer of a former lifetime says

Found while reading the change: an answer that comes after the next lifetime of the server has registered put its rate limit in force for the successor, until that had answered once.

TestLateAnswerDoesNotLimitTheNextLifetime failed before (notice of instance a with a rate of 1).

--- a/mesh/node/notice.go
+++ b/mesh/node/notice.go
@@ -45,6 +45,9 @@
 // observeAnswer applies what an answer says about the backend server. The request was
 // sent to the given lifetime of the server at the given time.
 func (s *serving) observeAnswer(h http.Header, server lifetime, sent time.Time) {
+	if server != *s.backend.current.Load() {
+		return // a late answer of a former lifetime
+	}
 	s.notice.mu.Lock()
 	defer s.notice.mu.Unlock()
 	s.notice.begin(server)
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// Guards against a late answer of a former lifetime that limits its successor.
+func TestLateAnswerDoesNotLimitTheNextLifetime(t *testing.T) {
+	received, answer := make(chan struct{}), make(chan struct{})
+	n := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(received)
+		<-answer
+		w.Header().Set("Balsamtrail-Rate-Limit", "1")
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); n.call(t, nil) }()
+	<-received
+	err := n.registration.Heartbeat(registration.Heartbeat{Instance: "b", Started: 2, Sequence: 1, Service: "ledger", DataCentre: "thun",
+		Address: n.backend.base.Host, Version: "v1", Slots: 16, State: registration.StateReady})
+	close(answer)
+	<-done
+	if got := n.serving.notice.get(); err != nil || got != nil {
+		t.Errorf("%v, notice %+v", err, got)
+	}
+}
+
 // Guards against new requests to a backend server that has said in an answer that it
 // leaves.
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
