Choose the control hosts by the losses that must be survived

Change: the setting tolerate (hosts, data_centres) takes the place of target_voters. mesh/tolerance decides what voters survive and which hosts should vote: no data centre gets half of the votes if the loss of one must be survived. A group that survives less than stated logs it and shows it in balsamtrail status; balsamtrail check warns. Ruled out: fewer voters than control hosts. The platform counts its core as stable while more than half of the control hosts are connected, so all vote.

--- a/mesh/cmd/balsamtrail/check.go
+++ b/mesh/cmd/balsamtrail/check.go
@@ -20,8 +20,9 @@
 
 // Help implements kong.HelpProvider.
 func (checkCmd) Help() string {
-	return `Reports the first invalid field of each file and exits with code 1 if there is one. It does not check a note
-against the accepted configuration; diff does that.
+	return `Reports the first invalid field of each file and exits with code 1 if there is one. Settings that promise more
+than they can keep are valid, but get a warning. It does not check a note against the accepted configuration;
+diff does that.
 
 Example:
   balsamtrail check examples/aare/*.json`
@@ -32,6 +33,8 @@
 	File  string `json:"file"`
 	Kind  string `json:"kind"`
 	Error string `json:"error,omitempty"`
+	// Warnings lists what valid settings promise and cannot keep.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 var errCheck = errors.New("check failed")
@@ -41,8 +44,8 @@
 	var results []checkResult
 	failed := 0
 	for _, f := range c.Files {
-		kind, err := checkFile(f, c.Kind)
-		r := checkResult{File: f, Kind: kind}
+		kind, warnings, err := checkFile(f, c.Kind)
+		r := checkResult{File: f, Kind: kind, Warnings: warnings}
 		if err != nil {
 			failed++
 			r.Error = err.Error()
@@ -56,6 +59,9 @@
 				outcome = r.Error
 			}
 			t.row(r.File, r.Kind, outcome)
+			for _, w := range r.Warnings {
+				t.row(r.File, r.Kind, "warning: "+w)
+			}
 		}
 	})
 	if err == nil && failed > 0 {
@@ -64,24 +70,28 @@
 	return err
 }
 
-// checkFile parses the file at path and returns its kind, detected if kind is auto.
-func checkFile(path, kind string) (string, error) {
+// checkFile parses the file at path and returns its kind, detected if kind is auto, and
+// warnings.
+func checkFile(path, kind string) (string, []string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return kind, err
+		return kind, nil, err
 	}
 	if kind == "auto" {
 		kind = detectKind(data)
 	}
 	switch kind {
 	case "control":
-		_, err = settings.ParseControl(data)
+		var c settings.Control
+		if c, err = settings.ParseControl(data); err == nil {
+			return kind, c.Warnings(), nil
+		}
 	case "node":
 		_, err = settings.ParseNode(data)
 	default:
 		_, err = note.ParseNote(data)
 	}
-	return kind, err
+	return kind, nil, err
 }
 
 // detectKind returns the kind of a file, judged by the keys that only one kind has.
--- a/mesh/control/backend.go
+++ b/mesh/control/backend.go
@@ -328,6 +328,9 @@
 	if st.Leader == "" {
 		out = append(out, "no leader: notes and writes are not accepted")
 	}
+	if survives, ok := c.survivedLosses(st.Members); ok && !survives.Covers(c.cfg.Tolerate) {
+		out = append(out, fmt.Sprintf("the control group survives fewer losses (%s) than the settings state (%s)", survives, c.cfg.Tolerate))
+	}
 	out = append(out, c.claimProblems()...)
 	if st.DiskFull {
 		out = append(out, "the disk of this control host is full")
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -93,11 +93,11 @@
 	c.childPlan = distribute.Tree{FirstLevel: cfg.Limits.FirstLevel}.SourcePlan(c.endpoints)
 	c.machine = NewConfigMachine(cfg.Epoch, c.store, log)
 	c.transport = newLogTransport(ctx, ep, log, c.findHost)
+	c.leaderWork = newLeader(c)
 	if err := c.openLogs(); err != nil {
 		return nil, err
 	}
 	c.freshness = &distribute.Freshness{Contact: c.quorumContact}
-	c.leaderWork = newLeader(c)
 	c.register()
 	registerTrafficGauges()
 	distribute.RegisterSourceAge(c.freshness)
@@ -140,12 +140,16 @@
 }
 
 func (c *Control) openLog(group uint32, sm replog.StateMachine) (*replog.Log, error) {
+	var mayVote func(replog.Member, replog.Members) bool
+	if c.cfg.AutoJoin { // otherwise operators choose the voters
+		mayVote = c.mayVote
+	}
 	l, err := replog.Open(replog.Config{
 		Cluster: c.cfg.Cluster, Group: group, Self: c.cfg.Host,
 		Dir: filepath.Join(c.cfg.DataDir, "group-"+strconv.Itoa(int(group))), Voters: c.initialVoters(),
 		ElectionTimeout: c.cfg.Timeouts.Election, Heartbeat: c.cfg.Timeouts.Heartbeat,
-		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries),
-		Log:             c.log.With("group", group),
+		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries), MayVote: mayVote,
+		Log: c.log.With("group", group),
 	}, sm, c.transport)
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "group %d: %v", group, err)
@@ -195,6 +199,7 @@
 	}
 	g.Go(func() error { return c.leaderWork.run(gctx) })
 	g.Go(func() error { return c.watchLogs(gctx) })
+	g.Go(func() error { return c.reportTolerance(gctx) })
 	c.log.Info("control host started", "peer", c.ep.Addr().String(), "operator", c.cfg.Listen.Operator)
 	err := g.Wait()
 	c.stop()
--- a/mesh/control/decide.go
+++ b/mesh/control/decide.go
@@ -76,7 +76,7 @@
 	if !c.cfg.AutoJoin || !st.MembersCommitted {
 		return
 	}
-	host, due := d.pruner.voterToRemove(now, c.cfg.Host, st.Members, d.l.lastReply, c.cfg.TargetVoters)
+	host, due := d.pruner.voterToRemove(now, c.cfg.Host, st.Members, d.l.lastReply, c.cfg.Tolerate.Voters())
 	if !due {
 		return
 	}
--- a/mesh/control/leader.go
+++ b/mesh/control/leader.go
@@ -53,8 +53,10 @@
 	log *slog.Logger
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	hosts   map[model.HostID]hostState
+	mu    sync.Mutex
+	hosts map[model.HostID]hostState
+	// since is when this host began to lead; zero while it does not.
+	since   time.Time
 	reports []rollout.Report
 	// holdings are the leases held by the other control hosts; nil while this
 	// host does not lead.
@@ -110,6 +112,22 @@
 	l.hosts = map[model.HostID]hostState{}
 	l.reports = nil
 	l.holdings = holdings
+	l.since = time.Time{}
+	if holdings != nil {
+		l.since = time.Now()
+	}
+}
+
+// responds reports whether a control host has replied within voterResponseTimeout, or
+// could not yet because this host began to lead only then.
+func (l *leader) responds(now time.Time, id model.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.since
+	if at := l.hosts[id].receivedAt; at.After(last) {
+		last = at
+	}
+	return id == l.c.cfg.Host || last.IsZero() || now.Sub(last) < voterResponseTimeout
 }
 
 // otherHoldings returns the leases held by the other control hosts; nil while
--- a/mesh/replog/config.go
+++ b/mesh/replog/config.go
@@ -53,6 +53,10 @@
 	KeepEntries uint64
 	// SegmentBytes is the size of a segment of the write-ahead log, in bytes.
 	SegmentBytes int64
+	// MayVote reports whether the leader may make a learner that has caught up a
+	// voter; nil allows it for every learner. It is called from the goroutine of the
+	// log and must not call the log.
+	MayVote func(learner Member, members Members) bool
 	// FS is the file system; the default is that of the operating system.
 	FS wal.FS
 	// Log receives one line for each change of role, term, leader, members or
--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -42,6 +42,9 @@
 	MaxInflight uint64
 	// Rand is the source of randomness for the election timeouts.
 	Rand *rand.Rand
+	// MayVote reports whether the leader may make a learner a voter; nil allows it
+	// for every learner.
+	MayVote func(learner Member, members Members) bool
 }
 
 // CoreState is the state that a host recovers from its disk at start.
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -171,7 +171,8 @@
 		Cluster: cfg.Cluster, Group: cfg.Group, Self: cfg.Self, Disk: id,
 		ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
 		MaxBatchBytes: maxBatchBytes, MaxInflight: maxInflightEntries,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		MayVote: cfg.MayVote,
 	}, time.Now(), rec.state)
 	l.senders = newSenders(tr, cfg.FS, cfg.Dir)
 	l.applier = newApplier(sm, cfg.FS, cfg.Dir, rec.state.Snapshot.Index)
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,6 +231,38 @@
 	})
 }
 
+// Guards against a learner that becomes a voter although it would give its data centre
+// half of the votes, and against one that stays a learner when it may vote again.
+func TestMayVoteHoldsLearnerBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		var allowed atomic.Bool
+		cfg := Config{MayVote: func(m Member, members Members) bool {
+			if m.Host != "d" || members.Voters() != 3 {
+				t.Errorf("asked about %s with %d voters", m.Host, members.Voters())
+			}
+			return allowed.Load()
+		}}
+		_, _, logs := n.openGroup(t, cfg, threeHosts...)
+		leader := waitLeader(t, logs...)
+		cfg.Self, cfg.Dir, cfg.FS = "d", simDir, wal.NewMemFS()
+		added := n.open(t, cfg, &listMachine{})
+		if err := leader.BeginAddHost(t.Context(), Member{Host: "d", Disk: added.Status().Disk}); err != nil {
+			t.Fatal(err)
+		}
+		propose(t, leader, "before")
+		time.Sleep(10 * time.Second)
+		if ms := leader.Status().Members; ms.Voters() != 3 || len(ms) != 4 {
+			t.Errorf("members %v, want three voters and a learner", ms)
+		}
+		allowed.Store(true)
+		time.Sleep(10 * time.Second)
+		if ms := leader.Status().Members; ms.Voters() != 4 {
+			t.Errorf("members %v, want four voters", ms)
+		}
+	})
+}
+
 // Guards against a full disk that blocks callers or other hosts, loses committed
 // entries, or requires a restart once there is space.
 func TestFullDisk(t *testing.T) {
--- a/mesh/replog/members.go
+++ b/mesh/replog/members.go
@@ -233,8 +233,8 @@
 	c.appendAsLeader(Entry{Kind: EntryMembers, Members: next})
 }
 
-// promoteLearner makes a learner a voter once it has caught up. At most one
-// learner is promoted per call.
+// promoteLearner makes a learner a voter once it has caught up, if MayVote allows
+// it. At most one learner is promoted per call.
 func (c *Core) promoteLearner() {
 	if !c.membersCommitted() || !c.committedInTerm() {
 		return
@@ -244,6 +244,9 @@
 		if m.Voter || p == nil || !c.advanceCatchUp(p) {
 			continue
 		}
+		if c.cfg.MayVote != nil && !c.cfg.MayVote(m, c.Members()) {
+			continue
+		}
 		m.Voter = true
 		c.appendAsLeader(Entry{Kind: EntryMembers, Members: c.Members().with(m)})
 		return
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"fmt"
 	"time"
 
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/tolerance"
 )
 
 // Control holds the settings of a control host.
@@ -30,13 +32,11 @@
 	Operators []Operator `json:"operators" validate:"max=1000,unique=Name,unique=TokenSHA256,dive"`
 	// AutoJoin lets the control group change its members by itself: a host that is
 	// not a member asks the other control hosts to add it, and the leader removes a
-	// voter that does not respond if at least TargetVoters others do. Default false:
-	// only operators add and remove control hosts.
+	// voter that does not respond if those that do are enough for Tolerate. Default
+	// false: only operators add and remove control hosts.
 	AutoJoin bool `json:"auto_join"`
-	// TargetVoters is the number of responding voters that must remain when AutoJoin
-	// removes a voter; default 3. Three voters tolerate the loss of one, five the
-	// loss of two.
-	TargetVoters int `json:"target_voters" validate:"min=1,max=15"`
+	// Tolerate states the losses that the control group must survive.
+	Tolerate tolerance.Losses `json:"tolerate"`
 	// ClaimGroups is the number of replication groups that store idempotency claims;
 	// default 4. More groups spread the load of writes over more leaders, but each
 	// has a log of its own. The number must be the same on all control hosts and must
@@ -143,7 +143,7 @@
 func DefaultControl() Control {
 	return Control{
 		Epoch:       1,
-		ClaimGroups: 4, TargetVoters: 3,
+		ClaimGroups: 4, Tolerate: tolerance.Losses{Hosts: 1},
 		Timeouts: ControlTimeouts{
 			Election: time.Second, Heartbeat: 150 * time.Millisecond, EndpointLease: 2 * time.Second,
 			Propose: 3 * time.Second, Watch: 25 * time.Second, Request: 10 * time.Second, Shutdown: 10 * time.Second,
@@ -188,6 +188,24 @@
 	return c.checkDataCentres()
 }
 
+// Warnings returns what the settings promise and the listed voters cannot keep. With
+// AutoJoin, hosts join that the settings do not list.
+func (c *Control) Warnings() []string {
+	if c.AutoJoin {
+		return nil
+	}
+	var voters []tolerance.Voter
+	for _, h := range c.ControlHosts {
+		if h.Voter {
+			voters = append(voters, tolerance.Voter{Host: h.Host, DataCentre: h.DataCentre})
+		}
+	}
+	if survived := tolerance.Survived(voters); !survived.Covers(c.Tolerate) {
+		return []string{fmt.Sprintf("tolerate: the %d voters survive fewer losses (%s) than stated (%s)", len(voters), survived, c.Tolerate)}
+	}
+	return nil
+}
+
 // checkOperators requires operators and a certificate, unless the network is closed
 // and no operators are listed: another HTTP handler then serves operators.
 func (c *Control) checkOperators() error {
