--- a/mesh/peer/credentials.go
+++ b/mesh/peer/credentials.go
@@ -116,6 +116,12 @@
 	return c.cert, c.roots
 }
 
+// keyExchanges are the key exchanges of connections between processes. P-256 has
+// assembly on both supported processors; the default of crypto/tls, which also resists
+// quantum computers, takes a fifth more processor time and twice the bytes for a handshake,
+// and a control host pays for hundreds of them when a fleet returns.
+var keyExchanges = []tls.CurveID{tls.CurveP256}
+
 // ServerTLS returns a configuration that requires a client certificate signed by
 // the CA; with self-signed credentials, any client certificate.
 func (c *Credentials) ServerTLS(protocols ...string) *tls.Config {
@@ -129,6 +135,8 @@
 				ClientAuth:   tls.RequireAndVerifyClientCert,
 				ClientCAs:    roots,
 				NextProtos:   protocols,
+
+				CurvePreferences: keyExchanges,
 			}
 			if c.selfSigned {
 				cfg.ClientAuth = tls.RequireAnyClientCert
@@ -148,6 +156,7 @@
 		MinVersion:         tls.VersionTLS13,
 		Certificates:       []tls.Certificate{*cert},
 		NextProtos:         protocols,
+		CurvePreferences:   keyExchanges,
 		InsecureSkipVerify: true, // the chain is verified in VerifyConnection
 		VerifyConnection: func(cs tls.ConnectionState) error {
 			if c.selfSigned {
