Serve few handshakes at a time, and an election before any node

Cause: at the start of the large Aare fleet 281 nodes dial three seeds with an eighth of a core each. Every handshake was begun and none ended before its peer gave up and dialled again, so that no leader was elected for 14 s: the votes waited behind the handshakes. Change: an endpoint admits a bounded number of handshakes of nodes at a time (limits.handshakes) and refuses the others before the key exchange. Control hosts are told apart by their protocol in the first message, are always admitted, and admit nodes only once they know a leader, or after 5 s. The refused side waits for a random, growing time before it dials the address again, with one attempt for all its streams, and stays with the busy control host instead of dialling all of them. Counters peer.handshakes.<side>.<outcome> and control.leader_known_after_ms, and a log line. Ruled out: a second socket for control hosts, since the processor is shared; queueing of handshakes at the server, since the dialler cannot tell a queue from a dead peer.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -49,6 +49,7 @@
 	childPlan                func(peer.Identity) (bool, []distribute.Parent)
 	freshness                *distribute.Freshness
 
+	startOrder *startOrder
 	evidence   *evidence
 	leaderWork *leader
 	learned    learnedHosts
@@ -76,12 +77,15 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
 	}
-	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Log: log})
+	order := newStartOrder(time.Now())
+	ep, err := peer.Listen(peer.Config{
+		Listen: cfg.Listen.Peer, Credentials: creds, Handshakes: cfg.Limits.Handshakes, AcceptNodes: order.acceptNodes, Log: log,
+	})
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "listen.peer: %v", err)
 	}
 	c := &Control{
-		cfg: cfg, log: log, ep: ep,
+		cfg: cfg, log: log, ep: ep, startOrder: order,
 		store: distribute.NewStore(), endpoints: membership.NewTable(), leaseKeeper: membership.NewLeaseKeeperWithDuration(cfg.Timeouts.EndpointLease),
 		admission:   distribute.NewAdmission(admissionConfig(cfg.Limits)),
 		nodeSubtree: distribute.NewSubtree(nil), hostSubtree: distribute.NewSubtree(nil),
@@ -200,6 +204,7 @@
 	g.Go(func() error { return c.leaderWork.run(gctx) })
 	g.Go(func() error { return c.watchLogs(gctx) })
 	g.Go(func() error { return c.reportTolerance(gctx) })
+	g.Go(func() error { return c.awaitLeader(gctx) })
 	c.log.Info("control host started", "peer", c.ep.Addr().String(), "operator", c.cfg.Listen.Operator)
 	err := g.Wait()
 	c.stop()
--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -30,6 +30,9 @@
 	maxBackoff = 3 * time.Second
 	// failurePenalty is how long a candidate is skipped after a failure.
 	failurePenalty = 2 * time.Second
+	// busyPenalty is how long a candidate is skipped that refused the handshake for
+	// now.
+	busyPenalty = 300 * time.Millisecond
 	// stalePenalty is how long a stale parent is skipped. It is longer than
 	// failurePenalty, so that a node tries all its other candidates before it
 	// returns to a stale parent.
@@ -155,6 +158,9 @@
 			s.alternatives, s.alternativesUntil = busy.Alternatives, now.Add(alternativesTTL)
 		}
 	}
+	if errors.Is(err, peer.ErrBusy) {
+		penalty = busyPenalty
+	}
 	if lifetime >= stableAfter {
 		s.retryBackoff.Reset()
 	}
@@ -240,7 +246,7 @@
 	st, err := at.o.Open(openCtx, p)
 	cancelOpen()
 	if err != nil {
-		return att, eris.Wrapf(ErrClosed, "open: %v", err)
+		return att, errors.Join(eris.Wrapf(ErrClosed, "open: %v", err), err)
 	}
 	at.start(ctx, att, st)
 	select {
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -32,6 +32,10 @@
 	// backoffResetAfter is the lifetime of a stream after which the reconnect backoff
 	// is reset.
 	backoffResetAfter = 2 * time.Second
+	// maxBusyAttempts is how often a node tries a busy control host again before it
+	// tries the next one. More keep a starting fleet from connecting to every control
+	// host, fewer find a free one sooner.
+	maxBusyAttempts = 6
 	// failbackInterval is the mean time between attempts to move a stream from a
 	// remote data centre back to the local one. A shorter one returns sooner and costs
 	// one connection per attempt.
@@ -87,6 +91,7 @@
 func (n *Node) keepStream(ctx context.Context, method string, serve func(context.Context, peer.Stream) error) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = reconnectMinDelay, reconnectMaxDelay
+	busy := 0
 	for i := 0; ctx.Err() == nil; i++ {
 		hosts := n.isolatedLast(n.controlHosts())
 		if i >= len(hosts) {
@@ -108,6 +113,12 @@
 			i = -1
 			continue
 		}
+		if errors.Is(err, peer.ErrBusy) && busy < maxBusyAttempts {
+			busy++ // the endpoint delays the next attempt
+			i--
+			continue
+		}
+		busy = 0
 		n.log.Info("control stream ended", "method", method, "peer", string(host.Host), "reason", err.Error())
 		if time.Since(started) > backoffResetAfter {
 			delays.Reset()
--- a/mesh/node/controlstream_test.go
+++ b/mesh/node/controlstream_test.go
@@ -138,15 +138,16 @@
 // data centre because their settings do not state the data centres.
 func TestStreamsWaitForTheDirectoryIfTheSettingsNameNoDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		busyUntil := time.Time{}
 		waited := func(hosts []directory.Host, learn time.Duration) time.Duration {
-			n := &Node{directory: directory.New(hosts)}
+			d := directory.New(hosts)
 			if learn > 0 {
 				time.AfterFunc(learn, func() {
-					n.directory.Update(directory.List{Index: 1, Hosts: []directory.Host{{Host: "c9", DataCentre: "thun"}}})
+					d.Update(directory.List{Index: 1, Hosts: []directory.Host{{Host: "c9", DataCentre: "thun"}}})
 				})
 			}
 			began := time.Now()
-			n.awaitDirectory(t.Context())
+			awaitLearned(t.Context(), d, func() bool { return time.Now().Before(busyUntil) })
 			return time.Since(began)
 		}
 		if got := waited([]directory.Host{{Host: "c1", DataCentre: "thun"}}, 0); got != 0 {
@@ -158,5 +159,13 @@
 		if got := waited([]directory.Host{{Host: "c1"}}, 0); got != directoryWait {
 			t.Errorf("waited %s for a list that never came", got)
 		}
+		busyUntil = time.Now().Add(2 * time.Second)
+		if got := waited([]directory.Host{{Host: "c1"}}, 3*directoryWait); got != 3*directoryWait {
+			t.Errorf("waited %s for a busy control host that sent a list after %s", got, 3*directoryWait)
+		}
+		busyUntil = time.Now().Add(time.Hour)
+		if got := waited([]directory.Host{{Host: "c1"}}, 0); got < busyDirectoryWait || got > busyDirectoryWait+directoryWait {
+			t.Errorf("waited %s for control hosts that stay busy", got)
+		}
 	})
 }
--- a/mesh/node/floor.go
+++ b/mesh/node/floor.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/peer"
 )
 
 const (
@@ -29,7 +31,8 @@
 		var peers []distribute.Parent
 		if !ok {
 			peers = n.sampleFloorPeers()
-			answers = append(answers, n.askPositions(ctx, peers)...)
+			more, _ := n.askPositions(ctx, peers)
+			answers = append(answers, more...)
 			floor, ok = distribute.Floor(answers, len(n.directory.Hosts()), len(peers))
 		}
 		if ok {
@@ -56,7 +59,11 @@
 		if to <= from || to > len(hosts) {
 			continue
 		}
-		answers = append(answers, n.askPositions(ctx, hosts[from:to])...)
+		more, busy := n.askPositions(ctx, hosts[from:to])
+		answers = append(answers, more...)
+		if busy {
+			break // it answers later; all others would be busy too
+		}
 		from = to
 		if floor, ok = distribute.Floor(answers, len(hosts), 0); ok {
 			break
@@ -77,16 +84,20 @@
 	return peers[:min(len(peers), maxFloorPeers)]
 }
 
-func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) []distribute.FloorAnswer {
+// askPositions asks processes for their positions. busy reports whether one of them
+// refused the connection for now.
+func (n *Node) askPositions(ctx context.Context, from []distribute.Parent) (answers []distribute.FloorAnswer, busy bool) {
 	ctx, cancel := context.WithTimeout(ctx, floorRoundTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	var answers []distribute.FloorAnswer
 	var wg sync.WaitGroup
 	for _, p := range from {
 		wg.Go(func() {
 			st, err := n.open(ctx, p, distribute.MethodExchange)
 			if err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				busy = busy || errors.Is(err, peer.ErrBusy)
 				return
 			}
 			a, err := distribute.AskPosition(ctx, st)
@@ -99,5 +110,5 @@
 		})
 	}
 	wg.Wait()
-	return answers
+	return answers, busy
 }
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "backend.url: %v", err)
 	}
-	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Log: log})
+	ep, err := peer.Listen(peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Handshakes: cfg.Limits.Handshakes, Log: log})
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "listen.peer: %v", err)
 	}
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"slices"
@@ -31,6 +32,13 @@
 	// defaultUnusedTimeout. A shorter time saves keep-alive packets, but causes
 	// more handshakes of several kilobytes each.
 	UnusedTimeout time.Duration
+	// Handshakes is the number of handshakes of nodes that are served at a time; 0, the
+	// default, for no limit. More let a fleet connect sooner where there is processor
+	// time, fewer leave more of it to everything else.
+	Handshakes int
+	// AcceptNodes reports whether nodes may connect now; nil if always. A refused node
+	// tries again after a delay.
+	AcceptNodes func() bool
 	// Log receives connections that were made, lost or refused, and refused methods
 	// and ended streams.
 	Log *slog.Logger
@@ -48,8 +56,6 @@
 	// maxIncomingStreams is the maximum number of streams that a peer may have open
 	// on a connection.
 	maxIncomingStreams = 4096
-	// alpnProtocol is the protocol that TLS negotiates by ALPN.
-	alpnProtocol = "balsamtrail-control/1"
 )
 
 const (
@@ -77,7 +83,10 @@
 	cfg       Config
 	transport *quic.Transport
 	listener  *quic.Listener
+	gate      *handshakeGate
 	wg        sync.WaitGroup
+	// accepted and dialled count the handshakes.
+	accepted, dialled handshakes
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -87,7 +96,11 @@
 	// outbounds holds all outbound connections and dial attempts, also those that
 	// were replaced in conns.
 	outbounds map[*outbound]struct{}
-	closed    bool
+	// redials holds the delays of the addresses that refused the last handshake.
+	redials map[string]redialDelay
+	closed  bool
+	// closing is closed when closed is set.
+	closing chan struct{}
 }
 
 // Listen opens the socket. Register all methods before calling Serve.
@@ -112,9 +125,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
 	}
-	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}, outbounds: map[*outbound]struct{}{}}
+	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}, outbounds: map[*outbound]struct{}{},
+		redials: map[string]redialDelay{}, closing: make(chan struct{}), accepted: handshakesOf("accepted"), dialled: handshakesOf("dialled"),
+		gate: &handshakeGate{limit: cfg.Handshakes, acceptNodes: cfg.AcceptNodes}}
 	e.transport = &quic.Transport{Conn: sock}
-	e.listener, err = e.transport.Listen(cfg.Credentials.ServerTLS(alpnProtocol), e.quicConfig())
+	tlsConfig := e.gate.limitHandshakes(cfg.Credentials.ServerTLS(alpnControl, alpnNode), e.accepted)
+	e.listener, err = e.transport.Listen(tlsConfig, e.quicConfig())
 	if err != nil {
 		_ = sock.Close()
 		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
@@ -164,7 +180,9 @@
 func (e *Endpoint) serveConn(ctx context.Context, conn *quic.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	id, err := IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	e.gate.finish(conn.RemoteAddr().String())
+	e.accepted.done.Inc(1)
+	id, err := e.acceptedIdentity(conn.ConnectionState().TLS)
 	if err != nil {
 		e.cfg.Log.Warn("peer connection refused", "remote", conn.RemoteAddr().String(), "reason", err.Error())
 		_ = conn.CloseWithError(connRefused, "identity")
@@ -184,6 +202,16 @@
 	wg.Wait()
 }
 
+// acceptedIdentity returns the identity of a peer that has connected. Only a control
+// host may negotiate the protocol of control hosts, whose handshakes are not limited.
+func (e *Endpoint) acceptedIdentity(state tls.ConnectionState) (Identity, error) {
+	id, err := IdentityOf(state.PeerCertificates[0])
+	if err == nil && state.NegotiatedProtocol == alpnControl && id.Role != RoleControl {
+		return id, eris.Wrapf(ErrIdentity, "%s is no control host", id)
+	}
+	return id, err
+}
+
 // serveStream reads the method name from the stream and runs its handler.
 func (e *Endpoint) serveStream(ctx context.Context, s *quicStream) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/mesh/peer/errors.go
+++ b/mesh/peer/errors.go
@@ -9,6 +9,10 @@
 	ErrIdentity = errors.New("peer identity refused")
 	// ErrUnreachable is returned when no connection or socket could be opened.
 	ErrUnreachable = errors.New("peer unreachable")
+	// ErrBusy is returned when the peer refused the handshake because it serves too many
+	// others, or waits for its own start. Another attempt may follow at once: Open
+	// waits until the peer may be dialled again.
+	ErrBusy = errors.New("peer is busy")
 	// ErrClosed is returned when the connection or stream was closed or failed.
 	ErrClosed = errors.New("peer connection closed")
 	// ErrTimeout is returned when no frame arrived in time.
--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -19,9 +19,12 @@
 	addr  string
 	want  Identity
 	ready chan struct{}
-	conn  *quic.Conn
-	peer  Identity
-	err   error
+	// notBefore is when to dial. It is later than now if the peer refused the last
+	// handshake.
+	notBefore time.Time
+	conn      *quic.Conn
+	peer      Identity
+	err       error
 	// refs counts the open streams and the calls that are about to open one;
 	// idleSince is when refs was last decremented. Both are guarded by Endpoint.mu.
 	refs      int
@@ -50,7 +53,7 @@
 	}
 	o := e.conns[addr]
 	if o == nil || !o.usable(want) {
-		o = &outbound{addr: addr, want: want, ready: make(chan struct{})}
+		o = &outbound{addr: addr, want: want, ready: make(chan struct{}), notBefore: e.redials[addr].until}
 		e.conns[addr] = o
 		e.outbounds[o] = struct{}{}
 		e.wg.Go(func() { e.run(o) })
@@ -61,6 +64,9 @@
 	case <-o.ready:
 		return o, o.err
 	case <-ctx.Done():
+		if time.Now().Before(o.notBefore) {
+			return o, eris.Wrapf(ErrBusy, "%s: %v", addr, ctx.Err())
+		}
 		return o, eris.Wrapf(ErrUnreachable, "%s: %v", addr, ctx.Err())
 	}
 }
@@ -125,7 +131,11 @@
 	// of the previous connection would also drop the packets of a new one between
 	// the same ports.
 	tr := &quic.Transport{Conn: sock}
-	o.conn, o.peer, o.err = e.dial(tr, o)
+	if e.awaitRedial(o) {
+		o.conn, o.peer, o.err = e.dial(tr, o)
+	} else {
+		o.err = eris.Wrap(ErrClosed, "endpoint is closed")
+	}
 	close(o.ready)
 	if o.err == nil {
 		e.cfg.Log.Debug("peer connection made", "address", o.addr, "peer", o.peer.String())
@@ -138,6 +148,47 @@
 	_ = sock.Close()
 }
 
+// awaitRedial waits until the connection may be dialled and reports whether the endpoint
+// is still open then.
+func (e *Endpoint) awaitRedial(o *outbound) bool {
+	if wait := time.Until(o.notBefore); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-e.closing:
+			return false
+		}
+	}
+	return true
+}
+
+// recordDial counts the outcome of a handshake and sets when the address may be dialled
+// again.
+func (e *Endpoint) recordDial(addr string, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case err == nil:
+		e.dialled.done.Inc(1)
+		delete(e.redials, addr)
+	case isRefusedHandshake(err):
+		e.dialled.refused.Inc(1)
+		e.redials[addr] = e.redials[addr].next(time.Now())
+	default:
+		e.dialled.failed.Inc(1)
+		delete(e.redials, addr)
+	}
+}
+
+// Busy reports whether the peer at addr refused the last handshake for now.
+func (e *Endpoint) Busy(addr string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, busy := e.redials[addr]
+	return busy
+}
+
 // dial makes the connection and returns it with the peer's identity.
 func (e *Endpoint) dial(tr *quic.Transport, o *outbound) (*quic.Conn, Identity, error) {
 	udp, err := net.ResolveUDPAddr("udp", o.addr)
@@ -146,7 +197,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	conn, err := tr.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(o.want, alpnProtocol), e.quicConfig())
+	e.dialled.begun.Inc(1)
+	protocols := offeredProtocols(e.cfg.Credentials.Identity().Role)
+	conn, err := tr.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(o.want, protocols...), e.quicConfig())
+	e.recordDial(o.addr, err)
 	if err != nil {
 		return nil, Identity{}, dialError(o.addr, err)
 	}
@@ -172,6 +226,7 @@
 func (e *Endpoint) closeOutbound() {
 	e.mu.Lock()
 	e.closed = true
+	close(e.closing)
 	outbounds := slices.Collect(maps.Keys(e.outbounds))
 	e.conns = map[string]*outbound{}
 	e.mu.Unlock()
@@ -183,10 +238,14 @@
 	}
 }
 
-// dialError keeps an identity error and returns ErrUnreachable for any other one.
+// dialError keeps an identity error, returns ErrBusy for a refused handshake and
+// ErrUnreachable for any other error.
 func dialError(addr string, err error) error {
-	if errors.Is(err, ErrIdentity) {
+	switch {
+	case errors.Is(err, ErrIdentity):
 		return eris.Wrapf(ErrIdentity, "%s: %v", addr, err)
+	case isRefusedHandshake(err):
+		return eris.Wrapf(ErrBusy, "%s", addr)
 	}
 	return eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 }
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -133,6 +133,10 @@
 	// concurrently; default 8. A higher value serves many restarting nodes sooner,
 	// but takes processor time from commits.
 	Snapshots int `json:"snapshots" validate:"min=1,max=256"`
+	// Handshakes is the highest number of handshakes of nodes that are served
+	// concurrently; default 64. A higher value lets a fleet connect sooner where there
+	// is processor time, a lower one leaves more of it to elections and commits.
+	Handshakes int `json:"handshakes" validate:"min=1,max=65536"`
 	// SnapshotEntries is the number of log entries between two snapshots on disk;
 	// default 10000. A higher value makes restarts slower, a lower one causes more
 	// disk writes.
@@ -149,7 +153,7 @@
 			Propose: 3 * time.Second, Watch: 25 * time.Second, Request: 10 * time.Second, Shutdown: 10 * time.Second,
 		},
 		Limits: ControlLimits{
-			RequestBytes: 1 << 20, Requests: 512, Children: 8, FirstLevel: distribute.DefaultFirstLevel, Snapshots: 8, SnapshotEntries: 10_000,
+			RequestBytes: 1 << 20, Requests: 512, Children: 8, FirstLevel: distribute.DefaultFirstLevel, Snapshots: 8, Handshakes: defaultHandshakes, SnapshotEntries: 10_000,
 		},
 	}
 }
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -204,8 +204,15 @@
 	// default 4096. Further requests are refused and reported as not run, which limits
 	// the node's memory use.
 	Calls int `json:"calls" validate:"min=1,max=1000000"`
+	// Handshakes is the highest number of handshakes of other nodes that are served
+	// concurrently; default 64. A higher value lets other nodes attach sooner, a lower
+	// one leaves more processor time to requests.
+	Handshakes int `json:"handshakes" validate:"min=1,max=65536"`
 }
 
+// defaultHandshakes is the default of limits.handshakes in both roles.
+const defaultHandshakes = 64
+
 // DefaultNode returns settings with the defaults of all fields that have one.
 func DefaultNode() Node {
 	return Node{
@@ -219,7 +226,7 @@
 		},
 		FanOut:  FanOut{Children: 8, FirstLevel: distribute.DefaultFirstLevel, Candidates: 3, Snapshots: 2},
 		Retries: Retries{Part: routing.RetryRatio, Burst: routing.RetryBurst},
-		Limits:  NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096},
+		Limits:  NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096, Handshakes: defaultHandshakes},
 	}
 }
 
