--- a/mesh/peer/credentials.go
+++ b/mesh/peer/credentials.go
@@ -116,11 +116,17 @@
 	return c.cert, c.roots
 }
 
-// keyExchanges are the key exchanges of connections between processes. P-256 has
-// assembly on both supported processors; the default of crypto/tls, which also resists
-// quantum computers, takes a fifth more processor time and twice the bytes for a handshake,
-// and a control host pays for hundreds of them when a fleet returns.
-var keyExchanges = []tls.CurveID{tls.CurveP256}
+// keyExchanges returns the key exchanges of connections between processes; nil for the
+// default of crypto/tls. On a closed network it is P-256, which has assembly on both
+// supported processors: the default, which also resists quantum computers, takes a
+// fifth more processor time and 2 KB more for a handshake, and a control host pays for
+// hundreds of them when a fleet returns.
+func (c *Credentials) keyExchanges() []tls.CurveID {
+	if c.selfSigned {
+		return []tls.CurveID{tls.CurveP256}
+	}
+	return nil
+}
 
 // ServerTLS returns a configuration that requires a client certificate signed by
 // the CA; with self-signed credentials, any client certificate.
@@ -136,7 +142,7 @@
 				ClientCAs:    roots,
 				NextProtos:   protocols,
 
-				CurvePreferences: keyExchanges,
+				CurvePreferences: c.keyExchanges(),
 			}
 			if c.selfSigned {
 				cfg.ClientAuth = tls.RequireAnyClientCert
@@ -156,7 +162,7 @@
 		MinVersion:         tls.VersionTLS13,
 		Certificates:       []tls.Certificate{*cert},
 		NextProtos:         protocols,
-		CurvePreferences:   keyExchanges,
+		CurvePreferences:   c.keyExchanges(),
 		InsecureSkipVerify: true, // the chain is verified in VerifyConnection
 		VerifyConnection: func(cs tls.ConnectionState) error {
 			if c.selfSigned {
