--- a/mesh/callmux/config.go
+++ b/mesh/callmux/config.go
@@ -25,6 +25,10 @@
 	// MetricRefused counts connections that servers in this process refused, and
 	// calls that they refused before the handler ran.
 	MetricRefused = "callmux.refused"
+	// MetricSent counts the bytes of frames that this process sent, and
+	// MetricSentRemote those of them to other data centres.
+	MetricSent       = "callmux.sent"
+	MetricSentRemote = "callmux.sent_remote"
 )
 
 // Config is the configuration of a Client or Server.
--- a/mesh/callmux/connection.go
+++ b/mesh/callmux/connection.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 var (
@@ -60,6 +61,8 @@
 	rw   net.Conn
 	r    *bufio.Reader
 	peer peer.Identity
+	// remote reports whether the peer is in another data centre.
+	remote bool
 	// isClient reports whether this side makes the calls.
 	isClient  bool
 	peerHello hello
@@ -89,6 +92,7 @@
 		rw:       rw,
 		r:        bufio.NewReaderSize(rw, 64<<10),
 		peer:     id,
+		remote:   cfg.Credentials != nil && cfg.Credentials.Identity().DataCentre != id.DataCentre,
 		isClient: isClient,
 		queue:    newSendQueue(cfg.QueueLimit),
 		done:     make(chan struct{}),
@@ -394,7 +398,11 @@
 	if err := cn.raw.SetWriteDeadline(time.Now().Add(cn.cfg.HeartbeatDeadline)); err != nil {
 		return err
 	}
-	_, err := cn.rw.Write(b)
+	n, err := cn.rw.Write(b)
+	telemetry.Counter(MetricSent).Inc(int64(n))
+	if cn.remote {
+		telemetry.Counter(MetricSentRemote).Inc(int64(n))
+	}
 	return err
 }
 
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -230,7 +230,7 @@
 		_ = s.Close()
 		return
 	}
-	s.counters = trafficOf(h.Method)
+	s.counters = trafficOf(h.Method, e.isRemote(s.peer))
 	if err := m.handler(ctx, s); err != nil {
 		e.cfg.Log.Debug("peer stream ended", "peer", s.peer.String(), "method", h.Method, "reason", err.Error())
 		s.Abort()
@@ -240,6 +240,11 @@
 	s.st.CancelRead(streamAborted)
 }
 
+// isRemote reports whether a peer is in another data centre.
+func (e *Endpoint) isRemote(id Identity) bool {
+	return id.DataCentre != e.cfg.Credentials.Identity().DataCentre
+}
+
 // lookup returns the method if the role of the peer may call it.
 func (e *Endpoint) lookup(name string, id Identity) (method, error) {
 	e.mu.Lock()
@@ -268,7 +273,7 @@
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
 	context.AfterFunc(st.Context(), func() { e.release(o) })
-	s := &quicStream{st: st, peer: o.peer, counters: trafficOf(name)}
+	s := &quicStream{st: st, peer: o.peer, counters: trafficOf(name, e.isRemote(o.peer))}
 	if err := s.Send(streamHeader{Method: name}); err != nil {
 		s.Abort()
 		return nil, err
--- a/mesh/peer/handshake_test.go
+++ b/mesh/peer/handshake_test.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s := &quicStream{st: st, counters: trafficOf("echo")}
+	s := &quicStream{st: st, counters: trafficOf("echo", false)}
 	if err := s.Send(streamHeader{Method: "echo"}); err != nil {
 		return 0, err
 	}
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -73,14 +73,24 @@
 func Traffic() (sent, received int64) { return bytesSent.Load(), bytesReceived.Load() }
 
 // traffic counts the frame bytes of one method.
-type traffic struct{ sent, received metrics.Counter }
+type traffic struct {
+	sent, received metrics.Counter
+	// sentRemote counts the bytes sent to other data centres; nil for a peer in the
+	// own one.
+	sentRemote metrics.Counter
+}
 
-// trafficOf returns the counters peer.sent.<method> and peer.received.<method>.
-func trafficOf(method string) *traffic {
-	return &traffic{
+// trafficOf returns the counters peer.sent.<method>, peer.received.<method> and
+// peer.sent_remote.<method>.
+func trafficOf(method string, remote bool) *traffic {
+	t := &traffic{
 		sent:     metrics.GetOrRegisterCounter("peer.sent."+method, metrics.DefaultRegistry),
 		received: metrics.GetOrRegisterCounter("peer.received."+method, metrics.DefaultRegistry),
 	}
+	if remote {
+		t.sentRemote = metrics.GetOrRegisterCounter("peer.sent_remote."+method, metrics.DefaultRegistry)
+	}
+	return t
 }
 
 // countingWriter counts the bytes that are written to w.
@@ -94,6 +104,9 @@
 	bytesSent.Add(int64(n))
 	if c.counters != nil {
 		c.counters.sent.Inc(int64(n))
+		if c.counters.sentRemote != nil {
+			c.counters.sentRemote.Inc(int64(n))
+		}
 	}
 	return n, err
 }
