Take the load that a backend server states into admission

A restarted node fills all slots of a server that still works on the requests of the process before, and requests whose callers have left go on there unknown to the gate. What the server states beyond the requests that the gate knows takes slots if it lasts for 250 ms, for at most 1 s, and counts in the utilization that entry nodes route by. Ruled out: the stated slots as a limit, since the registration states them.

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -127,7 +127,7 @@
 // armPaceTimer schedules a dispatch for the time at which the pacer allows the next
 // request, if a request waits although a slot is free. g.mu must be held.
 func (g *Gate) armPaceTimer(now time.Time) {
-	if g.paceTimer != nil || g.sched.queue.Len() == 0 || g.sched.inFlight >= g.sched.limiter.Limit() {
+	if g.paceTimer != nil || g.sched.queue.Len() == 0 || g.sched.inFlight >= g.sched.limit(now) {
 		return
 	}
 	wait := g.sched.pacer.delay(now)
@@ -300,6 +300,14 @@
 	g.log.Info("rate limit of the backend server changed", "requests_per_second", rate)
 }
 
+// ObserveLoad takes the load that the backend server states in an answer, before the
+// slot of the request is released.
+func (g *Gate) ObserveLoad(l ServerLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sched.observeLoad(time.Now(), l)
+}
+
 // SetAvailable says whether there is a backend server to send requests to. While there
 // is none, all new and queued requests are refused.
 func (g *Gate) SetAvailable(available bool) {
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -31,6 +31,7 @@
 	// inFlight is the number of requests that hold a slot.
 	inFlight int
 	pacer    pacer
+	unknown  unknownLoad
 	// coldLoad is the factor applied to the cold rate of the service.
 	coldLoad float64
 	// provisional says that service holds assumed limits until the configuration arrives.
@@ -78,7 +79,7 @@
 	if !w.Deadline.IsZero() && !now.Before(s.latestStart(w.Request)) {
 		return []decision{{waiter: w, refused: ReasonStale}}
 	}
-	if s.queue.Len() == 0 && s.inFlight < s.limiter.Limit() && s.pacer.take(now) {
+	if s.queue.Len() == 0 && s.inFlight < s.limit(now) && s.pacer.take(now) {
 		return []decision{s.admit(now, w)}
 	}
 	if s.queue.WouldExpire(now, w) {
@@ -151,7 +152,7 @@
 	}
 	reason := s.refusalReason()
 	refuseAll := reason == ReasonUnavailable || reason != "" && now.Sub(s.refusingSince()) >= drainQueueGrace
-	for s.queue.Len() > 0 && (refuseAll || s.inFlight < s.limiter.Limit() && s.pacer.take(now)) {
+	for s.queue.Len() > 0 && (refuseAll || s.inFlight < s.limit(now) && s.pacer.take(now)) {
 		w := s.queue.Pop(now)
 		if refuseAll {
 			decided = append(decided, decision{waiter: w, refused: reason})
@@ -211,7 +212,7 @@
 // for a rate limit, all slots count as used, however few requests run: the server has no
 // capacity for more.
 func (s *scheduler) utilization(now time.Time) float64 {
-	limit := float64(max(s.limiter.Limit(), 1))
+	limit := float64(max(s.limit(now), 1))
 	waiting := float64(s.queue.Len()) / limit
 	used := float64(s.inFlight) / limit
 	used = max(used, s.pacer.utilization(now))
@@ -221,12 +222,24 @@
 	return used + waiting
 }
 
+// limit returns how many requests may run now: the concurrency limit without the slots
+// that requests take which the gate does not know. It is at least 1, so that answers
+// tell when they have ended.
+func (s *scheduler) limit(now time.Time) int {
+	limit := s.limiter.Limit()
+	return min(limit, max(limit-s.unknown.requests(now), 1))
+}
+
+// observeLoad takes a load that the backend server states.
+func (s *scheduler) observeLoad(now time.Time, l ServerLoad) { s.unknown.observe(now, l, s.inFlight) }
+
 // start accepts requests for a backend server that has just registered and stated its
 // slots and for how long it is cold.
 func (s *scheduler) start(now time.Time, slots int, cold time.Duration) {
 	s.unavailable, s.drainingSince = false, time.Time{}
 	s.service.Slots = slots
 	s.limiter.SetFixed(slots)
+	s.unknown = unknownLoad{}
 	s.pacer.setStated(now, 0)
 	s.pacer.start(now, cold)
 }
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -44,6 +44,9 @@
 	// second it takes from all hosts together, as a decimal number, for as long as its
 	// answers say so.
 	HeaderRateLimit = "Balsamtrail-Rate-Limit"
+	// HeaderServerLoad states in an answer of a backend server its running requests, its
+	// waiting requests and its slots, separated by commas.
+	HeaderServerLoad = "Balsamtrail-Server-Load"
 	// HeaderLeaving says in an answer of a backend server that has registered itself
 	// that it leaves and wants no new requests; any value.
 	HeaderLeaving = "Balsamtrail-Leaving"
--- a/mesh/node/notice.go
+++ b/mesh/node/notice.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"balsamtrail.org/mesh/admission"
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // serverNotice is what this node's backend server has said about itself in its answers.
@@ -48,6 +50,7 @@
 	if server != *s.backend.current.Load() {
 		return // a late answer of a former lifetime
 	}
+	s.observeLoad(h)
 	s.notice.mu.Lock()
 	defer s.notice.mu.Unlock()
 	s.notice.begin(server)
@@ -68,6 +71,24 @@
 	}
 }
 
+// observeLoad passes a load that an answer states to the gate. A malformed one is counted
+// and ignored.
+func (s *serving) observeLoad(h http.Header) {
+	text := h.Get(HeaderServerLoad)
+	if text == "" {
+		return
+	}
+	load, err := admission.ParseServerLoad(text)
+	if err != nil {
+		telemetry.Counter(metricBadServerLoad).Inc(1)
+		return
+	}
+	s.gate.ObserveLoad(load)
+}
+
+// metricBadServerLoad counts the answers whose stated load was malformed.
+const metricBadServerLoad = "serving.bad_server_load"
+
 // observeCaller applies what a calling node knows of the backend server, unless this node
 // knows better. A restarted node learns this way what it had heard before.
 func (s *serving) observeCaller(known *callmux.ServerNotice) {
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -235,6 +235,7 @@
 	header.Del(HeaderNotRun)
 	header.Del(HeaderOutcome)
 	header.Del(HeaderRateLimit)
+	header.Del(HeaderServerLoad)
 	header.Del(HeaderLeaving)
 	return &callmux.Response{
 		Status: resp.StatusCode, Header: header,
