Test that an answer cut at any byte is not complete

Cause: other operators report answers that broke off in their head and reached callers as a 200 with an empty body. Change: a test that cuts an answer with a length and a chunked one after each byte, by close and by reset. It cannot happen here: every cut is an error.

--- a/mesh/serverconn/faulty_test.go
+++ b/mesh/serverconn/faulty_test.go
@@ -152,3 +152,44 @@
 		t.Errorf("%v, %v after %d runs", resp, err, ran.Load())
 	}
 }
+
+// Guards against an answer that breaks off in its head or body, or is reset, and is taken
+// for a complete one. With a body that only the end of the connection delimits, a cut
+// cannot be told from the end, so that the node refuses such answers.
+func TestAnswerCutAtAnyByteIsNotComplete(t *testing.T) {
+	const body = "hello"
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\n" + body,
+		"chunked": "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + body + "\r\n0\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			var cut atomic.Int64
+			c := faultyServer(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, answer[:cut.Load()])
+				if tcp, ok := c.(*net.TCPConn); ok && reset {
+					_ = tcp.SetLinger(0)
+				}
+			})
+			for n := range len(answer) {
+				cut.Store(int64(n))
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("X-Id", "a")
+				resp, err := c.RoundTrip(req)
+				if err != nil {
+					continue
+				}
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err == nil {
+					t.Errorf("%s, reset %v: complete after %d of %d bytes", name, reset, n, len(answer))
+				}
+			}
+		}
+	}
+}
