Refuse requests that come after a stopping node takes no more

Cause: other operators report requests that came late in the grace of a planned stop, were passed on and cut at its end. It can happen here: a request on a connection that was made just before the listener closed was passed on up to the end of the drain timeout, writes too. Change: after timeouts.leave a stopping node answers 503, not run.

--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -40,6 +40,9 @@
 	// stopping is set when a planned stop begins. Responses then carry "Connection:
 	// close", so that callers reconnect to another node.
 	stopping atomic.Bool
+	// closed is set when a stopping node takes no more requests. What comes later, on a
+	// connection that is still open, might be cut at the end of the drain timeout.
+	closed atomic.Bool
 	// logSampler decides which requests get a log line.
 	logSampler *telemetry.RequestSampler
 	// freshness holds the last contact with the source of the configuration.
@@ -62,6 +65,7 @@
 
 // Refusal reasons of the entry side. No byte of the request has left the node.
 const (
+	reasonStopping        = "node is stopping"
 	reasonNoConfig        = "no configuration in force yet"
 	reasonOutdated        = "no route in a configuration that may be out of date"
 	reasonTooManyCalls    = "too many requests in flight"
@@ -79,6 +83,10 @@
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if e.closed.Load() {
+		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonStopping)
+		return
+	}
 	table := e.table()
 	if table == nil {
 		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonNoConfig)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -300,6 +300,7 @@
 	sleepContext(ctx, n.cfg.Timeouts.Leave-notice)
 	n.publisher.Leave()
 	sleepContext(ctx, notice)
+	n.entry.closed.Store(true)
 	n.gate.Drain()
 	for _, s := range servers {
 		s.stop(ctx)
--- a/mesh/node/stop_test.go
+++ b/mesh/node/stop_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"balsamtrail.org/mesh/admission"
+	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/membership"
@@ -71,6 +74,31 @@
 	}
 }
 
+// Guards against requests that are taken late in a planned stop, passed on and cut at its
+// end: a caller may send one on a connection that it made just before the listener closed.
+func TestRequestLateInAStopIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/cabinets/1", "/restocks/1"} {
+		passedOn := 0
+		e := newTestEntry(t, scriptedSender(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+			passedOn++
+			return nil, callmux.ErrOutcomeUnknown
+		}), &recordingClaims{})
+		n, release := stoppingNode(t, 10*time.Second)
+		n.entry = e
+		time.AfterFunc(testLeave+50*time.Millisecond, func() {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(http.MethodPost, path, nil)
+			r.Header.Set(HeaderIdempotencyKey, "key")
+			e.ServeHTTP(w, r)
+			if w.Code != http.StatusServiceUnavailable || w.Header().Get(HeaderNotRun) == "" || passedOn != 0 {
+				t.Errorf("%s: status %d, header %v, passed on %d times", path, w.Code, w.Header(), passedOn)
+			}
+			release(admission.Outcome{Result: admission.ResultOK})
+		})
+		stopNode(n)
+	}
+}
+
 // Guards against a backend server that is idle while its node waits for callers to
 // reconnect elsewhere. A rolling restart would then take too many backend servers out
 // of service at a time.
