Let hosts that join together wait for each other

Cause: only one membership change may be in progress, and a host whose request met another one was refused and asked again after 300 ms. Change: BeginAddHost waits for the changes before its own, at most 0.8 s for a joining host. Measured: the test with seven hosts that join together failed first (5 of 10 hosts vote after 2 s, 5 refused), and passes.

--- a/mesh/control/join.go
+++ b/mesh/control/join.go
@@ -18,6 +18,9 @@
 	// It is short, so that a replacement becomes a member before the next host
 	// fails.
 	joinInterval = 300 * time.Millisecond
+	// joinWait is how long the leader lets a host wait for the changes before its own.
+	// It is shorter than hostCallTimeout, so that the host gets an answer.
+	joinWait = 800 * time.Millisecond
 	// joinElectionTimeouts is the number of election timeouts without a known
 	// leader after which a member asks to be added too: the group may have
 	// removed it while it was disconnected.
@@ -139,6 +142,8 @@
 			return memberReply{}, eris.Wrapf(ErrNoLeader, "address not recorded: %v", err)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, joinWait)
+	defer cancel()
 	for group, disk := range req.Disks {
 		l := c.transport.allLogs()[group]
 		if l == nil {
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -278,9 +278,23 @@
 }
 
 // BeginAddHost is like AddHost, but returns as soon as the leader has appended
-// the change to its log. It may be repeated until the host is a voter.
+// the change to its log. While another change is in progress it waits until ctx ends.
+// It may be repeated until the host is a voter.
 func (l *Log) BeginAddHost(ctx context.Context, host Member) error {
-	return l.request(ctx, adminRequest{member: host})
+	for {
+		_, changed := l.Watch()
+		err := l.request(ctx, adminRequest{member: host})
+		if !errors.Is(err, ErrMembers) {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return err
+		case <-l.stopped:
+			return err
+		}
+	}
 }
 
 // RemoveHost removes a host from the group and returns when the change is
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -354,6 +354,32 @@
 	})
 }
 
+// Guards against hosts that join one after another with a wait between them: a fleet that
+// starts needs its control hosts before its nodes.
+func TestHostsThatJoinTogetherWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		_, _, logs := n.openGroup(t, Config{}, threeHosts...)
+		leader := waitLeader(t, logs...)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var wg sync.WaitGroup
+		for _, host := range []model.HostID{"d", "e", "f", "g", "h", "i", "j"} {
+			added := n.open(t, Config{Self: host, Dir: simDir, FS: wal.NewMemFS()}, &listMachine{})
+			wg.Go(func() {
+				if err := leader.BeginAddHost(ctx, Member{Host: host, Disk: added.Status().Disk}); err != nil {
+					t.Errorf("%s: %v", host, err)
+				}
+			})
+		}
+		wg.Wait()
+		time.Sleep(2 * time.Second)
+		if ms := leader.Status().Members; ms.Voters() != 10 {
+			t.Errorf("%d of 10 hosts vote", ms.Voters())
+		}
+	})
+}
+
 // Guards against a planned stop of the leader that interrupts proposals or
 // leaves the group without a leader for an election timeout.
 func TestLeadershipTransfer(t *testing.T) {
