Tell refused callers when cold backend servers have room again

Cause: after a loss of all power every backend server is cold for some seconds and refuses what its cold rate does not allow. Change: a refusal by the gate of a cold server states the time until it is warm, the serving node passes it on, and the entry node tells the caller the least time of the servers that it tried, and up to 1 s more by chance. Other refusals are as before. Ruled out: holding the requests instead; a caller must hear at once. Measured: tests failed first.

--- a/mesh/admission/message.go
+++ b/mesh/admission/message.go
@@ -107,7 +107,12 @@
 
 // NotRun is the error of a request that was refused before any byte of it
 // reached the backend server.
-type NotRun struct{ Reason Reason }
+type NotRun struct {
+	Reason Reason
+	// RetryAfter is the time until the backend server is no longer cold; 0 if it is not,
+	// or if that is not the reason.
+	RetryAfter time.Duration
+}
 
 // Error returns the reason.
 func (e *NotRun) Error() string { return "not run: " + string(e.Reason) }
--- a/mesh/admission/pacer_test.go
+++ b/mesh/admission/pacer_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -117,3 +118,30 @@
 		}
 	})
 }
+
+// Guards against a refusal that does not say when a cold backend server has room again,
+// and against one that says so where the cold rate is not the reason.
+func TestColdRefusalSaysWhenThereIsRoom(t *testing.T) {
+	g := NewGate(Config{Service: note.Service{Name: "ledger", Slots: 2, QueueLimit: 0, ColdRate: 1}})
+	g.Start(2, 3*time.Second)
+	refusal := func() *NotRun {
+		for range 5 {
+			if _, err := g.Acquire(t.Context(), Request{}); err != nil {
+				var n *NotRun
+				if !errors.As(err, &n) {
+					t.Fatal(err)
+				}
+				return n
+			}
+		}
+		t.Fatal("five requests admitted at once")
+		return nil
+	}
+	if n := refusal(); n.RetryAfter < 2*time.Second || n.RetryAfter > 3*time.Second {
+		t.Errorf("refused as %q, room after %s", n.Reason, n.RetryAfter)
+	}
+	g.Drain()
+	if n := refusal(); n.RetryAfter != 0 {
+		t.Errorf("refused as %q, room after %s", n.Reason, n.RetryAfter)
+	}
+}
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -222,6 +222,20 @@
 	return used + waiting
 }
 
+// retryAfter returns the time until the backend server is no longer cold, if its cold
+// rate is why a request is refused; otherwise 0.
+func (s *scheduler) retryAfter(now time.Time, refused Reason) time.Duration {
+	switch refused {
+	case ReasonQueueFull, ReasonStale, ReasonNoTurn, ReasonUnavailable:
+	default:
+		return 0
+	}
+	if s.unavailable || !s.provisional && s.pacer.cold.rate == 0 {
+		return 0
+	}
+	return max(s.pacer.coldUntil.Sub(now), 0)
+}
+
 // limit returns how many requests may run now: the concurrency limit without the slots
 // that requests take which the gate does not know. It is at least 1, so that answers
 // tell when they have ended.
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -88,6 +88,8 @@
 	// Declined is true if the serving node refused the request and its backend
 	// server has not seen it.
 	Declined bool `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is when the serving node expects room again; 0 if it cannot tell.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Reasons of refusals by this package.
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -45,11 +45,18 @@
 	// outageRetryAfter is used when the cause lasts longer, such as a missing
 	// configuration or no available backend server.
 	outageRetryAfter = 300 * time.Millisecond
+	// startRetryAfter is used while the node has no configuration. A mesh that starts or
+	// returns needs about that long, and its backend servers are cold for a while after.
+	startRetryAfter = time.Second
+	// maxRetryAfterSpread bounds the random part of the time. Callers that were refused
+	// while all backend servers were cold come back within it.
+	maxRetryAfterSpread = time.Second
 )
 
-// jitteredRetryAfter returns a random time between least and twice least.
+// jitteredRetryAfter returns a random time between least and twice least, or least and
+// maxRetryAfterSpread more.
 func jitteredRetryAfter(least time.Duration) time.Duration {
-	return least + rand.N(least)
+	return least + rand.N(min(least, maxRetryAfterSpread))
 }
 
 // refuseNotRun refuses a request that is known not to have run.
@@ -112,7 +119,7 @@
 func refuseCall(w http.ResponseWriter, c *call, a *attempt) {
 	invariant.Check(!c.mayHaveRun, invariant.TrueNotRun, "refused as not run after a try of unknown outcome",
 		"route", string(c.route.Name), "tried", c.attempts.Tried())
-	refuseWithRetryAfter(w, http.StatusServiceUnavailable, a.reason, minRetryAfter(c.route, errors.Is(a.err, errNoServer)))
+	refuseWithRetryAfter(w, http.StatusServiceUnavailable, a.reason, max(minRetryAfter(c.route, errors.Is(a.err, errNoServer)), c.room.least))
 }
 
 // minRetryAfter returns the minimum time after which the caller of a refused call
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -37,6 +37,22 @@
 	// mayHaveRun is set once an attempt has an unknown outcome. From then on the call is
 	// never refused as not run, whatever the later attempts return.
 	mayHaveRun bool
+	// room is the least time until an attempted backend server has room again; 0 if one
+	// could not tell.
+	room roomEstimate
+}
+
+// roomEstimate is the least time in which one of several backend servers has room again.
+type roomEstimate struct {
+	known bool
+	least time.Duration
+}
+
+// add takes the estimate of one more backend server; 0 if it cannot tell.
+func (r *roomEstimate) add(after time.Duration) {
+	if !r.known || after < r.least {
+		r.known, r.least = true, after
+	}
 }
 
 // finalAttempt returns the last attempt as the outcome of the call. An attempt that did not
@@ -163,6 +179,14 @@
 	}
 }
 
+// retryAfter returns when the serving node expects room again; 0 if it cannot tell.
+func (a *attempt) retryAfter() time.Duration {
+	if a.resp == nil || a.resp.Refusal == nil {
+		return 0
+	}
+	return a.resp.Refusal.RetryAfter
+}
+
 // utilization returns the part of the concurrency limit in use, as stated in the
 // response; 0 without a response.
 func (a *attempt) utilization() float64 {
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -49,6 +49,9 @@
 	var errorAnswer *attempt // answer that reports an error; returned if no later attempt is answered
 	for {
 		a := d.nextAttempt(ctx, c)
+		if !errors.Is(a.err, errNoServer) {
+			c.room.add(a.retryAfter())
+		}
 		if a.isFinal(c.route) || !mayRetry(ctx, c, a) {
 			if errorAnswer != nil && !a.answered() {
 				a.close()
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -362,3 +363,32 @@
 		}
 	}
 }
+
+// Guards against callers that use up their retries while every backend server is cold, as
+// after a loss of all power: the refusal must say when the servers have room again.
+func TestRefusalByColdServersSaysWhenToComeBack(t *testing.T) {
+	const cold = 2500 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		hints     []time.Duration // by attempt; 0 without one
+		want, max time.Duration
+	}{
+		{"all cold", []time.Duration{cold, cold, cold}, cold, cold + maxRetryAfterSpread},
+		{"one has room sooner", []time.Duration{cold, 0, cold}, outageRetryAfter, 2 * outageRetryAfter},
+		{"none says", []time.Duration{0, 0, 0}, outageRetryAfter, 2 * outageRetryAfter},
+	} {
+		attempts := 0
+		e := newTestEntry(t, scriptedSender(func(context.Context, string, *callmux.Request) (*callmux.Response, error) {
+			hint := c.hints[min(attempts, len(c.hints)-1)]
+			attempts++
+			return &callmux.Response{Body: http.NoBody, Limit: 20,
+				Refusal: &callmux.Refusal{Reason: "queue full", NotRun: true, Declined: true, RetryAfter: hint}}, nil
+		}), &recordingClaims{})
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/cabinets/7", nil))
+		ms, err := strconv.Atoi(w.Header().Get(HeaderRetryAfter))
+		if got := time.Duration(ms) * time.Millisecond; err != nil || got < c.want || got > c.max {
+			t.Errorf("%s: come back after %s (%v), want %s to %s, after %d attempts", c.name, got, err, c.want, c.max, attempts)
+		}
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -64,7 +64,7 @@
 		s.onNewerPosition(from, req.Position)
 	}
 	if req.Service != s.service || req.Version != s.version() {
-		return s.decline(req, reasonWrongServer), nil
+		return s.decline(req, reasonWrongServer, 0), nil
 	}
 	s.observeCaller(req.Notice)
 	deadline, _ := ctx.Deadline()
@@ -73,7 +73,8 @@
 		Target: latencyDeadlineOf(req),
 	})
 	if err != nil {
-		return s.decline(req, refusalReason(err)), nil
+		reason, retryAfter := refusalReason(err)
+		return s.decline(req, reason, retryAfter), nil
 	}
 	return s.forward(ctx, req, release), nil
 }
@@ -87,12 +88,14 @@
 	return time.Now().Add(req.TimeToLatencyTarget)
 }
 
-func refusalReason(err error) string {
+// refusalReason returns the reason of a refusal by the gate, and when there is room again
+// if that is known.
+func refusalReason(err error) (string, time.Duration) {
 	var n *admission.NotRun
 	if errors.As(err, &n) {
-		return string(n.Reason)
+		return string(n.Reason), n.RetryAfter
 	}
-	return err.Error()
+	return err.Error(), 0
 }
 
 // refuse counts a refusal, logs it if it is sampled, and returns its response.
@@ -114,9 +117,9 @@
 }
 
 // decline refuses a request that has not been sent to the backend server.
-func (s *serving) decline(req *callmux.Request, reason string) *callmux.Response {
+func (s *serving) decline(req *callmux.Request, reason string, retryAfter time.Duration) *callmux.Response {
 	resp := s.refuse(req, reason, true)
-	resp.Refusal.Declined = true
+	resp.Refusal.Declined, resp.Refusal.RetryAfter = true, retryAfter
 	return resp
 }
 
