Let a handshake between nodes outlast the calls that wait for it

Change: a call still waits for timeouts.connect, but the handshake goes on for 2 s and serves later calls; a server makes eight handshakes at a time, the others wait for at most 1 s; an unfinished one counts for 300 ms.

--- a/mesh/callmux/client.go
+++ b/mesh/callmux/client.go
@@ -207,8 +207,17 @@
 	}
 	c.mu.Unlock()
 	select {
+	case <-pc.ready: // the usual case needs no timer
+		return pc.cn, pc.err
+	default:
+	}
+	timer := time.NewTimer(c.cfg.DialTimeout)
+	defer timer.Stop()
+	select {
 	case <-pc.ready:
 		return pc.cn, pc.err
+	case <-timer.C:
+		return nil, eris.Wrapf(ErrConnection, "%s: not connected in %s", key.addr, c.cfg.DialTimeout)
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
@@ -296,7 +305,7 @@
 }
 
 func (c *Client) dialConnection(pc *pooledConn) (*connection, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.DialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.HandshakeTimeout)
 	defer cancel()
 	raw, rw, id, err := c.dial(ctx, pc.key.addr, pc.key.expected)
 	if err != nil {
@@ -329,7 +338,7 @@
 }
 
 func (c *Client) dialTLS(ctx context.Context, addr string, expected peer.Identity) (net.Conn, net.Conn, peer.Identity, error) {
-	var d net.Dialer
+	d := net.Dialer{Timeout: c.cfg.DialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, nil, peer.Identity{}, eris.Wrapf(ErrConnection, "%s: %v", addr, err)
--- a/mesh/callmux/config.go
+++ b/mesh/callmux/config.go
@@ -42,9 +42,18 @@
 	// blocked, before the connection fails. A shorter one breaks calls when a host
 	// is busy; a longer one delays calls on an unresponsive connection.
 	HeartbeatDeadline time.Duration
-	// DialTimeout bounds TCP connect, TLS handshake and hello exchange together; on
-	// a server, the last two. It adds to the latency of calls to an unreachable host.
+	// DialTimeout bounds the TCP connect, and how long a call waits for a connection
+	// that is being made. It adds to the latency of calls to an unreachable host.
 	DialTimeout time.Duration
+	// HandshakeTimeout bounds the TLS handshake and the hello exchange, on a server from
+	// the accept on. It is longer than DialTimeout: calls give up, but a handshake with
+	// a busy peer goes on for those that come later. A longer one leaves an
+	// unresponsive connection in use for longer.
+	HandshakeTimeout time.Duration
+	// Handshakes is the number of handshakes that a server makes at a time; further ones
+	// wait. More let a fleet connect sooner where there is processor time; with fewer,
+	// each handshake ends sooner, before its client gives up.
+	Handshakes int
 	// IdleLimit is how long a client keeps a connection without calls. A longer
 	// one saves handshakes but costs heartbeats.
 	IdleLimit time.Duration
@@ -75,6 +84,8 @@
 	DefaultHeartbeat         = 250 * time.Millisecond
 	DefaultHeartbeatDeadline = time.Second
 	DefaultDialTimeout       = time.Second
+	DefaultHandshakeTimeout  = 2 * time.Second
+	DefaultHandshakes        = 8
 	DefaultIdleLimit         = time.Minute
 	DefaultDrainLimit        = 30 * time.Second
 	DefaultWindow            = 64 << 10 // bytes
@@ -96,6 +107,8 @@
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
 	setDefault(&c.HeartbeatDeadline, DefaultHeartbeatDeadline)
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.HandshakeTimeout, max(DefaultHandshakeTimeout, c.DialTimeout))
+	setDefault(&c.Handshakes, DefaultHandshakes)
 	setDefault(&c.IdleLimit, DefaultIdleLimit)
 	setDefault(&c.DrainLimit, DefaultDrainLimit)
 	setDefault(&c.Window, DefaultWindow)
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -27,6 +27,8 @@
 type Server struct {
 	cfg Config
 	wg  sync.WaitGroup
+	// handshakes holds an element for each handshake being made.
+	handshakes chan struct{}
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -39,7 +41,8 @@
 
 // NewServer returns a server, which accepts connections once Serve is called.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg.withDefaults(), conns: map[*connection]struct{}{}}
+	cfg = cfg.withDefaults()
+	return &Server{cfg: cfg, conns: map[*connection]struct{}{}, handshakes: make(chan struct{}, cfg.Handshakes)}
 }
 
 // Serve accepts connections until ctx ends or the listener is closed. When ctx
@@ -108,10 +111,10 @@
 }
 
 func (s *Server) serveTLS(raw net.Conn, cfg *tls.Config, h Handler) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.HandshakeTimeout)
 	defer cancel()
 	conn := tls.Server(raw, cfg)
-	id, err := verifyPeer(ctx, conn)
+	id, err := s.verifyClient(ctx, conn)
 	if err == nil && id.Role != peer.RoleNode {
 		err = eris.Wrapf(peer.ErrForbidden, "calls by %s", id)
 	}
@@ -124,6 +127,31 @@
 	s.serve(ctx, raw, conn, id, h)
 }
 
+// handshakeHold bounds the time that an unfinished handshake counts, so that clients that
+// never finish do not keep out others.
+const handshakeHold = 300 * time.Millisecond
+
+// errHandshakeWait is returned for a connection that waited for its handshake for so
+// long that its client is about to give up.
+var errHandshakeWait = eris.New("too many handshakes")
+
+// verifyClient makes the handshake with a client once fewer than Handshakes are being
+// made. It waits for at most half of the time, so that no handshake is begun that its
+// client will not wait for.
+func (s *Server) verifyClient(ctx context.Context, conn *tls.Conn) (peer.Identity, error) {
+	timer := time.NewTimer(s.cfg.HandshakeTimeout / 2)
+	defer timer.Stop()
+	select {
+	case s.handshakes <- struct{}{}:
+		finish := sync.OnceFunc(func() { <-s.handshakes })
+		defer time.AfterFunc(handshakeHold, finish).Stop()
+		defer finish()
+		return verifyPeer(ctx, conn)
+	case <-timer.C:
+		return peer.Identity{}, errHandshakeWait
+	}
+}
+
 // serve runs the connection of a verified peer until it ends. ctx bounds the
 // exchange of hello frames only.
 func (s *Server) serve(ctx context.Context, raw, rw net.Conn, id peer.Identity, h Handler) {
