--- a/examples/walkthrough.sh
+++ b/examples/walkthrough.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Follows the main path of docs/operations.md on loopback with the processes of
+# Follows the main path of docs/running.md on loopback with the processes of
 # examples/aare and stand-in backend servers, and fails on an unexpected answer.
 # Needs the programs in bin (make build), bash and curl. WALKTHROUGH_KEEP=1 keeps
 # the folder with settings, data and logs.
