--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -122,11 +122,11 @@
 // refuseUnrouted refuses a request before it has a route, and logs the position and the age of
 // the configuration that decided it.
 func (e *entry) refuseUnrouted(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	retryAfter := outageRetryAfter
 	if reason == reasonNoConfig {
-		refuseWithRetryAfter(w, status, reason, startRetryAfter)
-	} else {
-		refuseNotRun(w, status, reason)
+		retryAfter = startRetryAfter
 	}
+	refuseWithRetryAfter(w, status, reason, retryAfter)
 	if e.logSampler.AllowNotable() {
 		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
 			"status", status, "reason", reason, "position", e.dispatcher.position().String(),
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -86,7 +86,7 @@
 	gate      *handshakeGate
 	wg        sync.WaitGroup
 	// accepted and dialled count the handshakes.
-	accepted, dialled handshakes
+	accepted, dialled handshakeCounters
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -126,7 +126,7 @@
 		return nil, eris.Wrapf(ErrUnreachable, "listen: %v", err)
 	}
 	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}, outbounds: map[*outbound]struct{}{},
-		redials: map[string]redialDelay{}, closing: make(chan struct{}), accepted: handshakesOf("accepted"), dialled: handshakesOf("dialled"),
+		redials: map[string]redialDelay{}, closing: make(chan struct{}), accepted: handshakeCountersOf("accepted"), dialled: handshakeCountersOf("dialled"),
 		gate: &handshakeGate{limit: cfg.Handshakes, acceptNodes: cfg.AcceptNodes}}
 	e.transport = &quic.Transport{Conn: sock}
 	tlsConfig := e.gate.limitHandshakes(cfg.Credentials.ServerTLS(alpnControl, alpnNode), e.accepted)
--- a/mesh/peer/handshake.go
+++ b/mesh/peer/handshake.go
@@ -36,21 +36,21 @@
 // errHandshakeRefused ends a handshake that is not admitted.
 var errHandshakeRefused = eris.New("too many handshakes")
 
-// handshakes counts, by outcome, the handshakes that other processes began with this
+// handshakeCounters count, by outcome, the handshakes that other processes began with this
 // endpoint and those that this endpoint began.
-type handshakes struct{ begun, done, refused, failed metrics.Counter }
+type handshakeCounters struct{ begun, done, refused, failed metrics.Counter }
 
-// handshakesOf returns the counters peer.handshakes.<side>.<outcome>.
-func handshakesOf(side string) handshakes {
+// handshakeCountersOf returns the counters peer.handshakes.<side>.<outcome>.
+func handshakeCountersOf(side string) handshakeCounters {
 	counter := func(outcome string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("peer.handshakes."+side+"."+outcome, metrics.DefaultRegistry)
 	}
-	return handshakes{begun: counter("begun"), done: counter("done"), refused: counter("refused"), failed: counter("failed")}
+	return handshakeCounters{begun: counter("begun"), done: counter("done"), refused: counter("refused"), failed: counter("failed")}
 }
 
 // handshakeGate decides which handshakes an endpoint serves. A handshake costs some
-// milliseconds of processor time, so that a fleet that returns at once would otherwise
-// delay everything else, and each handshake until its peer gives up. Those of control
+// milliseconds of processor time. Those of a fleet that returns at once would delay
+// everything else, and none would end before its peer gives up. Handshakes of control
 // hosts are always admitted. One mutex guards the gate.
 type handshakeGate struct {
 	// limit is the number of handshakes of nodes at a time; 0 for no limit.
@@ -103,7 +103,7 @@
 
 // limitHandshakes returns a server configuration that refuses the handshakes that the
 // gate does not admit, before the key exchange.
-func (g *handshakeGate) limitHandshakes(cfg *tls.Config, count handshakes) *tls.Config {
+func (g *handshakeGate) limitHandshakes(cfg *tls.Config, count handshakeCounters) *tls.Config {
 	perClient := cfg.GetConfigForClient
 	cfg.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
 		count.begun.Inc(1)
