--- a/review/kit/drain.go
+++ b/review/kit/drain.go
@@ -43,11 +43,17 @@
 	if err != nil {
 		return false, err
 	}
-	a1, a2, b1 := m.nodes[0], m.nodes[1], m.nodes[2]
+	// A neighbour in the zone of the upstream that leaves, which prefers it.
+	neighbour, err := m.join("za", serviceB, "i-00000004")
+	if err != nil {
+		return false, err
+	}
+	defer neighbour.close()
+	a1, b1 := m.nodes[0], m.nodes[2]
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
-	go func() { defer close(done); traffic(ctx, m, 20*time.Millisecond, "/p/x", a2, b1) }()
+	go func() { defer close(done); traffic(ctx, m, 20*time.Millisecond, "/p/x", b1, neighbour.beside) }()
 	time.Sleep(6 * time.Second) // nodes and core are in touch, and the upstreams are warm
 	leaving := ups[0]
 	before := leaving.count()
--- a/review/kit/forged.go
+++ b/review/kit/forged.go
@@ -23,10 +23,16 @@
 	if err != nil {
 		return false, err
 	}
+	// A neighbour in the zone of the upstream that leaves, which prefers it.
+	neighbour, err := m.join("za", serviceB, "i-00000004")
+	if err != nil {
+		return false, err
+	}
+	defer neighbour.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
-	go func() { defer close(done); traffic(ctx, m, 20*time.Millisecond, "/p/x", m.nodes[1], m.nodes[2]) }()
+	go func() { defer close(done); traffic(ctx, m, 20*time.Millisecond, "/p/x", m.nodes[2], neighbour.beside) }()
 	time.Sleep(6 * time.Second) // nodes and core are in touch, and the upstreams are warm
 	leaving := ups[0]
 	if leaving.count() == 0 {
--- a/review/kit/small.go
+++ b/review/kit/small.go
@@ -47,3 +47,17 @@
 	}
 	return ups, m.awaitReady(20e9, m.nodes...)
 }
+
+// join adds a machine with a node and an upstream to the running deployment and waits until
+// its node is ready.
+func (m *mesh) join(zone, service, id string) (*upstream, error) {
+	n := m.addNode(zone, service)
+	if err := m.start(n, false); err != nil {
+		return nil, err
+	}
+	u := newUpstream(m, n, id)
+	if err := u.start(); err != nil {
+		return u, err
+	}
+	return u, m.awaitReady(20e9, n)
+}
