Withdraw one case of the review and narrow the checks of two

Case 2 counted more than the rule says, case 1 read one control host and changed the configuration faster than the site's storms. The former case 5 is now 4.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -12,7 +12,6 @@
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
 	"forgotten-drain": forgottenDrain,
 	"lost-rollout":    lostRollout,
-	"forged-report":   forgedReport,
 	"foreign-byte":    foreignByte,
 	"first-start":     firstStart,
 }
--- a/review/kit/mesh.go
+++ b/review/kit/mesh.go
@@ -306,33 +306,38 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(text), took: time.Since(began)}
 }
 
+// ask sends one call of the operator to one control host.
+func (m *mesh) ask(c *machine, query, ifMatch string, body []byte) (status int, text string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr(c.ip, portControl)+"/-/rpc?"+query, bytes.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if ifMatch != "" {
+		req.Header.Set("If-Match", ifMatch)
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
 // order sends an order of the operator to the control hosts in turn until one gives a clear
 // answer.
 func (m *mesh) order(timeout time.Duration, query, ifMatch string, body []byte) (int, string, error) {
 	end := time.Now().Add(timeout)
 	for n := 0; time.Now().Before(end); n++ {
 		c := m.controls[n%len(m.controls)]
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr(c.ip, portControl)+"/-/rpc?"+query, bytes.NewReader(body))
-		if err != nil {
-			cancel()
-			return 0, "", err
-		}
-		req.Header.Set("Content-Type", "application/json")
-		if ifMatch != "" {
-			req.Header.Set("If-Match", ifMatch)
-		}
-		resp, err := m.client.Do(req)
-		if err == nil {
-			text, rerr := io.ReadAll(resp.Body)
-			_ = resp.Body.Close()
-			if rerr == nil && resp.StatusCode < 500 && resp.StatusCode != 408 && resp.StatusCode != 429 {
-				cancel()
-				m.rec.log("operator: %s answered with %d by %s", query, resp.StatusCode, c.name)
-				return resp.StatusCode, string(text), nil
-			}
+		status, text, err := m.ask(c, query, ifMatch, body)
+		if err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+			m.rec.log("operator: %s answered with %d by %s", query, status, c.name)
+			return status, text, nil
 		}
-		cancel()
 		time.Sleep(100 * time.Millisecond)
 	}
 	return 0, "", fmt.Errorf("%w: %w to %s within %s", errCannotRun, errNoAnswer, query, timeout)
--- a/review/kit/poison.go
+++ b/review/kit/poison.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -77,11 +79,16 @@
 				return
 			}
 			defer k.conn.Close()
-			status, size, err := k.get("/l/short", fmt.Sprintf("%016x", 0x100+n), "cafe", 6*time.Second)
-			rec.log("caller %d: the first request on its connection got %d, %d bytes, %v", n, status, size, err)
-			status, size, err = k.get("/l/long", fmt.Sprintf("%016x", 0x200+n), "cafe", 6*time.Second)
+			first, size, err := k.get("/l/short", fmt.Sprintf("%016x", 0x100+n), "cafe", 6*time.Second)
+			rec.log("caller %d: the first request on its connection got %d, %d bytes, %v", n, first, size, err)
+			if err != nil || first != 200 {
+				return // it has no kept connection
+			}
+			id := fmt.Sprintf("%016x", 0x200+n)
+			status, size, err := k.get("/l/long", id, "cafe", 6*time.Second)
 			rec.log("caller %d: the request for a long answer got %d, %d of %d bytes, %v", n, status, size, longAnswerBytes, err)
-			if err != nil || size != longAnswerBytes {
+			// A complete answer of any status is one, and a caller's own timeout closes nothing.
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && (ups[0].ran(id) || ups[1].ran(id)) {
 				mu.Lock()
 				defer mu.Unlock()
 				broken++
@@ -99,6 +106,6 @@
 		_ = k.conn.Close()
 	}
 	wg.Wait()
-	rec.log("%d of %d kept connections ended before the answer was complete", broken, callers)
+	rec.log("%d of %d kept connections were closed before the answer was complete, after an upstream had begun to run the request", broken, callers)
 	return broken > allowed, nil
 }
--- a/review/kit/rollout.go
+++ b/review/kit/rollout.go
@@ -4,31 +4,45 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// rolloutState reads the state of the rollout of a service at one control host. It is empty
-// after a 404, and an error if there is no clear answer.
-func (m *mesh) rolloutState(timeout time.Duration, service string) (state string, status int, err error) {
-	status, body, err := m.order(timeout, "call=rollouts.read&of="+service, "", nil)
-	if err != nil {
-		return "", status, err
-	}
-	var answer struct {
-		State         string `json:"state"`
-		TargetVersion string `json:"targetVersion"`
+// stateUnknown stands for a control host that knows no rollout of the service (404).
+const stateUnknown = "unknown"
+
+// rolloutStates reads the state of the rollout of a service at every control host, and returns
+// those that were clearly answered.
+func (m *mesh) rolloutStates(service string) map[string]string {
+	states := map[string]string{}
+	for _, c := range m.controls {
+		for range 5 {
+			status, body, err := m.ask(c, "call=rollouts.read&of="+service, "", nil)
+			var answer struct {
+				State string `json:"state"`
+			}
+			switch {
+			case err == nil && status == http.StatusOK && json.Unmarshal([]byte(body), &answer) == nil && answer.State != "":
+				states[c.name] = answer.State
+			case err == nil && status == http.StatusNotFound:
+				states[c.name] = stateUnknown
+			}
+			m.rec.log("operator: the rollout of %s at %s: status %d, %s", service, c.name, status, states[c.name])
+			if states[c.name] != "" {
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
 	}
-	_ = json.Unmarshal([]byte(body), &answer)
-	m.rec.log("operator: the rollout of %s is %q to %q", service, answer.State, answer.TargetVersion)
-	return answer.State, status, nil
+	return states
 }
 
 // lostRollout withdraws a service and takes it up again with two configurations, starts a
 // rollout of it, and then kills all control hosts.
 func lostRollout(rec *recorder, trouble bool) (bool, error) {
-	const recovery = 15 * time.Second
+	const recovery, changeEvery = 15 * time.Second, 340 * time.Millisecond
 	m, err := newMesh(rec, []string{"za", "zb", "zc"})
 	if err != nil {
 		return false, err
@@ -78,7 +92,7 @@
 		if err := replace(both, serviceA, serviceB); err != nil {
 			return false, err
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(changeEvery)
 	}
 	// The upstreams of the new version start beside the old ones.
 	fresh := m.addNode("za", serviceB)
@@ -128,18 +142,19 @@
 		}
 	}
 	time.Sleep(time.Until(back.Add(3 * time.Second)))
-	if _, _, err := m.rolloutState(recovery, serviceB); err != nil {
-		return false, err
-	}
+	m.rolloutStates(serviceB)
 	time.Sleep(time.Until(back.Add(recovery + time.Second)))
-	state, status, err := m.rolloutState(recovery, serviceB)
-	if err != nil {
-		return false, err
-	}
+	states := m.rolloutStates(serviceB)
 	rec.log("since the order, %s of v1 ran %d requests and %s of v2 %d", old.id, len(old.runsAfter(ordered)), v2.id, len(v2.runsAfter(ordered)))
-	lost := status == 404 || state == ""
+	if len(states) == 0 {
+		return false, fmt.Errorf("%w: no control host says anything of the rollout", errCannotRun)
+	}
+	lost := true
+	for _, state := range states {
+		lost = lost && state == stateUnknown
+	}
 	if lost {
-		rec.log("the rollout that was confirmed is gone")
+		rec.log("the rollout that was confirmed is gone, at all control hosts")
 	}
 	return lost, nil
 }
--- a/review/kit/upstream.go
+++ b/review/kit/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -161,6 +162,13 @@
 	return len(u.runs)
 }
 
+// ran reports whether the upstream has begun to work on a request.
+func (u *upstream) ran(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.ContainsFunc(u.runs, func(r run) bool { return r.id == id })
+}
+
 // runsAfter returns the runs later than t.
 func (u *upstream) runsAfter(t time.Time) []run {
 	u.mu.Lock()
