Log what a control host restores and where a move starts from

Two explanations fit what the logs said: the log entry of the move is lost, or it is applied to a restored state that differs from the one saved.

--- a/mesh/control/machine.go
+++ b/mesh/control/machine.go
@@ -85,6 +85,7 @@
 	m.log.Info("note command applied", "index", index, "operator", string(c.Operator), "operation", string(c.Operation),
 		"code", string(r.Code), "changed", r.Changed, "message", r.Message)
 	if r.Code == note.CodeOK && (c.Publish != nil || c.Amend != nil || c.Withdraw != nil) {
+		m.logMoves(r.Number)
 		m.syncRollouts(rollout.InstantOf(c.Time), index)
 	}
 	if r.Changed {
@@ -93,6 +94,17 @@
 	return r
 }
 
+// logMoves logs the moves of a note with the shares that they start from. A move
+// from no shares names the first version of its service and starts no rollout.
+func (m *ConfigMachine) logMoves(number uint64) {
+	for _, mv := range m.notes.Moves() {
+		if mv.Note == number {
+			m.log.Info("move recorded", "note", number, "service", string(mv.Move.Service), "to", string(mv.Move.To),
+				"from", mv.From, "first_version", mv.IsFirstVersion(), "withdrawn", mv.Withdrawn)
+		}
+	}
+}
+
 // syncRollouts starts a rollout for each open move and withdraws the rollouts
 // of withdrawn moves. A move that names the first version of a service needs no
 // rollout.
@@ -229,6 +241,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.notes, m.rollouts, m.hosts = notes, moves, hosts
+	m.log.Info("configuration restored from a snapshot", "position", notes.Position().String(), "note", notes.Head(),
+		"services", len(notes.Config().Services), "without_shares", servicesWithoutShares(notes.Config()), "hosts", len(hosts))
 	if !notes.Position().IsZero() {
 		m.requestPublish()
 	}
@@ -236,6 +250,18 @@
 	return nil
 }
 
+// servicesWithoutShares returns the services that no version receives calls of, in order.
+func servicesWithoutShares(c note.Config) []model.ServiceName {
+	var out []model.ServiceName
+	for name := range c.Services {
+		if len(c.Shares[name]) == 0 {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Host returns the replicated address of a control host.
 func (m *ConfigMachine) Host(id model.HostID) (HostAddress, bool) {
 	m.mu.Lock()
