Keep the shares of a service that was withdrawn and taken up again

Cause: shares that no note states (the first version of a declared service, the steps of a move) were stored with the newest note that sets the traffic of the service, or in the base. If the service was withdrawn and added again after that, a fold drops them: the running process has the shares, a restored one has not. The move, applied on top, then names the first version of the service.

A step is now stored with the newest note that sets the traffic or adds the service, which is the last one that a fold needs before the step. A step of an earlier note's move keeps that note's number, so that its withdrawal undoes it. An amendment keeps that a note comes from a declaration.

--- a/mesh/note/apply.go
+++ b/mesh/note/apply.go
@@ -124,12 +124,13 @@
 	if err := s.checkNewMoves(n, before, old); err != nil {
 		return Result{}, err
 	}
-	n.Revision = old.Note.Revision + 1
+	n.Revision, n.Declared = old.Note.Revision+1, old.Note.Declared
+	steps := keptSteps(old, n)
 	r := &Record{
 		Note: n, Operator: c.Operator, Operation: c.Operation, Position: pos, Accepted: s.now,
-		Moves: newMoves(n, before, old.Moves, s.now), Steps: keptSteps(old, n),
+		Moves: newMoves(n, before, old.Moves, s.now), Steps: steps, StepOwners: keptStepOwners(old, steps),
 	}
-	if err := s.replaceRecord(r); err != nil {
+	if err := s.replaceRecord(r, old.droppedMoves(n)); err != nil {
 		return Result{}, err
 	}
 	s.archiveDroppedMoves(old, n)
@@ -162,7 +163,7 @@
 	for i := range r.Moves {
 		r.Moves[i].Withdrawn = true
 	}
-	if err := s.replaceRecord(&r); err != nil {
+	if err := s.replaceRecord(&r, old.Note.Moves); err != nil {
 		return Result{}, err
 	}
 	s.auditNote(c, pos, ActionWithdraw, &r)
@@ -170,10 +171,12 @@
 }
 
 // replaceRecord replaces the retained record of the same number if the resulting
-// configuration is valid.
-func (s *State) replaceRecord(r *Record) error {
+// configuration is valid. The steps of its dropped moves are undone.
+func (s *State) replaceRecord(r *Record, dropped []Move) error {
+	restoreSteps := s.dropStepsOf(r.Note.Number, dropped)
 	cfg, err := s.configWith(r)
 	if err != nil {
+		restoreSteps()
 		return err
 	}
 	i := len(s.retained) - int(s.head-r.Note.Number) - 1
--- a/mesh/note/declare_test.go
+++ b/mesh/note/declare_test.go
@@ -100,6 +100,72 @@
 		Expect(restored.Declared()).To(Equal(d.Declared()))
 		Expect(restored.Apply(withTime(declare(6, 5, 2, "a", "b"), d), model.Position{Epoch: 1, Index: d.index + 1}).Err()).To(Succeed())
 	})
+
+	// takenUpAgain declares the ledger, gives it shares, declares a configuration without it and
+	// then one with it again.
+	takenUpAgain := func() {
+		GinkgoHelper()
+		adopt := Command{Operator: RolloutOperator, SetShares: &SetShares{Service: "ledger", Shares: allTraffic("v1")}}
+		without := Command{Operator: "front-end", Declare: &Declare{Version: 6, Base: 5, Services: []Service{service("roster")}}}
+		for _, c := range []Command{declare(5, 0, 1, "a"), adopt, without, declare(7, 6, 1, "a"), adopt} {
+			Expect(d.do(c).Err()).To(Succeed())
+		}
+	}
+	restored := func() *State {
+		GinkgoHelper()
+		raw, err := d.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		s := NewState()
+		Expect(s.Restore(raw)).To(Succeed())
+		return s
+	}
+
+	// Guards against a confirmed move that is lost: a restored state without the shares takes it
+	// for the first version of the service, which then gets all calls at once.
+	It("keeps the shares of a service that was withdrawn and taken up again across a snapshot", func() {
+		takenUpAgain()
+		s := restored()
+		Expect(s.Config()).To(Equal(d.Config()))
+		publish := Command{Operator: "berta", Operation: "move", Publish: &Publish{Note: moveNote(d.Head()+1, "v2")}}
+		Expect(s.Apply(withTime(publish, d), model.Position{Epoch: 1, Index: d.index + 1}).Err()).To(Succeed())
+		Expect(s.Moves()[0].From).To(Equal(allTraffic("v1")))
+	})
+
+	// Guards against shares that are lost when notes are folded anew or into the base.
+	It("keeps these shares when an earlier note is amended and when notes are folded", func() {
+		d = newDriver(limits{retained: 3, entries: 1000, archived: 10, operations: 10, audit: 10})
+		takenUpAgain()
+		Expect(d.publish(Note{Number: d.Head() + 1, Routes: Changes[Route]{Added: []Route{route("more", "ledger")}}}).Err()).To(Succeed())
+		n, err := d.Note(d.Head() - 1)
+		Expect(err).NotTo(HaveOccurred())
+		n.Note.Title = "amended"
+		Expect(d.do(Command{Amend: &Amend{Note: n.Note, ExpectedRevision: 1}}).Err()).To(Succeed())
+		Expect(d.Config().Shares["ledger"]).To(Equal(allTraffic("v1")))
+		for i := range 4 {
+			r := route("more", "ledger")
+			r.MaxRetries = i
+			Expect(d.publish(Note{Number: d.Head() + 1, Routes: Changes[Route]{Changed: []Route{r}}}).Err()).To(Succeed())
+		}
+		Expect(restored().Config()).To(Equal(d.Config()))
+		Expect(d.Config().Shares["ledger"]).To(Equal(allTraffic("v1")))
+	})
+
+	// Guards against steps of a move that are lost because its service was withdrawn and taken up
+	// again meanwhile, and against steps that outlast the withdrawal of their move.
+	It("keeps the steps of a move whose service is taken up again, until the move is withdrawn", func() {
+		Expect(d.do(declare(5, 0, 1, "a")).Err()).To(Succeed())
+		Expect(d.step(&SetShares{Service: "ledger", Shares: allTraffic("v1")}).Err()).To(Succeed())
+		move := moveNote(d.Head()+1, "v2")
+		Expect(d.publish(move).Err()).To(Succeed())
+		Expect(d.do(Command{Operator: "front-end", Declare: &Declare{Version: 6, Base: 5, Services: []Service{service("roster")}}}).Err()).To(Succeed())
+		Expect(d.do(declare(7, 6, 1, "a")).Err()).To(Succeed())
+		step := Shares{"v1": 9000, "v2": 1000}
+		Expect(d.step(&SetShares{Service: "ledger", Shares: step, Note: move.Number, To: "v2"}).Err()).To(Succeed())
+		Expect(restored().Config().Shares["ledger"]).To(Equal(step))
+		Expect(d.do(Command{Withdraw: &Withdraw{Number: move.Number, ExpectedRevision: 1}}).Err()).To(Succeed())
+		Expect(d.Config().Shares).NotTo(HaveKey(model.ServiceName("ledger")))
+		Expect(restored().Config()).To(Equal(d.Config()))
+	})
 })
 
 func withTime(c Command, d *driver) Command {
--- a/mesh/note/fold.go
+++ b/mesh/note/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"balsamtrail.org/mesh/model"
 )
@@ -178,6 +179,11 @@
 	return ok
 }
 
+// adds reports whether the note adds the service.
+func (n Note) adds(service model.ServiceName) bool {
+	return slices.ContainsFunc(n.Services.Added, func(s Service) bool { return s.Name == service })
+}
+
 func (n Note) move(service model.ServiceName) (Move, bool) {
 	for _, m := range n.Moves {
 		if m.Service == service {
--- a/mesh/note/random_test.go
+++ b/mesh/note/random_test.go
@@ -23,6 +23,8 @@
 	note      Note
 	withdrawn bool
 	steps     map[model.ServiceName]Shares
+	// stepOwners names the note whose move has stored a step here; 0 for this note.
+	stepOwners map[model.ServiceName]uint64
 }
 
 func (h *referenceState) config() Config {
@@ -58,29 +60,80 @@
 	return c
 }
 
+// newest returns the newest note in force for which f reports true, or nil.
+func (h *referenceState) newest(f func(Note) bool) *referenceNote {
+	for i := len(h.notes) - 1; i >= 0; i-- {
+		if n := h.notes[i]; !n.withdrawn && f(n.note) {
+			return n
+		}
+	}
+	return nil
+}
+
+// dropSteps removes the steps of a note's move of a service from later notes.
+func (h *referenceState) dropSteps(number uint64, service model.ServiceName) {
+	for _, n := range h.notes {
+		if n.stepOwners[service] == number {
+			delete(n.steps, service)
+			delete(n.stepOwners, service)
+		}
+	}
+}
+
+// amend replaces a note by its new revision.
+func (h *referenceState) amend(is Note) {
+	n := h.notes[is.Number-1]
+	was := n.note
+	is.Declared = was.Declared
+	for service := range n.steps {
+		added := was.adds(service) && !was.setsTraffic(service) && is.adds(service) && !is.setsTraffic(service)
+		before, _ := was.move(service)
+		after, moves := is.move(service)
+		if !added && !(moves && after.To == before.To) {
+			delete(n.steps, service)
+			delete(n.stepOwners, service)
+		}
+	}
+	for _, m := range was.Moves {
+		if after, moves := is.move(m.Service); !moves || after.To != m.To {
+			h.dropSteps(is.Number, m.Service)
+		}
+	}
+	n.note = is
+}
+
+// setShares stores a step with the newest note that sets the traffic of the service or
+// adds it.
+func (h *referenceState) setShares(c SetShares) {
+	holder := h.newest(func(n Note) bool { return n.setsTraffic(c.Service) || n.adds(c.Service) })
+	holder.steps[c.Service] = c.Shares
+	delete(holder.stepOwners, c.Service)
+	owner := h.newest(func(n Note) bool { return n.setsTraffic(c.Service) })
+	if owner == nil || owner == holder {
+		return
+	}
+	if _, moves := owner.note.move(c.Service); moves {
+		holder.stepOwners[c.Service] = owner.note.Number
+	}
+}
+
 // accept applies a command that the state accepted.
 func (h *referenceState) accept(c Command) {
 	switch {
 	case c.Publish != nil:
-		h.notes = append(h.notes, &referenceNote{note: c.Publish.Note, steps: map[model.ServiceName]Shares{}})
+		h.notes = append(h.notes, &referenceNote{
+			note: c.Publish.Note, steps: map[model.ServiceName]Shares{}, stepOwners: map[model.ServiceName]uint64{},
+		})
 	case c.Amend != nil:
-		n := h.notes[c.Amend.Note.Number-1]
-		for service := range n.steps {
-			was, _ := n.note.move(service)
-			if is, ok := c.Amend.Note.move(service); !ok || is.To != was.To {
-				delete(n.steps, service)
-			}
-		}
-		n.note = c.Amend.Note
+		h.amend(c.Amend.Note)
 	case c.Withdraw != nil:
-		h.notes[c.Withdraw.Number-1].withdrawn = true
-	case c.SetShares != nil:
-		for i := len(h.notes) - 1; i >= 0; i-- {
-			if n := h.notes[i]; !n.withdrawn && n.note.setsTraffic(c.SetShares.Service) {
-				n.steps[c.SetShares.Service] = c.SetShares.Shares
-				return
-			}
+		n := h.notes[c.Withdraw.Number-1]
+		n.withdrawn = true
+		for _, m := range n.note.Moves {
+			h.dropSteps(n.note.Number, m.Service)
 		}
+	case c.SetShares != nil:
+		h.setShares(*c.SetShares)
 	case c.TakeOut != nil:
 		h.dataCentres[c.TakeOut.DataCentre] = DataCentreOut
 	case c.BeginReturn != nil && h.dataCentres[c.BeginReturn.DataCentre] == DataCentreOut:
@@ -137,6 +190,9 @@
 	if withdraw {
 		return n
 	}
+	if n.Declared = rapid.IntRange(0, 2).Draw(t, "declared") == 0; n.Declared {
+		return n // a new service gets its shares from a command
+	}
 	if rapid.Bool().Draw(t, "move") {
 		n.Moves = []Move{{Service: name, To: drawVersion(t), By: now.Add(time.Hour)}}
 	} else if rapid.Bool().Draw(t, "shares") {
--- a/mesh/note/record.go
+++ b/mesh/note/record.go
@@ -1,6 +1,7 @@
 package note
 
 import (
+	"maps"
 	"time"
 
 	"balsamtrail.org/mesh/model"
@@ -20,8 +21,13 @@
 	Reversed  time.Time   `cbor:"8,keyasint" json:"reversed,omitempty"`
 	Withdrawn bool        `cbor:"9,keyasint,omitempty" json:"withdrawn,omitempty"`
 	Moves     []MoveState `cbor:"10,keyasint,omitempty" json:"moves,omitempty"`
-	// Steps holds the shares that the moves of this note have reached, by service.
+	// Steps holds the shares that the moves of this note have reached, by service, and
+	// those of services that this note adds without shares.
 	Steps map[model.ServiceName]Shares `cbor:"11,keyasint,omitempty" json:"steps,omitempty"`
+	// StepOwners names, for the steps of a move of an earlier note, the number of that
+	// note: its withdrawal undoes the step. The service was withdrawn and added again
+	// since the move began.
+	StepOwners map[model.ServiceName]uint64 `cbor:"12,keyasint,omitempty" json:"-"`
 }
 
 // MoveState is a move of an accepted note with the state of its rollout.
@@ -74,19 +80,48 @@
 	return out
 }
 
-// keptSteps returns the shares reached by the moves whose target is unchanged in
-// the new revision n.
+// keptSteps returns the steps that the new revision n keeps: those of moves whose
+// target is unchanged, and those of services that both revisions add without shares.
 func keptSteps(r *Record, n Note) map[model.ServiceName]Shares {
 	out := map[model.ServiceName]Shares{}
 	for service, shares := range r.Steps {
 		was, _ := r.Note.move(service)
-		if m, ok := n.move(service); ok && m.To == was.To {
+		m, moves := n.move(service)
+		addedOnly := n.adds(service) && !n.setsTraffic(service) && !r.Note.setsTraffic(service)
+		if moves && m.To == was.To || addedOnly {
 			out[service] = shares
 		}
 	}
 	return out
 }
 
+// keptStepOwners returns the owners of the kept steps.
+func keptStepOwners(r *Record, kept map[model.ServiceName]Shares) map[model.ServiceName]uint64 {
+	out := maps.Clone(r.StepOwners)
+	maps.DeleteFunc(out, func(service model.ServiceName, _ uint64) bool { _, ok := kept[service]; return !ok })
+	return out
+}
+
+// droppedMoves returns the moves of the note that its new revision n drops or gives
+// another target.
+func (r *Record) droppedMoves(n Note) []Move {
+	var out []Move
+	for _, m := range r.Note.Moves {
+		if kept, ok := n.move(m.Service); !ok || kept.To != m.To {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// move returns the note's move of a service; a nil record has none.
+func (r *Record) move(service model.ServiceName) (Move, bool) {
+	if r == nil {
+		return Move{}, false
+	}
+	return r.Note.move(service)
+}
+
 func (r *Record) moveState(service model.ServiceName) *MoveState {
 	for i := range r.Moves {
 		if r.Moves[i].Move.Service == service {
--- a/mesh/note/steps.go
+++ b/mesh/note/steps.go
@@ -3,14 +3,17 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
 	"balsamtrail.org/mesh/model"
 )
 
-// setShares applies a step of a move. The step is stored with the newest note that
-// sets the service's traffic and is folded after that note.
+// setShares applies a step of a move, or the first shares of a declared service. The
+// step is stored with the newest note that sets the service's traffic or adds the
+// service, and is folded after that note: a note in between may have withdrawn the
+// service, which drops the shares of earlier notes.
 func (s *State) setShares(c Command, pos model.Position) (Result, error) {
 	cmd := c.SetShares
 	if _, ok := s.config.Services[cmd.Service]; !ok {
@@ -26,7 +29,7 @@
 	if maps.Equal(cmd.Shares, s.config.Shares[cmd.Service]) {
 		return Result{}, nil
 	}
-	s.storeStep(owner, cmd.Service, cmd.Shares)
+	s.storeStep(s.stepHolder(cmd.Service), owner, cmd.Service, cmd.Shares)
 	s.config.Shares = maps.Clone(s.config.Shares)
 	s.config.Shares[cmd.Service] = cmd.Shares
 	s.audit.add(AuditRecord{
@@ -65,20 +68,68 @@
 	return nil
 }
 
-// storeStep stores a step with its note, or in the base if owner is nil. It copies
-// the map, since configurations and returned records share it.
-func (s *State) storeStep(owner *Record, service model.ServiceName, shares Shares) {
-	if owner == nil {
+// stepHolder returns the newest retained note that sets the service's traffic or adds
+// the service, or nil if only notes folded into the base do.
+func (s *State) stepHolder(service model.ServiceName) *Record {
+	for i := len(s.retained) - 1; i >= 0; i-- {
+		if r := s.retained[i]; !r.Withdrawn && (r.Note.setsTraffic(service) || r.Note.adds(service)) {
+			return r
+		}
+	}
+	return nil
+}
+
+// storeStep stores a step with its holder, or in the base if holder is nil. owner is
+// the note that sets the service's traffic; nil if it is not retained. storeStep copies
+// the maps, since configurations and returned records share them.
+func (s *State) storeStep(holder, owner *Record, service model.ServiceName, shares Shares) {
+	if holder == nil {
 		s.base.Shares = maps.Clone(s.base.Shares)
 		s.base.Shares[service] = shares
 		return
 	}
-	steps := maps.Clone(owner.Steps)
-	if steps == nil {
-		steps = map[model.ServiceName]Shares{}
+	holder.Steps = withEntry(holder.Steps, service, shares)
+	if _, moves := owner.move(service); moves && holder != owner {
+		holder.StepOwners = withEntry(holder.StepOwners, service, owner.Note.Number)
+	} else if _, ok := holder.StepOwners[service]; ok {
+		holder.StepOwners = withoutEntry(holder.StepOwners, service)
+	}
+}
+
+func withEntry[K comparable, V any](m map[K]V, k K, v V) map[K]V {
+	n := maps.Clone(m)
+	if n == nil {
+		n = map[K]V{}
+	}
+	n[k] = v
+	return n
+}
+
+func withoutEntry[K comparable, V any](m map[K]V, k K) map[K]V {
+	n := maps.Clone(m)
+	delete(n, k)
+	return n
+}
+
+// dropStepsOf removes the steps that the given moves of a note have stored with later
+// notes. restore puts them back.
+func (s *State) dropStepsOf(number uint64, moves []Move) (restore func()) {
+	var undo []func()
+	for _, r := range s.retained {
+		for _, m := range moves {
+			if r.StepOwners[m.Service] != number {
+				continue
+			}
+			steps, owners := r.Steps, r.StepOwners
+			undo = append(undo, func() { r.Steps, r.StepOwners = steps, owners })
+			r.Steps, r.StepOwners = withoutEntry(steps, m.Service), withoutEntry(owners, m.Service)
+		}
+	}
+	return func() {
+		for _, f := range slices.Backward(undo) {
+			f()
+		}
 	}
-	steps[service] = shares
-	owner.Steps = steps
 }
 
 func (s *State) markInForce(c Command) (Result, error) {
