Keep a departure that was confirmed across a restart of the node

Cause: only the memory of the node said that a lifetime of its server drains or has ended. Announcements did not name the lifetime, so that the record of the restarted node replaced the one that said that the server leaves.

Announcements now name the lifetime and whether it is closed; of two records of one lifetime the closed one wins in every table, and a control host answers the renewal of a restarted node with it.

--- a/mesh/distribute/exchange.go
+++ b/mesh/distribute/exchange.go
@@ -41,6 +41,9 @@
 	}
 	d := eps.Digest()
 	reply := compareFrame{Position: s.Position(), Endpoints: d.Sum()}
+	if own, ok := eps.Get(st.Peer().Host); ok && request.Confirm {
+		reply.Own = &own
+	}
 	if request.Confirm && o.Confirm != nil {
 		if pos, err := o.Confirm(ctx); err == nil {
 			reply.Position, reply.Confirmed = pos, true
--- a/mesh/distribute/floor.go
+++ b/mesh/distribute/floor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 )
@@ -18,6 +19,9 @@
 	// Confirmed says that Position includes everything accepted before the
 	// request.
 	Confirmed bool
+	// Own is the process's record of the asking host, which may be from before its
+	// restart; nil if there is none.
+	Own *membership.Announcement
 }
 
 // Floor returns the lowest position that a restarted node may route by. It is
@@ -63,5 +67,9 @@
 	if err != nil {
 		return FloorAnswer{}, err
 	}
-	return FloorAnswer{From: st.Peer(), Position: reply.Position, Confirmed: reply.Confirmed}, nil
+	a := FloorAnswer{From: st.Peer(), Position: reply.Position, Confirmed: reply.Confirmed}
+	if reply.Own != nil && reply.Own.Check() == nil {
+		a.Own = reply.Own
+	}
+	return a, nil
 }
--- a/mesh/distribute/message.go
+++ b/mesh/distribute/message.go
@@ -177,6 +177,8 @@
 	Confirmed bool `cbor:"3,keyasint,omitempty"`
 	// Confirm requests a confirmed position.
 	Confirm bool `cbor:"4,keyasint,omitempty"`
+	// Own is the answering side's record of the asking host, in answers to Confirm.
+	Own *membership.Announcement `cbor:"5,keyasint,omitempty"`
 }
 
 // check returns ErrBadFrame for a field that is out of bounds.
--- a/mesh/membership/announce.go
+++ b/mesh/membership/announce.go
@@ -160,9 +160,12 @@
 		}
 		if r.NewerRecord != nil {
 			p.Observe(*r.NewerRecord)
-		} else if a.State == StateLeft {
-			_ = st.Close()
-			return nil
+		} else {
+			p.confirm(a)
+			if a.State == StateLeft {
+				_ = st.Close()
+				return nil
+			}
 		}
 		select {
 		case <-p.Changed(a):
--- a/mesh/membership/announce_test.go
+++ b/mesh/membership/announce_test.go
@@ -124,6 +124,62 @@
 	})
 }
 
+// TestRestartedNodeLearnsOfAClosedLifetime guards against a node that announces a lifetime
+// of its backend server as serving although it has confirmed, before its own restart, that
+// the lifetime drains; and against a confirmation that no control host has recorded.
+func TestRestartedNodeLearnsOfAClosedLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, life := newHolder(), Lifetime{Instance: "i-1", Started: 7}
+		run := func(p *Publisher, onReply func(RenewalReply)) context.CancelFunc {
+			ctx, cancel := context.WithCancel(t.Context())
+			st, _ := serveNode(ctx, h, nodeID)
+			go func() { _ = Announce(ctx, p, &Contact{}, st, AnnounceOptions{OnReply: onReply}) }()
+			return cancel
+		}
+		confirmed := func(p *Publisher) bool {
+			ctx, cancel := context.WithTimeout(t.Context(), RenewInterval)
+			defer cancel()
+			return p.AwaitConfirmed(ctx) == nil
+		}
+		p := NewPublisher(announcement("n1", 0, 0, 0), time.Now())
+		p.Restart(life, "v1", 4, time.Now())
+		p.CloseLifetime(life)
+		if confirmed(p) {
+			t.Fatal("confirmed without a control host")
+		}
+		p.Serve() // the server is reachable again
+		stop := run(p, nil)
+		if !confirmed(p) {
+			t.Fatal("not confirmed")
+		}
+		expectState(t, h, StateDraining)
+		stop()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		p = NewPublisher(announcement("n1", 0, 0, 0), time.Now())
+		p.Restart(life, "v1", 4, time.Now()) // by a late heartbeat
+		var told []Announcement
+		defer run(p, func(r RenewalReply) {
+			if r.NewerRecord != nil {
+				told = append(told, *r.NewerRecord)
+				p.CloseLifetime(life)
+			}
+		})()
+		if !confirmed(p) {
+			t.Fatal("not confirmed after the restart")
+		}
+		expectState(t, h, StateDraining)
+		if len(told) != 1 || !told[0].Closed || told[0].Started != life.Started {
+			t.Fatalf("told %+v", told)
+		}
+		p.Restart(Lifetime{Instance: "i-1", Started: 8}, "v1", 4, time.Now())
+		if !confirmed(p) {
+			t.Fatal("the next lifetime is not confirmed")
+		}
+		expectState(t, h, StateServing)
+	})
+}
+
 // TestPublisherClockBackwards guards against a restarted node whose clock was set
 // back and whose announcements therefore count as older than its previous ones.
 func TestPublisherClockBackwards(t *testing.T) {
--- a/mesh/membership/announcement.go
+++ b/mesh/membership/announcement.go
@@ -62,6 +62,31 @@
 	// time; the configured number may be greater or smaller.
 	Slots int   `cbor:"9,keyasint"`
 	State State `cbor:"10,keyasint"`
+	// Instance and Started identify the lifetime of a backend server that registers
+	// itself: one run of it. Started is in Unix milliseconds by its own clock; 0 if it does
+	// not register itself.
+	Instance string `cbor:"11,keyasint,omitempty"`
+	Started  int64  `cbor:"12,keyasint,omitempty"`
+	// Closed says that the lifetime drains or has ended. It takes no new work for good,
+	// whatever later records of the host say.
+	Closed bool `cbor:"13,keyasint,omitempty"`
+}
+
+// sameLifetime reports whether both records are of one lifetime of a backend server.
+func (a Announcement) sameLifetime(b Announcement) bool {
+	return a.Started != 0 && a.Started == b.Started && a.Instance == b.Instance
+}
+
+// join returns the newer of two records of a host. If one of them says that their
+// lifetime is closed, so does the result: a node that was restarted may not know it.
+func join(a, b Announcement) Announcement {
+	if newer(b, a) {
+		a, b = b, a
+	}
+	if b.Closed && a.sameLifetime(b) {
+		a.Closed, a.State = true, max(a.State, StateDraining)
+	}
+	return a
 }
 
 // Compare orders two announcements of the same host by incarnation, then by
--- a/mesh/membership/message.go
+++ b/mesh/membership/message.go
@@ -19,6 +19,9 @@
 // maxTextBytes bounds each text field of an announcement, in bytes.
 const maxTextBytes = 128
 
+// MaxInstanceBytes bounds the instance of an announcement, in bytes.
+const MaxInstanceBytes = 128
+
 // maxCounter bounds incarnation and sequence, so that incrementing them cannot
 // overflow.
 const maxCounter = 1 << 62
@@ -69,6 +72,10 @@
 		}
 	}
 	switch {
+	case len(a.Instance) > MaxInstanceBytes:
+		return eris.Wrapf(ErrInvalid, "instance has %d bytes, at most %d", len(a.Instance), MaxInstanceBytes)
+	case a.Started < 0:
+		return eris.Wrapf(ErrInvalid, "started is %d, want at least 0", a.Started)
 	case a.Incarnation == 0 || a.Incarnation > maxCounter:
 		return eris.Wrapf(ErrInvalid, "incarnation is %d, want 1 to %d", a.Incarnation, uint64(maxCounter))
 	case a.Sequence > maxCounter:
--- a/mesh/membership/table.go
+++ b/mesh/membership/table.go
@@ -125,14 +125,14 @@
 	return n
 }
 
-// merge stores one announcement if it is newer. If there are too many tombstones
-// then, it evicts the oldest one. The caller holds the mutex.
+// merge stores one announcement if it says something new; see join. If there are too
+// many tombstones then, it evicts the oldest one. The caller holds the mutex.
 func (t *Table) merge(a Announcement) bool {
 	r, ok := t.hosts[a.Host]
-	if ok && !newer(a, r.ann) {
-		return false
-	}
 	if ok {
+		if a = join(r.ann, a); a == r.ann {
+			return false
+		}
 		t.unindex(r)
 	} else {
 		r = &record{}
--- a/mesh/membership/table_test.go
+++ b/mesh/membership/table_test.go
@@ -25,6 +25,43 @@
 	return a
 }
 
+// TestClosedLifetimeStaysClosed guards against a backend server that gets requests again
+// because its restarted node announces a lifetime that had ended. Tables must agree
+// whatever the order of the records.
+func TestClosedLifetimeStaysClosed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Announcement {
+			a := announcement("n1", rapid.Uint64Range(1, 3).Draw(t, "inc"), rapid.Uint64Range(1, 3).Draw(t, "seq"), StateServing)
+			a.Instance, a.Started = "i-1", 7
+			if a.Closed = rapid.Bool().Draw(t, "closed"); a.Closed {
+				a.State = StateDraining
+			}
+			return a
+		}), 1, 6, func(a Announcement) [2]uint64 { return [2]uint64{a.Incarnation, a.Sequence} }).Draw(t, "records")
+		one, other, closed := NewTable(), NewTable(), false
+		for _, a := range records {
+			one.Merge(a)
+			closed = closed || a.Closed
+		}
+		for _, a := range rapid.Permutation(records).Draw(t, "order") {
+			other.Merge(a)
+		}
+		got, _ := one.Get("n1")
+		if also, _ := other.Get("n1"); also != got || one.Digest() != other.Digest() {
+			t.Fatalf("records %+v and %+v", got, also)
+		}
+		if got.Closed != closed || closed && got.State < StateDraining {
+			t.Fatalf("record %+v, closed %v", got, closed)
+		}
+		next := got
+		next.Incarnation, next.State, next.Started, next.Closed = got.Incarnation+1, StateServing, 8, false
+		one.Merge(next)
+		if got, _ := one.Get("n1"); got != next {
+			t.Fatalf("the next lifetime is recorded as %+v", got)
+		}
+	})
+}
+
 // TestTableMatchesMap guards against a merge, index, change log or digest that
 // disagrees with a plain map of the newest announcement of each host when
 // announcements arrive twice and out of order.
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -204,7 +204,12 @@
 	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
 		return membership.Announce(ctx, n.publisher, n.contact, st, membership.AnnounceOptions{
 			RenewInterval: n.cfg.Timeouts.LeaseRenew, LeaseDuration: n.cfg.Timeouts.EndpointLease,
-			OnReply: func(r membership.RenewalReply) { n.checkReachability(st.Peer().Host, r) },
+			OnReply: func(r membership.RenewalReply) {
+				n.checkReachability(st.Peer().Host, r)
+				if r.NewerRecord != nil && n.registration != nil {
+					n.registration.observe(*r.NewerRecord)
+				}
+			},
 		})
 	})
 }
--- a/mesh/node/floor.go
+++ b/mesh/node/floor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamtrail.org/mesh/distribute"
+	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 )
@@ -39,6 +40,9 @@
 			n.acceptor.SetFloor(floor)
 			n.floor.Store(&floor)
 			n.log.Info("node learned the minimum position for routing", "position", floor.String(), "answers", len(answers))
+			if n.registration != nil {
+				n.registration.learnHistory(ownRecords(answers))
+			}
 			n.pullFromNewest(ctx, answers, peers)
 			return nil
 		}
@@ -47,6 +51,17 @@
 	return ctx.Err()
 }
 
+// ownRecords returns the records of this node in the answers.
+func ownRecords(answers []distribute.FloorAnswer) []membership.Announcement {
+	var out []membership.Announcement
+	for _, a := range answers {
+		if a.Own != nil {
+			out = append(out, *a.Own)
+		}
+	}
+	return out
+}
+
 // askControlHosts first asks the preferred control host, whose confirmed answer
 // suffices, then enough others for a quorum, then the rest. If every node asked all
 // control hosts when a whole fleet starts at once, the handshakes would delay
--- a/mesh/node/node_test.go
+++ b/mesh/node/node_test.go
@@ -156,14 +156,14 @@
 // A registration, drain or deregistration must be in force when its call returns:
 // after draining has been reported, no request may be admitted.
 func TestRegistrar(t *testing.T) {
-	base := membership.Announcement{Host: "n1", Service: "ledger", DataCentre: "thun", State: membership.StateServing}
 	n := &Node{
-		cfg: settings.Node{}, log: slog.New(slog.DiscardHandler), publisher: membership.NewPublisher(base, time.Unix(1, 0)),
+		cfg: settings.Node{}, log: slog.New(slog.DiscardHandler), publisher: newTestPublisher(time.Unix(1, 0)),
 		gate:    admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 1}}),
 		backend: newBackend(backendConfig{base: &url.URL{}, connections: 1}),
 	}
 	n.cfg.Backend.Service, n.cfg.DataCentre = "ledger", "thun"
 	n.gate.SetAvailable(false)
+	announceTo(t, n, newLeaseServer())
 	r := newRegistrar(n, "10.0.0.1:80")
 	heartbeat := registration.Heartbeat{
 		Instance: "a", Started: 1, Sequence: 1, Service: "ledger", DataCentre: "thun", Address: "10.0.0.1:80",
@@ -188,25 +188,25 @@
 			t.Errorf("%s: announced as %s", what, n.publisher.Current().State)
 		}
 	}
-	step("registered", true, func() error { return r.Heartbeat(heartbeat) })
+	step("registered", true, func() error { return r.Heartbeat(t.Context(), heartbeat) })
 	if a := n.publisher.Current(); a.Version != "v1" || a.Slots != 3 || n.backend.current.Load().instance != "a" {
 		t.Errorf("announced %+v", a)
 	}
 	step("lost", false, func() error { r.markUnreachable("connection refused"); return nil })
 	heartbeat.Sequence = 2
-	step("regained", true, func() error { return r.Heartbeat(heartbeat) })
+	step("regained", true, func() error { return r.Heartbeat(t.Context(), heartbeat) })
 	heartbeat.Sequence, heartbeat.State = 3, registration.StateDraining
-	step("draining", false, func() error { return r.Heartbeat(heartbeat) })
+	step("draining", false, func() error { return r.Heartbeat(t.Context(), heartbeat) })
 	first := n.publisher.Current().Incarnation
 	heartbeat = registration.Heartbeat{
 		Instance: "b", Started: 2, Sequence: 1, Service: "ledger", DataCentre: "thun", Address: "10.0.0.1:80",
 		Version: "v2", Slots: 3, State: registration.StateReady,
 	}
-	step("another lifetime", true, func() error { return r.Heartbeat(heartbeat) })
+	step("another lifetime", true, func() error { return r.Heartbeat(t.Context(), heartbeat) })
 	if n.publisher.Current().Incarnation <= first {
 		t.Error("the next lifetime has no greater incarnation")
 	}
-	step("left", false, func() error { return r.Deregister("b", 0) })
+	step("left", false, func() error { return r.Deregister(t.Context(), "b", 0) })
 }
 
 // Guards against chunked bodies that keep their maximum size reserved while the
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -40,9 +40,21 @@
 
 func startServingAt(t *testing.T, base *url.URL) *Node {
 	t.Helper()
+	n := newUnregisteredNode(t, base)
+	err := n.registration.Heartbeat(t.Context(), registration.Heartbeat{Instance: "a", Started: 1, Sequence: 1, Service: "ledger", DataCentre: "thun",
+		Address: base.Host, Version: "v1", Slots: 16, State: registration.StateReady})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// newUnregisteredNode returns a node that has just started beside the backend server at
+// base.
+func newUnregisteredNode(t *testing.T, base *url.URL) *Node {
 	n := &Node{
 		log:       slog.New(slog.DiscardHandler),
-		publisher: membership.NewPublisher(membership.Announcement{Host: "n1", Service: "ledger", DataCentre: "thun"}, time.Now()),
+		publisher: newTestPublisher(time.Now()),
 		acceptor:  distribute.NewAcceptor("n1", distribute.NewStore(), membership.NewTable(), slog.New(slog.DiscardHandler)),
 		gate:      admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 16, QueueLimit: 12, QueueTimeout: 300 * time.Millisecond}}),
 		backend:   newBackend(backendConfig{base: base, connections: 100, dialTimeout: time.Second}),
@@ -51,11 +63,6 @@
 	n.cfg.Backend.Service, n.cfg.DataCentre = "ledger", "thun"
 	n.registration = newRegistrar(n, base.Host)
 	n.serving = n.newServing(telemetry.NewRequestSampler())
-	err := n.registration.Heartbeat(registration.Heartbeat{Instance: "a", Started: 1, Sequence: 1, Service: "ledger", DataCentre: "thun",
-		Address: base.Host, Version: "v1", Slots: 16, State: registration.StateReady})
-	if err != nil {
-		t.Fatal(err)
-	}
 	return n
 }
 
@@ -133,7 +140,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); n.call(t, nil) }()
 	<-received
-	err := n.registration.Heartbeat(registration.Heartbeat{Instance: "b", Started: 2, Sequence: 1, Service: "ledger", DataCentre: "thun",
+	err := n.registration.Heartbeat(t.Context(), registration.Heartbeat{Instance: "b", Started: 2, Sequence: 1, Service: "ledger", DataCentre: "thun",
 		Address: n.backend.base.Host, Version: "v1", Slots: 16, State: registration.StateReady})
 	close(answer)
 	<-done
--- a/mesh/registration/message.go
+++ b/mesh/registration/message.go
@@ -43,6 +43,14 @@
 	ColdFor time.Duration
 }
 
+// Lifetime is what other processes know of a lifetime of the backend server.
+type Lifetime struct {
+	Instance string
+	Started  int64
+	// Closed says that the lifetime drains or has ended.
+	Closed bool
+}
+
 // Change is the effect of a heartbeat or a deregistration.
 type Change uint8
 
--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,10 @@
 
 // Limits of a heartbeat.
 const (
+	// maxInstanceBytes is the length of an instance.
+	maxInstanceBytes = 128
+	// maxEndedInstances is the number of unknown instances whose deregistration is kept.
+	maxEndedInstances = 8
 	// maxSlots is the number of slots.
 	maxSlots = 10_000
 	// maxColdFor is the time for which a backend server may still be cold. A longer one
@@ -45,17 +50,61 @@
 // concurrent use.
 type Registry struct {
 	expected Expected
-	current  Heartbeat
-	known    bool
+	// current is the latest heartbeat of the newest lifetime. It has only Instance and
+	// Started while registered is false.
+	current Heartbeat
+	// registered is set once a heartbeat of the newest lifetime has arrived. Before that,
+	// other processes or a deregistration may have told of it.
+	registered bool
 	// draining and deregistered are never reset within a lifetime.
 	draining, deregistered bool
+	// ended holds the newest instances that deregistered without a time of start while no
+	// such lifetime was known, as to a node that was just restarted.
+	ended []endedInstance
+}
+
+// endedInstance is an instance whose lifetimes that started up to a time have ended, in
+// Unix milliseconds.
+type endedInstance struct {
+	instance     string
+	startedUntil int64
 }
 
 // New returns a registry without a registered backend server.
 func New(own Expected) *Registry { return &Registry{expected: own} }
 
 // Current returns the latest heartbeat; false if no backend server is registered.
-func (r *Registry) Current() (Heartbeat, bool) { return r.current, r.known && !r.deregistered }
+func (r *Registry) Current() (Heartbeat, bool) { return r.current, r.registered && !r.deregistered }
+
+// Lifetime returns the newest lifetime; its Started is 0 if none is known.
+func (r *Registry) Lifetime() Lifetime {
+	return Lifetime{Instance: r.current.Instance, Started: r.current.Started, Closed: r.draining || r.deregistered}
+}
+
+// Observe applies what another process knows of a lifetime, for example from before a
+// restart of this node. It returns Draining if no new requests may be sent any more.
+func (r *Registry) Observe(l Lifetime) Change {
+	serving := r.registered && !r.draining
+	switch {
+	case l.Started > r.current.Started:
+		r.begin(Heartbeat{Instance: l.Instance, Started: l.Started}, false)
+		r.draining = l.Closed
+	case l.Started == r.current.Started && l.Instance == r.current.Instance && l.Closed && !r.draining:
+		r.draining = true
+	default:
+		return Unchanged
+	}
+	if serving || r.draining {
+		return Draining
+	}
+	return Unchanged
+}
+
+// begin replaces the newest lifetime.
+func (r *Registry) begin(h Heartbeat, registered bool) {
+	r.current, r.registered = h, registered
+	r.draining, r.deregistered = h.State == StateDraining, false
+}
 
 // Heartbeat applies a heartbeat. A late heartbeat of the current lifetime changes
 // nothing.
@@ -63,15 +112,20 @@
 	if err := r.check(h); err != nil {
 		return Unchanged, err
 	}
+	if r.hasEnded(h) {
+		return Unchanged, nil
+	}
 	switch {
-	case !r.known || h.Started > r.current.Started:
-		r.current, r.known, r.deregistered = h, true, false
-		r.draining = h.State == StateDraining
+	case h.Started > r.current.Started:
+		r.begin(h, true)
 		return Started, nil
 	case h.Started < r.current.Started || h.Instance != r.current.Instance:
 		return Unchanged, eris.Wrapf(ErrFormerLifetime, "instance %s started at %d, %s at %d is newer",
 			h.Instance, h.Started, r.current.Instance, r.current.Started)
-	case r.deregistered || h.Sequence <= r.current.Sequence:
+	case !r.registered && !r.draining:
+		r.begin(h, true)
+		return Started, nil
+	case !r.registered || r.deregistered || h.Sequence <= r.current.Sequence:
 		return Unchanged, nil
 	}
 	r.current = h
@@ -88,7 +142,7 @@
 // Leave applies that a lifetime has said in an answer that it ends. It returns Draining if
 // that is the current one and was not known.
 func (r *Registry) Leave(instance string, started int64) Change {
-	if !r.known || r.draining || instance != r.current.Instance || started != r.current.Started {
+	if !r.registered || r.draining || instance != r.current.Instance || started != r.current.Started {
 		return Unchanged
 	}
 	r.draining = true
@@ -100,6 +154,8 @@
 	switch {
 	case h.Instance == "" || h.Started <= 0:
 		return eris.Wrap(ErrInvalid, "instance or time of start is missing")
+	case len(h.Instance) > maxInstanceBytes:
+		return eris.Wrapf(ErrInvalid, "instance has %d bytes, at most %d", len(h.Instance), maxInstanceBytes)
 	case h.State != StateReady && h.State != StateDraining:
 		return eris.Wrapf(ErrInvalid, "state %d", h.State)
 	case h.Slots < 1 || h.Slots > maxSlots:
@@ -115,23 +171,34 @@
 	return nil
 }
 
-// Deregister ends a lifetime. started is 0 if the request does not state it. A newer
-// lifetime than the known one is recorded as ended, so that a late heartbeat does not
-// register it.
-func (r *Registry) Deregister(instance string, started int64) (Change, error) {
+// hasEnded reports whether the heartbeat is of an instance that deregistered before it
+// was known.
+func (r *Registry) hasEnded(h Heartbeat) bool {
+	return slices.ContainsFunc(r.ended, func(e endedInstance) bool {
+		return e.instance == h.Instance && h.Started <= e.startedUntil
+	})
+}
+
+// Deregister ends a lifetime. started is 0 if the request does not state it; now is the
+// time of the request. A newer lifetime than the known one is recorded as ended, so that
+// a late heartbeat does not register it.
+func (r *Registry) Deregister(instance string, started int64, now time.Time) (Change, error) {
 	switch {
-	case instance == "":
-		return Unchanged, eris.Wrap(ErrInvalid, "instance is missing")
-	case r.known && instance == r.current.Instance && (started == 0 || started == r.current.Started):
+	case instance == "" || len(instance) > maxInstanceBytes:
+		return Unchanged, eris.Wrapf(ErrInvalid, "instance has %d bytes, want 1 to %d", len(instance), maxInstanceBytes)
+	case r.current.Started != 0 && instance == r.current.Instance && (started == 0 || started == r.current.Started):
 		if r.deregistered {
 			return Unchanged, nil
 		}
 		r.deregistered, r.draining = true, true
 		return Deregistered, nil
 	case started > r.current.Started:
-		r.current = Heartbeat{Instance: instance, Started: started}
-		r.known, r.deregistered, r.draining = true, true, true
+		r.begin(Heartbeat{Instance: instance, Started: started}, false)
+		r.deregistered, r.draining = true, true
 		return Deregistered, nil
+	case started == 0:
+		r.ended = append(r.ended, endedInstance{instance: instance, startedUntil: now.UnixMilli()})
+		r.ended = r.ended[max(len(r.ended)-maxEndedInstances, 0):]
 	}
 	return Unchanged, nil
 }
--- a/mesh/registration/state_test.go
+++ b/mesh/registration/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 )
@@ -16,14 +17,16 @@
 }
 
 // Guards against reports that take effect although they are late, repeated, from an
-// earlier lifetime or after the deregistration. Each step is one report; want is its
+// earlier lifetime or after the deregistration, also if this node was restarted since. Each step is one report; want is its
 // effect.
 func TestLateRepeatedAndStaleReports(t *testing.T) {
 	type step struct {
 		h     Heartbeat
 		leave bool
-		want  Change
-		err   error
+		// observe applies the lifetime as known to another process, closed if leave is set.
+		observe bool
+		want    Change
+		err     error
 	}
 	cases := map[string][]step{
 		"a late report of the same lifetime changes nothing": {
@@ -54,6 +57,31 @@
 			{h: testHeartbeat("a", 1, 1, StateReady), want: Started}, {h: testHeartbeat("b", 2, 1, StateReady), want: Started},
 			{h: testHeartbeat("a", 1, 0, 0), leave: true, want: Unchanged}, {h: testHeartbeat("b", 2, 2, StateReady), want: Renewed},
 		},
+		"a lifetime that another process knows as closed does not return": {
+			{h: testHeartbeat("a", 5, 0, 0), observe: true, leave: true, want: Draining}, {h: testHeartbeat("a", 5, 9, StateReady), want: Unchanged},
+			{h: testHeartbeat("a", 4, 9, StateReady), err: ErrFormerLifetime}, {h: testHeartbeat("a", 6, 1, StateReady), want: Started},
+		},
+		"a lifetime that another process knows registers again": {
+			{h: testHeartbeat("a", 5, 0, 0), observe: true, want: Unchanged}, {h: testHeartbeat("z", 4, 9, StateReady), err: ErrFormerLifetime},
+			{h: testHeartbeat("a", 5, 9, StateReady), want: Started}, {h: testHeartbeat("a", 5, 0, 0), observe: true, leave: true, want: Draining},
+			{h: testHeartbeat("a", 5, 10, StateReady), want: Unchanged},
+		},
+		"a newer lifetime that another process knows ends the registered one": {
+			{h: testHeartbeat("a", 5, 1, StateReady), want: Started}, {h: testHeartbeat("b", 6, 0, 0), observe: true, want: Draining},
+			{h: testHeartbeat("a", 5, 2, StateReady), err: ErrFormerLifetime}, {h: testHeartbeat("b", 6, 1, StateReady), want: Started},
+		},
+		"what another process knows of a former lifetime changes nothing": {
+			{h: testHeartbeat("b", 6, 1, StateReady), want: Started}, {h: testHeartbeat("a", 5, 0, 0), observe: true, leave: true, want: Unchanged},
+			{h: testHeartbeat("b", 6, 2, StateReady), want: Renewed},
+		},
+		"an unknown instance that deregistered without its start does not register, a later lifetime of it does": {
+			{h: testHeartbeat("a", 0, 0, 0), leave: true, want: Unchanged}, {h: testHeartbeat("a", 99, 15, StateReady), want: Unchanged},
+			{h: testHeartbeat("a", 101, 1, StateReady), want: Started},
+		},
+		"a known lifetime is deregistered without its start": {
+			{h: testHeartbeat("a", 5, 0, 0), observe: true, want: Unchanged}, {h: testHeartbeat("a", 0, 0, 0), leave: true, want: Deregistered},
+			{h: testHeartbeat("a", 5, 15, StateReady), want: Unchanged},
+		},
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -61,9 +89,12 @@
 			for i, s := range steps {
 				var change Change
 				var err error
-				if s.leave {
-					change, err = r.Deregister(s.h.Instance, s.h.Started)
-				} else {
+				switch {
+				case s.observe:
+					change = r.Observe(Lifetime{Instance: s.h.Instance, Started: s.h.Started, Closed: s.leave})
+				case s.leave:
+					change, err = r.Deregister(s.h.Instance, s.h.Started, time.UnixMilli(100))
+				default:
 					change, err = r.Heartbeat(s.h)
 				}
 				if change != s.want || !errors.Is(err, s.err) {
@@ -79,6 +110,7 @@
 func TestRefusedReports(t *testing.T) {
 	invalidate := map[string]func(*Heartbeat){
 		"no instance":         func(h *Heartbeat) { h.Instance = "" },
+		"long instance":       func(h *Heartbeat) { h.Instance = strings.Repeat("a", maxInstanceBytes+1) },
 		"no start":            func(h *Heartbeat) { h.Started = 0 },
 		"unknown state":       func(h *Heartbeat) { h.State = 0 },
 		"no slots":            func(h *Heartbeat) { h.Slots = 0 },
