Bound the memory that endless answers of a backend server take

Report of other operators: a faulty server sends bytes without end, and the host that called it runs out of memory, with the requests of its other callers.

A node may use 64 MB.

Cause: the bounds count bytes on the wire. A head of up to 256 KiB was read, whose short fields take some twenty times as much memory; the answer of a write was read whole, up to the bound of a request body, before it was recorded.

A head is read up to 64 KiB, which is what nodes pass on to each other. An answer of a write above the 16 KiB that its record keeps is streamed, and recorded by its digest when it is complete.

TestEndlessAnswersTakeLittleMemory and TestEndlessAnswersOfWritesTakeLittleMemory failed before (65,360 and 188,472 KiB, 49,152 allowed) and pass now.

--- a/mesh/claim/message.go
+++ b/mesh/claim/message.go
@@ -43,7 +43,16 @@
 // NewAnswer returns the record of an answer. A body above MaxBodyBytes is replaced
 // by its digest; headers that would exceed maxHeaderBytes are left out.
 func NewAnswer(status int, headers []Header, body []byte) Answer {
-	a := Answer{Status: status, BodyDigest: DigestOf(body)}
+	a := NewAnswerWithoutBody(status, headers, DigestOf(body))
+	if len(body) <= MaxBodyBytes {
+		a.Body, a.BodyOmitted = bytes.Clone(body), false
+	}
+	return a
+}
+
+// NewAnswerWithoutBody returns the record of an answer whose body is too large to keep.
+func NewAnswerWithoutBody(status int, headers []Header, body Digest) Answer {
+	a := Answer{Status: status, BodyDigest: body, BodyOmitted: true}
 	room := maxHeaderBytes
 	for _, h := range headers {
 		if room -= len(h.Name) + len(h.Value); room < 0 {
@@ -51,11 +60,6 @@
 		}
 		a.Headers = append(a.Headers, h)
 	}
-	if len(body) > MaxBodyBytes {
-		a.BodyOmitted = true
-		return a
-	}
-	a.Body = bytes.Clone(body)
 	return a
 }
 
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -47,23 +49,42 @@
 	return a
 }
 
-// completeWrite reads the complete answer, records it with the claim and sends it to
-// the caller.
+// completeWrite records the answer with the claim and sends it to the caller. An answer
+// that the record has room for is read completely before any of it is sent.
 func (e *entry) completeWrite(w http.ResponseWriter, grant claim.Grant, a *attempt) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, e.bodyLimit+1))
-	_ = a.resp.Body.Close()
-	if err != nil || int64(len(body)) > e.bodyLimit {
-		a.err, a.reason = ErrOutcomeUnknown, "answer was cut short or too large"
+	prefix, err := io.ReadAll(io.LimitReader(a.resp.Body, claim.MaxBodyBytes+1))
+	if err != nil {
+		_ = a.resp.Body.Close()
+		a.err, a.reason = ErrOutcomeUnknown, "answer was cut short"
 		refuse(w, http.StatusBadGateway, outcomeUnknown, a.reason)
 		return
 	}
-	answer := claim.NewAnswer(a.resp.Status, answerHeaders(a.resp), body)
-	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
-	for name, values := range a.resp.Header {
-		w.Header()[name] = values
+	if len(prefix) > claim.MaxBodyBytes {
+		e.completeLargeWrite(w, grant, a, prefix)
+		return
 	}
-	w.WriteHeader(a.resp.Status)
-	_, _ = w.Write(body)
+	_ = a.resp.Body.Close()
+	answer := claim.NewAnswer(a.resp.Status, answerHeaders(a.resp), prefix)
+	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
+	a.resp.Body = io.NopCloser(bytes.NewReader(prefix))
+	sendAnswer(w, a.resp)
+}
+
+// completeLargeWrite streams an answer whose body the record has no room for, and records
+// it without the body once it is complete. Reading it into memory first would let a few
+// faulty backend servers use up the memory of the node. If the answer breaks off, the
+// claim stays in progress and becomes unknown.
+func (e *entry) completeLargeWrite(w http.ResponseWriter, grant claim.Grant, a *attempt, prefix []byte) {
+	digest := sha256.New()
+	body := io.TeeReader(io.MultiReader(bytes.NewReader(prefix), a.resp.Body), digest)
+	headers, status := answerHeaders(a.resp), a.resp.Status
+	a.resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{body, a.resp.Body}
+	sendAnswer(w, a.resp)
+	answer := claim.NewAnswerWithoutBody(status, headers, claim.Digest(digest.Sum(nil)))
+	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 }
 
 // updateClaim completes or releases a claim in the background, so that it adds no
--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -28,8 +28,9 @@
 	// informational ones and those to other requests.
 	maxForeignAnswers = 3
 	// maxHeadBytes bounds the bytes read for the head of an answer. A faulty server may
-	// send a head without end.
-	maxHeadBytes = 256 << 10
+	// send a head without end, and header fields take twenty times their bytes in memory.
+	// Nodes pass on no larger heads to each other (callmux.MaxHead).
+	maxHeadBytes = 64 << 10
 	// maxForeignBodyBytes bounds the body that is read of an answer to another request.
 	maxForeignBodyBytes = 256 << 10
 	// keepAliveMargin is subtracted from the idle timeout that the server states, so
