Keep the share of a move when its service is taken up again

A service that comes back while a move of it is active has no shares yet. The leader proposed the share of the move and, in the same round, all calls for the version that most backend servers announce, which may be the bad one; the next round corrected that.

A service whose shares a move sets in this round gets no first version.

TestServiceThatComesBackKeepsTheShareOfItsMove failed before (all calls to v2) and passes now.

--- a/mesh/control/decide.go
+++ b/mesh/control/decide.go
@@ -92,12 +92,12 @@
 }
 
 // initialShareCommands returns a SetShares command for each declared service
-// that has no shares yet. It gives all traffic to the version that most of its
-// backend servers announce.
-func (d *decisionLoop) initialShareCommands(s decisionState) []note.Command {
+// that has no shares yet and gets none from a move. It gives all traffic to the
+// version that most of its backend servers announce.
+func (d *decisionLoop) initialShareCommands(s decisionState, moved map[model.ServiceName]bool) []note.Command {
 	var out []note.Command
 	for name := range s.config.Services {
-		if len(s.config.Shares[name]) > 0 {
+		if len(s.config.Shares[name]) > 0 || moved[name] {
 			continue
 		}
 		if shares := d.l.c.announcedShares(name, ""); shares != nil {
@@ -156,12 +156,14 @@
 		c.Operator, c.Time = note.RolloutOperator, now
 		out = append(out, c)
 	}
+	moved := map[model.ServiceName]bool{}
 	for _, m := range s.moves {
 		st, ok := s.current[m.Move.Service]
 		if !ok || st.Move.ID.Note != m.Note {
 			continue
 		}
 		if d.sharesDiffer(s, st) {
+			moved[m.Move.Service] = true
 			add(note.Command{SetShares: &note.SetShares{
 				Service: m.Move.Service, Shares: note.Shares(st.Shares()), Note: m.Note, To: st.Move.To}})
 		}
@@ -173,7 +175,7 @@
 				Number: m.Note, Service: m.Move.Service, Reason: st.Reason, To: st.Move.To}})
 		}
 	}
-	for _, c := range d.initialShareCommands(s) {
+	for _, c := range d.initialShareCommands(s, moved) {
 		add(c)
 	}
 	for dc, since := range d.returningSince {
--- a/mesh/control/decide_test.go
+++ b/mesh/control/decide_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/rollout"
@@ -81,6 +82,32 @@
 	}
 }
 
+// Guards against a service that comes back while a move of it is active and whose calls
+// then all go to the version that most backend servers announce, which may be the bad one.
+func TestServiceThatComesBackKeepsTheShareOfItsMove(t *testing.T) {
+	r := newMachineRun(t)
+	r.publishNotes()
+	d, state := newTestDecisionLoop(r.m)
+	d.l.c.endpoints = membership.NewTable()
+	d.l.c.endpoints.Merge(membership.Announcement{Host: "n1", Service: "ledger", Version: "v2", State: membership.StateServing, Incarnation: 1})
+	r.applyRolloutCommand(rollout.OpStep, rollout.StartShare, rollout.Summary{})
+	r.applyLeaderCommands(d, state)
+	ledger, roster := note.Service{Name: "ledger", Slots: 20, Connections: 100}, note.Service{Name: "roster", Slots: 20, Connections: 100}
+	r.note(note.Command{Operation: "op-3", Declare: &note.Declare{Version: 1, Services: []note.Service{roster}}})
+	r.note(note.Command{Operation: "op-4", Declare: &note.Declare{Version: 2, Base: 1, Services: []note.Service{ledger, roster}}})
+	for range 3 {
+		for _, c := range d.noteCommands(machineStart, state()) {
+			r.note(c)
+			if s, _ := r.shares(); s["v2"] > rollout.StartShare {
+				t.Fatalf("shares %v after %+v", s, c.SetShares)
+			}
+		}
+	}
+	if s, _ := r.shares(); s["v2"] != rollout.StartShare {
+		t.Errorf("shares %v", s)
+	}
+}
+
 // Guards against a data centre that returns to service before the traffic ramp
 // is over, or whose return is finished again at each later tick.
 func TestReturnOfADataCentreEndsOnce(t *testing.T) {
