Remove a data race from a test of the planned stop

TestBackendServerServesUntilShortlyBeforeTheStop read two variables that its observing goroutine may still have been writing; the race detector reported it in the review and again here. The test now waits until the observer has seen the gate close, and checks the same bounds.

--- a/mesh/node/stop_test.go
+++ b/mesh/node/stop_test.go
@@ -110,7 +110,9 @@
 		began := time.Now()
 		states := func() (membership.State, int) { return n.publisher.Current().State, n.gate.Limit() }
 		var left, closed time.Duration
+		observed := make(chan struct{})
 		go func() {
+			defer close(observed)
 			for closed == 0 {
 				time.Sleep(10 * time.Millisecond)
 				state, limit := states()
@@ -123,8 +125,7 @@
 			}
 		}()
 		stopNode(n)
-		synctest.Wait()
-		time.Sleep(20 * time.Millisecond)
+		<-observed
 		if left < 1400*time.Millisecond || left > 1600*time.Millisecond {
 			t.Errorf("node announced that it leaves after %s, want about 1.5s", left)
 		}
