--- a/mesh/note/random_test.go
+++ b/mesh/note/random_test.go
@@ -89,7 +89,8 @@
 		added := was.adds(service) && !was.setsTraffic(service) && is.adds(service) && !is.setsTraffic(service)
 		before, _ := was.move(service)
 		after, moves := is.move(service)
-		if !added && !(moves && after.To == before.To) {
+		kept := added || moves && after.To == before.To
+		if !kept {
 			delete(n.steps, service)
 			delete(n.stepOwners, service)
 		}
