Decode every string that was encoded in state and messages

A refused command is kept for resends with its message, which is cut to 512 bytes. A write whose answer had a header beyond ASCII could not be recorded either.

Cause: the CBOR library refuses strings that are not UTF-8 when it decodes, and accepts them when it encodes. The decoders of notes, claims, moves, the log and messages between processes now accept them.

"The cut message of a refusal" and TestAnswerWithForeignBytesIsRecorded failed before with "cbor: invalid UTF-8 string" and pass now.

--- a/mesh/claim/codec.go
+++ b/mesh/claim/codec.go
@@ -14,7 +14,7 @@
 const maxArrayElements = 16 << 20
 
 var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxArrayElements, MaxMapPairs: 1 << 10, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: maxArrayElements, MaxMapPairs: 1 << 10, DupMapKey: cbor.DupMapKeyEnforcedAPF, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- a/mesh/note/codec.go
+++ b/mesh/note/codec.go
@@ -18,7 +18,7 @@
 }()
 
 var decodeMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, DupMapKey: cbor.DupMapKeyEnforcedAPF, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- a/mesh/peer/frame.go
+++ b/mesh/peer/frame.go
@@ -17,9 +17,10 @@
 const frameHeader = 4
 
 // decodeMode limits the number of elements that a received CBOR array or map may
-// have.
+// have. It accepts strings that are not UTF-8, because some hold what callers and backend
+// servers sent.
 var decodeMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // cannot happen: the options are constant
 	}
--- a/mesh/replog/disk.go
+++ b/mesh/replog/disk.go
@@ -27,7 +27,7 @@
 
 // decodeMode limits the memory that a decoded record can allocate.
 var decodeMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- a/mesh/rollout/codec.go
+++ b/mesh/rollout/codec.go
@@ -9,7 +9,7 @@
 
 // decMode limits the size of decoded values and rejects duplicate map keys.
 var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 10, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 10, DupMapKey: cbor.DupMapKeyEnforcedAPF, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // cannot happen: the options are constant
 	}
