Refuse instances that are not text at registration

An instance with bytes that are not UTF-8, or with a control character, was registered; the node beside it could then not announce it, because control hosts refused the frame. It is refused with the field and the value now.

Two cases of TestRefusedReports were accepted before.

--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -4,7 +4,10 @@
 	"errors"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -36,6 +39,12 @@
 	maxColdFor = time.Hour
 )
 
+// isInstance reports whether s can name an instance. It is sent in a header to the backend
+// server, and as text to other processes.
+func isInstance(s string) bool {
+	return s != "" && len(s) <= maxInstanceBytes && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
+}
+
 var versionPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
 // Expected is the backend server that the node's settings describe. Only its heartbeats are
@@ -154,8 +163,8 @@
 	switch {
 	case h.Instance == "" || h.Started <= 0:
 		return eris.Wrap(ErrInvalid, "instance or time of start is missing")
-	case len(h.Instance) > maxInstanceBytes:
-		return eris.Wrapf(ErrInvalid, "instance has %d bytes, at most %d", len(h.Instance), maxInstanceBytes)
+	case !isInstance(h.Instance):
+		return eris.Wrapf(ErrInvalid, "instance %.200q is no text of 1 to %d bytes", h.Instance, maxInstanceBytes)
 	case h.State != StateReady && h.State != StateDraining:
 		return eris.Wrapf(ErrInvalid, "state %d", h.State)
 	case h.Slots < 1 || h.Slots > maxSlots:
@@ -184,8 +193,8 @@
 // a late heartbeat does not register it.
 func (r *Registry) Deregister(instance string, started int64, now time.Time) (Change, error) {
 	switch {
-	case instance == "" || len(instance) > maxInstanceBytes:
-		return Unchanged, eris.Wrapf(ErrInvalid, "instance has %d bytes, want 1 to %d", len(instance), maxInstanceBytes)
+	case !isInstance(instance):
+		return Unchanged, eris.Wrapf(ErrInvalid, "instance %.200q is no text of 1 to %d bytes", instance, maxInstanceBytes)
 	case r.current.Started != 0 && instance == r.current.Instance && (started == 0 || started == r.current.Started):
 		if r.deregistered {
 			return Unchanged, nil
--- a/mesh/registration/state_test.go
+++ b/mesh/registration/state_test.go
@@ -111,6 +111,8 @@
 	invalidate := map[string]func(*Heartbeat){
 		"no instance":         func(h *Heartbeat) { h.Instance = "" },
 		"long instance":       func(h *Heartbeat) { h.Instance = strings.Repeat("a", maxInstanceBytes+1) },
+		"instance not UTF-8":  func(h *Heartbeat) { h.Instance = "caf\xe9" },
+		"control character":   func(h *Heartbeat) { h.Instance = "a\nb" },
 		"no start":            func(h *Heartbeat) { h.Started = 0 },
 		"unknown state":       func(h *Heartbeat) { h.State = 0 },
 		"no slots":            func(h *Heartbeat) { h.Slots = 0 },
