Carry every head that HTTP allows between nodes, unchanged

Cause: the receiving node could not decode the head and failed the whole connection; its log says "cbor: invalid UTF-8 string". A crash of the node was ruled out: no process ended.

Heads are decoded whatever their bytes, with as many fields and values as fit in 64 KiB. A head that cannot be decoded ends its own call as not run, with a log line that names peer, call and field. Paths with characters that URIs do not allow are passed on as they came, and no Content-Type is added to answers. limits.header_bytes allows at most 65536: larger heads were accepted and then refused between nodes.

TestPathsAreMatchedCleanedAndPassedOnUnchanged also sets the RequestURI of its requests, as a server does.

--- a/mesh/callmux/client.go
+++ b/mesh/callmux/client.go
@@ -180,6 +180,8 @@
 	resp := &Response{}
 	body, err := decodeHead(f, resp)
 	if err != nil {
+		telemetry.Counter(MetricMalformed).Inc(1)
+		cn.cfg.Log.Warn("response cannot be decoded", "peer", cn.peer.String(), "call", f.call, "reason", err.Error())
 		cn.cancelCall(cl, "malformed response head")
 		return nil, outcomeUnknown(err)
 	}
--- a/mesh/callmux/config.go
+++ b/mesh/callmux/config.go
@@ -25,6 +25,8 @@
 	// MetricRefused counts connections that servers in this process refused, and
 	// calls that they refused before the handler ran.
 	MetricRefused = "callmux.refused"
+	// MetricMalformed counts calls with a head that could not be decoded.
+	MetricMalformed = "callmux.malformed"
 	// MetricSent counts the bytes of frames that this process sent, and
 	// MetricSentRemote those of them to other data centres.
 	MetricSent       = "callmux.sent"
--- a/mesh/callmux/frame.go
+++ b/mesh/callmux/frame.go
@@ -12,8 +12,13 @@
 
 // Sizes in frames, in bytes.
 const (
-	// MaxHead bounds the encoded head of a request or response.
-	MaxHead = 64 << 10
+	// MaxHead bounds the encoded head of a request or response. A head of 64 KiB in HTTP/1.1,
+	// the most that nodes read, takes less than that here together with the other fields
+	// of its frame.
+	MaxHead = 80 << 10
+	// maxHeadElements bounds the fields and values in a head, of which each takes a byte or
+	// more in HTTP/1.1 beside the line end.
+	maxHeadElements = MaxHead / 3
 	// maxData bounds the body bytes of one frame, so that a large body does not
 	// delay the frames of other calls.
 	maxData = 16 << 10
@@ -133,10 +138,12 @@
 var decodeMode = func() cbor.DecMode {
 	opts := cbor.DecOptions{
 		MaxNestedLevels:  8,
-		MaxArrayElements: 1024,
-		MaxMapPairs:      1024,
+		MaxArrayElements: maxHeadElements,
+		MaxMapPairs:      maxHeadElements,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		// HTTP allows bytes in header values and paths that are not UTF-8.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}
 	m, err := opts.DecMode()
 	if err != nil {
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -98,6 +98,8 @@
 	ReasonShuttingDown = "node is shutting down"
 	// ReasonTooManyCalls refuses calls above Config.MaxCalls.
 	ReasonTooManyCalls = "too many calls on the connection"
+	// ReasonMalformed refuses calls whose head cannot be decoded.
+	ReasonMalformed = "malformed request head"
 )
 
 // hello is the first frame in each direction.
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -201,12 +201,15 @@
 	}
 }
 
-// acceptCall starts the handler for a call, or refuses the call as not run.
+// acceptCall starts the handler for a call, or refuses the call as not run. A head that
+// cannot be decoded ends its call only, because the frame is intact and the other calls
+// on the connection are not affected.
 func (s *Server) acceptCall(cn *connection, f frame, h Handler) error {
 	req := &Request{}
-	body, err := decodeHead(f, req)
-	if err != nil {
-		return err
+	body, malformed := decodeHead(f, req)
+	if malformed != nil {
+		telemetry.Counter(MetricMalformed).Inc(1)
+		s.cfg.Log.Warn("call refused", "peer", cn.peer.String(), "call", f.call, "reason", malformed.Error())
 	}
 	ctx, cancel := callContext(context.Background(), req.Timeout)
 	c := cn.newCall(ctx, cancel)
@@ -216,7 +219,11 @@
 		cancel()
 		return err
 	}
-	if reason := s.refusalReason(ok); reason != "" {
+	reason := s.refusalReason(ok)
+	if malformed != nil {
+		reason = ReasonMalformed
+	}
+	if reason != "" {
 		return refuseCall(cn, c, reason)
 	}
 	req.Body = requestBody{cn, c}
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -108,6 +108,9 @@
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
+	if _, ok := w.Header()["Content-Type"]; !ok {
+		w.Header()["Content-Type"] = nil // stops net/http from adding one
+	}
 	w.WriteHeader(resp.Status)
 	if _, err := io.Copy(w, resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -142,14 +143,26 @@
 	return resp, nil
 }
 
-func (b *backend) newRequest(ctx context.Context, r backendRequest) (*http.Request, error) {
-	// The path is set as it came: url.URL.Parse would remove dot segments, and would
-	// read the first segment of a path that begins with two slashes as a host.
-	target, err := url.ParseRequestURI(r.path)
+// targetURL returns a URL that net/http sends as the given path and query, unchanged.
+func (b *backend) targetURL(path string) (*url.URL, error) {
+	if !strings.HasPrefix(path, "//") {
+		return &url.URL{Scheme: b.base.Scheme, Host: b.base.Host, Opaque: path}, nil
+	}
+	// An opaque part that begins with two slashes is sent with the scheme. url.URL.Parse
+	// would read the first segment of such a path as a host.
+	target, err := url.ParseRequestURI(path)
 	if err != nil {
 		return nil, err
 	}
 	target.Scheme, target.Host = b.base.Scheme, b.base.Host
+	return target, nil
+}
+
+func (b *backend) newRequest(ctx context.Context, r backendRequest) (*http.Request, error) {
+	target, err := b.targetURL(r.path)
+	if err != nil {
+		return nil, err
+	}
 	req, err := http.NewRequestWithContext(ctx, r.method, b.base.String(), nil)
 	if err != nil {
 		return nil, err
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -76,7 +76,7 @@
 		header.Set(headerHost, r.Host)
 	}
 	return &call{
-		id: r.Header.Get(HeaderRequestID), route: route, method: r.Method, path: r.URL.RequestURI(), header: header,
+		id: r.Header.Get(HeaderRequestID), route: route, method: r.Method, path: requestTarget(r), header: header,
 		body: body, budget: routing.NewBudget(retries),
 	}
 }
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -162,7 +162,7 @@
 
 func routeStatus(err error) int {
 	switch {
-	case errors.Is(err, errAmbiguousPath):
+	case errors.Is(err, errAmbiguousPath), errors.Is(err, errTargetNotPassedOn):
 		return http.StatusBadRequest
 	case errors.Is(err, routing.ErrMethodNotAllowed):
 		return http.StatusMethodNotAllowed
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,16 +68,22 @@
 // newTestEntry returns an entry with the backend servers h1 to h3.
 func newTestEntry(t *testing.T, calls callSender, claims claimer) *entry {
 	t.Helper()
+	return newTestEntryAt(calls, claims, map[model.HostID]string{"h1": "h1", "h2": "h2", "h3": "h3"})
+}
+
+// newTestEntryAt returns an entry with backend servers at the given hosts and call addresses.
+func newTestEntryAt(calls callSender, claims claimer, hosts map[model.HostID]string) *entry {
 	invariant.SetFatal(true)
 	cfg := note.NewConfig()
 	cfg.Services["ledger"] = note.Service{Name: "ledger", Slots: 20, Connections: 100, QueueLimit: 20}
 	cfg.Shares["ledger"] = note.Shares{"v1": model.ShareAll}
 	cfg.Routes["status"] = note.Route{Name: "status", PathPrefix: "/cabinets", Service: "ledger", Kind: model.KindLookup, Timeout: time.Second, MaxRetries: 2}
 	cfg.Routes["restock"] = note.Route{Name: "restock", PathPrefix: "/restocks", Service: "ledger", Kind: model.KindWrite, Timeout: time.Second, MaxRetries: 2}
+	cfg.Routes["virtual"] = note.Route{Name: "virtual", Host: "mesh.example", PathPrefix: "/virtual/", Service: "ledger", Kind: model.KindLookup, Timeout: 10 * time.Second}
 	var servers []membership.Announcement
-	for _, h := range []model.HostID{"h1", "h2", "h3"} {
+	for _, h := range slices.Sorted(maps.Keys(hosts)) {
 		servers = append(servers, membership.Announcement{Host: h, Service: "ledger", Version: "v1", DataCentre: "thun",
-			CallAddress: string(h), Slots: 20, State: membership.StateServing, Incarnation: 1})
+			CallAddress: hosts[h], Slots: 20, State: membership.StateServing, Incarnation: 1})
 	}
 	table := routing.NewTable(cfg, servers)
 	picker := routing.NewPicker(routing.PickerConfig{DataCentre: "thun", Seed: 1})
--- a/mesh/node/path_test.go
+++ b/mesh/node/path_test.go
@@ -36,6 +36,8 @@
 		{"/restocks%2F..%2Fcabinets/7", 400},
 		{"/restocks/..%2Fcabinets/7", 400},
 		{"/cabinets/../../x", 404},
+		{"/cabinets/a|b?{}", 200},
+		{"//cabinets/a|b", 400},
 	} {
 		var passed string
 		e := newTestEntry(t, scriptedSender(func(_ context.Context, _ string, req *callmux.Request) (*callmux.Response, error) {
@@ -48,7 +50,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.URL = u
+		r.URL, r.RequestURI = u, c.path
 		e.ServeHTTP(w, r)
 		if w.Code != c.status {
 			t.Errorf("%s: status %d, want %d", c.path, w.Code, c.status)
@@ -84,7 +86,7 @@
 	}()
 	b := newBackend(backendConfig{base: &url.URL{Scheme: "http", Host: l.Addr().String()}, connections: 1, dialTimeout: time.Second})
 	defer b.close()
-	for _, path := range []string{"//cabinets/7", "/cabinets/7/../8", "/cabinets/a%2Fb?q=%2F", "/cabinets//7"} {
+	for _, path := range []string{"//cabinets/7", "/cabinets/7/../8", "/cabinets/a%2Fb?q=%2F", "/cabinets//7", "/a|b?q={", "/a?"} {
 		r := writeRequest()
 		r.path = path
 		resp, err := b.do(t.Context(), r)
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -197,9 +197,10 @@
 	// BodyBytes is the largest size of a request body in bytes; default 4194304. A
 	// higher value allows larger uploads and uses more memory per call.
 	BodyBytes int64 `json:"body_bytes" validate:"min=1024,max=1073741824"`
-	// HeaderBytes is the largest size of a request header in bytes; default 65536. A
-	// higher value allows larger headers and uses more memory per connection.
-	HeaderBytes int `json:"header_bytes" validate:"min=1024,max=1048576"`
+	// HeaderBytes is the largest size of a request header in bytes; default 65536, which is
+	// also the most that nodes pass on to each other. A lower value uses less memory per
+	// connection.
+	HeaderBytes int `json:"header_bytes" validate:"min=1024,max=65536"`
 	// Calls is the highest number of callers' requests in progress on this node;
 	// default 4096. Further requests are refused and reported as not run, which limits
 	// the node's memory use.
