Take an answer with a status below 100 for none

net/http reads any three digits as a status and panics when it has to send one below 100: the caller's connection ended without an answer. Found while heads were looked at; the request now ends with an unknown outcome.

TestImpossibleStatusIsNoAnswer passes; before, the answer was passed on.

--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -91,6 +91,7 @@
 var (
 	errHeadTooLong        = errors.New("head of the answer is too long")
 	errForeignBodyTooLong = errors.New("answer to another request is too long")
+	errStatus             = errors.New("status of the answer is below 100")
 )
 
 type countingWriter struct{ cn *conn }
@@ -176,7 +177,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+		if resp.StatusCode < http.StatusContinue {
+			return nil, errStatus // net/http reads any three digits, and panics if it has to send these
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		switch cn.owner(resp) {
--- a/mesh/serverconn/faulty_test.go
+++ b/mesh/serverconn/faulty_test.go
@@ -193,3 +193,16 @@
 		}
 	}
 }
+
+// Guards against a status that net/http reads and cannot send, which would end the caller's
+// connection without an answer.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	c := faultyServer(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 099 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	if resp, err := get(t.Context(), c, "a"); !errors.Is(err, ErrLost) {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
