Make the limits of callers' requests a part of the configuration

Bodies above 4 MiB got 413 although the configuration allows 64 MiB: its limits were not read, and the default of the node's settings decided. Release notes and declarations now carry the limits of heads and bodies; they are distributed, diffed, summed and restored like the rest, and reach the routing table with their version. Configurations without limits keep their checksum.

--- a/mesh/distribute/history.go
+++ b/mesh/distribute/history.go
@@ -83,7 +83,14 @@
 
 func recordCount(d note.Delta) int {
 	return len(d.Services) + len(d.RemovedServices) + len(d.Routes) + len(d.RemovedRoutes) +
-		len(d.Shares) + len(d.RemovedShares) + len(d.DataCentres)
+		len(d.Shares) + len(d.RemovedShares) + len(d.DataCentres) + limitsCount(d)
+}
+
+func limitsCount(d note.Delta) int {
+	if d.Limits == nil {
+		return 0
+	}
+	return 1
 }
 
 // Compose returns one delta with the effect of a followed by b. It names every
@@ -100,6 +107,9 @@
 		maps.Copy(d.DataCentres, a.DataCentres)
 		maps.Copy(d.DataCentres, b.DataCentres)
 	}
+	if d.Limits = b.Limits; d.Limits == nil {
+		d.Limits = a.Limits
+	}
 	return d
 }
 
--- a/mesh/distribute/suite_test.go
+++ b/mesh/distribute/suite_test.go
@@ -70,6 +70,7 @@
 	}
 	if rapid.Bool().Draw(t, "out") {
 		c.DataCentres["thun"] = note.DataCentreOut
+		c.Limits.BodyBytes = rapid.Int64Range(0, 2).Draw(t, "body bytes")
 	}
 	return c
 }
--- a/mesh/distribute/version.go
+++ b/mesh/distribute/version.go
@@ -38,6 +38,7 @@
 	sumRoute
 	sumShares
 	sumDataCentre
+	sumLimits
 )
 
 // hashRecord hashes one record. The key is part of the hash, so that equal
@@ -72,7 +73,7 @@
 	for k := range c.DataCentres {
 		sum ^= dataCentreHash(c, k)
 	}
-	return sum
+	return sum ^ limitsHash(c)
 }
 
 // sumAfter returns the checksum of to, given the checksum of from and the delta
@@ -91,7 +92,7 @@
 	for k := range d.DataCentres {
 		sum ^= dataCentreHash(from, k) ^ dataCentreHash(to, k)
 	}
-	return sum
+	return sum ^ limitsHash(from) ^ limitsHash(to)
 }
 
 // touchedKeys is the set of keys that a delta names. Each key counts once in a
@@ -150,6 +151,14 @@
 	return 0
 }
 
+// limitsHash is 0 for a configuration without limits, as for one of a former release.
+func limitsHash(c note.Config) uint64 {
+	if c.Limits == (note.CallerLimits{}) {
+		return 0
+	}
+	return hashRecord(sumLimits, "", c.Limits)
+}
+
 func dataCentreHash(c note.Config, k model.DataCentre) uint64 {
 	if v, ok := c.DataCentres[k]; ok && v != note.DataCentreInService {
 		return hashRecord(sumDataCentre, string(k), v)
--- a/mesh/note/audit.go
+++ b/mesh/note/audit.go
@@ -123,6 +123,9 @@
 	for _, m := range n.Moves {
 		out = append(out, fmt.Sprintf("move %s to %s by %s", m.Service, m.To, m.By.UTC().Format(time.RFC3339)))
 	}
+	if n.Limits != nil {
+		out = append(out, fmt.Sprintf("limits of requests: %d bytes of header, %d of body", n.Limits.HeaderBytes, n.Limits.BodyBytes))
+	}
 	if len(out) > maxAuditChanges {
 		more := len(out) - maxAuditChanges + 1
 		out = append(out[:maxAuditChanges-1:maxAuditChanges-1], fmt.Sprintf("and %d more", more))
--- a/mesh/note/config.go
+++ b/mesh/note/config.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// CallerLimits bounds what callers may send in one request. Where a field is 0, the limit in
+// the settings of the node applies.
+type CallerLimits struct {
+	// HeaderBytes bounds the head of a request, with its request line.
+	HeaderBytes int64 `cbor:"1,keyasint,omitempty" json:"header_bytes,omitempty"`
+	// BodyBytes bounds the body of a request.
+	BodyBytes int64 `cbor:"2,keyasint,omitempty" json:"body_bytes,omitempty"`
+}
+
 // Config is the whole configuration at one position of the log. It is immutable
 // once built: every change makes a new one.
 type Config struct {
@@ -118,6 +127,7 @@
 	Routes      map[model.RouteName]Route            `cbor:"2,keyasint"`
 	Shares      map[model.ServiceName]Shares         `cbor:"3,keyasint"`
 	DataCentres map[model.DataCentre]DataCentreState `cbor:"4,keyasint"`
+	Limits      CallerLimits                         `cbor:"5,keyasint,omitempty"`
 }
 
 // NewConfig returns an empty configuration.
@@ -133,6 +143,7 @@
 // Clone returns a copy that shares no map with c.
 func (c Config) Clone() Config {
 	n := NewConfig()
+	n.Limits = c.Limits
 	maps.Copy(n.Services, c.Services)
 	maps.Copy(n.Routes, c.Routes)
 	maps.Copy(n.DataCentres, c.DataCentres)
--- a/mesh/note/declare.go
+++ b/mesh/note/declare.go
@@ -31,7 +31,8 @@
 	Routes   []Route   `cbor:"4,keyasint"`
 	// Document is the configuration in the operator's own format. It is stored and
 	// returned unchanged.
-	Document []byte `cbor:"5,keyasint,omitempty"`
+	Document []byte       `cbor:"5,keyasint,omitempty"`
+	Limits   CallerLimits `cbor:"6,keyasint,omitempty"`
 }
 
 // Declaration is the newest accepted declaration.
@@ -171,6 +172,7 @@
 // into the declared ones; changes is false if there is no difference.
 func (s *State) noteForDeclaration(d *Declare) (n Note, changes bool, err error) {
 	want := NewConfig()
+	want.Limits = d.Limits
 	for _, svc := range d.Services {
 		want.Services[svc.Name] = svc
 	}
@@ -183,8 +185,8 @@
 	if err := validateDistinctRoutes(want, d.Routes); err != nil {
 		return Note{}, false, err
 	}
-	diff := Diff(Config{Services: s.config.Services, Routes: s.config.Routes}, want)
-	n = Note{Number: s.head + 1, Title: fmt.Sprintf("declared version %d", d.Version), Declared: true}
+	diff := Diff(Config{Services: s.config.Services, Routes: s.config.Routes, Limits: s.config.Limits}, want)
+	n = Note{Number: s.head + 1, Title: fmt.Sprintf("declared version %d", d.Version), Declared: true, Limits: diff.Limits}
 	for _, svc := range diff.Services {
 		if _, ok := s.config.Services[svc.Name]; ok {
 			n.Services.Changed = append(n.Services.Changed, svc)
--- a/mesh/note/delta.go
+++ b/mesh/note/delta.go
@@ -18,12 +18,14 @@
 	Shares          map[model.ServiceName]Shares         `cbor:"5,keyasint,omitempty"`
 	RemovedShares   []model.ServiceName                  `cbor:"6,keyasint,omitempty"`
 	DataCentres     map[model.DataCentre]DataCentreState `cbor:"7,keyasint,omitempty"`
+	// Limits is nil if they do not change.
+	Limits *CallerLimits `cbor:"8,keyasint,omitempty"`
 }
 
 // Empty reports whether the delta changes nothing.
 func (d Delta) Empty() bool {
 	return len(d.Services)+len(d.RemovedServices)+len(d.Routes)+len(d.RemovedRoutes)+
-		len(d.Shares)+len(d.RemovedShares)+len(d.DataCentres) == 0
+		len(d.Shares)+len(d.RemovedShares)+len(d.DataCentres) == 0 && d.Limits == nil
 }
 
 // Diff returns the delta that turns from into to. Its lists are sorted by name.
@@ -37,6 +39,9 @@
 	}
 	d.RemovedShares = removed
 	d.DataCentres = diffDataCentres(from, to)
+	if from.Limits != to.Limits {
+		d.Limits = &to.Limits
+	}
 	return d
 }
 
@@ -132,5 +137,8 @@
 		b.cfg.DataCentres = maps.Clone(c.DataCentres)
 		maps.Copy(b.cfg.DataCentres, d.DataCentres)
 	}
+	if d.Limits != nil {
+		b.cfg.Limits = *d.Limits
+	}
 	return b.cfg, validateChange(b.cfg, d)
 }
--- a/mesh/note/fold.go
+++ b/mesh/note/fold.go
@@ -57,6 +57,9 @@
 	for service, shares := range steps {
 		b.setShares(service, shares)
 	}
+	if n.Limits != nil {
+		b.cfg.Limits, b.changed.Limits = *n.Limits, n.Limits
+	}
 	return b.checkAddedServices(n)
 }
 
--- a/mesh/note/note.go
+++ b/mesh/note/note.go
@@ -64,6 +64,8 @@
 	// Declared marks a note made from a declaration. Its new services may lack
 	// shares: their first version comes from the announcements of backend servers.
 	Declared bool `cbor:"8,keyasint,omitempty" json:"-"`
+	// Limits replaces the limits of callers' requests; nil leaves them as they are.
+	Limits *CallerLimits `cbor:"9,keyasint,omitempty" json:"limits,omitempty"`
 }
 
 // ParseNote decodes the JSON form of a note and checks what does not depend on
@@ -83,7 +85,11 @@
 func (n Note) MarshalJSON() ([]byte, error) { return strictjson.Marshal(n) }
 
 func (n Note) entries() int {
-	return n.Services.entries() + n.Routes.entries() + len(n.Shares) + len(n.Moves)
+	limits := 0
+	if n.Limits != nil {
+		limits = 1
+	}
+	return n.Services.entries() + n.Routes.entries() + len(n.Shares) + len(n.Moves) + limits
 }
 
 func (c Changes[T]) entries() int { return len(c.Added) + len(c.Changed) + len(c.Withdrawn) }
@@ -107,6 +113,11 @@
 	if err := n.checkRoutes(); err != nil {
 		return err
 	}
+	if n.Limits != nil {
+		if err := validateLimits(*n.Limits); err != nil {
+			return err
+		}
+	}
 	return n.checkTraffic()
 }
 
--- a/mesh/note/random_test.go
+++ b/mesh/note/random_test.go
@@ -55,6 +55,9 @@
 			}
 		}
 		maps.Copy(c.Shares, n.steps)
+		if n.note.Limits != nil {
+			c.Limits = *n.note.Limits
+		}
 	}
 	maps.Copy(c.DataCentres, h.dataCentres)
 	return c
@@ -191,6 +194,9 @@
 	if withdraw {
 		return n
 	}
+	if rapid.IntRange(0, 3).Draw(t, "limits") == 0 {
+		n.Limits = &CallerLimits{BodyBytes: rapid.Int64Range(0, 3).Draw(t, "body bytes")}
+	}
 	if n.Declared = rapid.IntRange(0, 2).Draw(t, "declared") == 0; n.Declared {
 		return n // a new service gets its shares from a command
 	}
--- a/mesh/note/snapshot.go
+++ b/mesh/note/snapshot.go
@@ -107,6 +107,7 @@
 // withMaps returns c with empty maps in place of nil maps.
 func (c Config) withMaps() Config {
 	n := NewConfig()
+	n.Limits = c.Limits
 	if c.Services != nil {
 		n.Services = c.Services
 	}
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -52,6 +52,9 @@
 	if err := validateSize(c); err != nil {
 		return err
 	}
+	if err := validateLimits(c.Limits); err != nil {
+		return err
+	}
 	for name, s := range c.Services {
 		if err := validateService(keyPath("services", string(name)), name, s); err != nil {
 			return err
@@ -76,6 +79,9 @@
 	if err := validateSize(c); err != nil {
 		return err
 	}
+	if err := validateLimits(c.Limits); err != nil {
+		return err
+	}
 	for _, s := range d.Services {
 		if err := validateService(keyPath("services", string(s.Name)), s.Name, s); err != nil {
 			return err
@@ -121,6 +127,23 @@
 	return nil
 }
 
+// MaxBodyBytes is the upper limit of CallerLimits.BodyBytes.
+const MaxBodyBytes = 1 << 40
+
+// MaxHeaderBytes is the upper limit of CallerLimits.HeaderBytes. Nodes pass on no larger
+// heads to each other.
+const MaxHeaderBytes = 64 << 10
+
+func validateLimits(l CallerLimits) error {
+	switch {
+	case l.HeaderBytes < 0 || l.HeaderBytes > MaxHeaderBytes:
+		return invalid("limits.header_bytes", "%d, want 0 to %d", l.HeaderBytes, MaxHeaderBytes)
+	case l.BodyBytes < 0 || l.BodyBytes > MaxBodyBytes:
+		return invalid("limits.body_bytes", "%d, want 0 to %d", l.BodyBytes, int64(MaxBodyBytes))
+	}
+	return nil
+}
+
 func validateSize(c Config) error {
 	if len(c.Services) > maxServices {
 		return invalid("services", "%d services, at most %d", len(c.Services), maxServices)
--- a/mesh/routing/builder.go
+++ b/mesh/routing/builder.go
@@ -97,7 +97,7 @@
 // Table returns the table for the current configuration and announcements.
 func (b *Builder) Table() *Table {
 	t := *b.last
-	t.dataCentres = b.cfg.DataCentres
+	t.dataCentres, t.limits = b.cfg.DataCentres, b.cfg.Limits
 	if b.routesChanged {
 		t.routes, t.longestPrefix = buildRoutes(b.cfg.Routes)
 		t.virtualHosts = buildVirtualHosts(b.cfg.Routes)
--- a/mesh/routing/table.go
+++ b/mesh/routing/table.go
@@ -29,8 +29,12 @@
 	hasSplit    map[model.RouteName]bool
 	services    map[model.ServiceName]*serviceTable
 	dataCentres map[model.DataCentre]note.DataCentreState
+	limits      note.CallerLimits
 }
 
+// Limits returns the limits of callers' requests.
+func (t *Table) Limits() note.CallerLimits { return t.limits }
+
 // serviceTable is the part of a Table that concerns one service.
 type serviceTable struct {
 	// shares is nil if the configuration states none.
