Stream long bodies in both directions within the limits in force

Each request body was read whole into memory, so that a constant had to bound it, and long answers without a length were refused as their end could not be told.

Up to 256 KiB of a body are kept, as of an answer, and the rest goes from the caller to the backend server with backpressure. A request is tried again only while all that was sent is kept. A body above the limit is refused at once by its stated length, or when it passes the limit, with a true outcome; net/http no longer reads the rest of a body before it sends an answer. A streamed body keeps its Content-Length, and a request without a body is no longer sent in chunks. An answer that ends with its connection is passed on at any size: a close completes it, a reset or the deadline ends the caller's answer without its last chunk, or with a reset in HTTP/1.0. A caller that stops sending or reading is given up at the deadline.

--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -39,7 +39,8 @@
 	// BodyLength is the exact length of Body in bytes if known, otherwise 0. It is
 	// not sent; a body of known length up to 16 KiB is sent in the frame of the head.
 	BodyLength int64 `cbor:"-"`
-	// Body is nil if the request has no body.
+	// Body is nil in a request that is sent, and http.NoBody in one that was received, if
+	// the request has no body.
 	Body io.Reader `cbor:"-"`
 }
 
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -227,7 +228,10 @@
 		return refuseCall(cn, c, reason)
 	}
 	req.Body = requestBody{cn, c}
-	if f.end {
+	switch {
+	case f.end && len(body) == 0:
+		req.Body = http.NoBody
+	case f.end:
 		req.Body, req.BodyLength = newInlineBody(body), int64(len(body))
 	}
 	s.wg.Go(func() { handleCall(cn, c, req, h) })
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -101,10 +103,12 @@
 	return string(b[:min(len(b), maxHeaderValueBytes)])
 }
 
-// sendAnswer streams an answer to the caller. If the body is truncated, it aborts the
-// connection, so that the caller cannot mistake the answer for a complete one.
-func sendAnswer(w http.ResponseWriter, resp *callmux.Response) {
+// sendAnswer streams an answer to the caller. If the body is truncated, or the caller has not
+// taken it when ctx ends, it aborts the connection, so that the caller cannot mistake the
+// answer for a complete one.
+func sendAnswer(ctx context.Context, w http.ResponseWriter, resp *callmux.Response) {
 	defer resp.Body.Close()
+	defer context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) })()
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
@@ -117,6 +121,22 @@
 	}
 }
 
+// resetOnAbort resets the connection of a handler that aborts its answer. In HTTP/1.0 an
+// answer without a length ends with its connection, so that a close would complete it.
+func resetOnAbort(w http.ResponseWriter) {
+	aborted := recover()
+	if aborted == nil {
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	panic(aborted)
+}
+
 // refuseCall refuses a call as not run. It asserts that no attempt of the call has an
 // unknown outcome.
 func refuseCall(w http.ResponseWriter, c *call, a *attempt) {
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -26,7 +26,7 @@
 	method  string
 	path    string
 	header  http.Header
-	body    []byte
+	body    *callerBody
 	budget  *routing.Budget
 	// attempts records the attempts at sending the call; it is set when the call is
 	// dispatched.
@@ -66,7 +66,7 @@
 
 // newCall builds a call from a request. The retry budget in the request's header, if
 // any, replaces the route's.
-func newCall(r *http.Request, route note.Route, body []byte) *call {
+func newCall(r *http.Request, route note.Route, body *callerBody) *call {
 	retries := route.MaxRetries
 	if n, err := strconv.Atoi(r.Header.Get(HeaderRetryBudget)); err == nil {
 		retries = n
--- /dev/null
+++ b/mesh/node/callerbody.go
@@ -0,0 +1,297 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// maxKeptBodyBytes is how much of a request body is kept for another attempt. It equals
+	// maxBufferedAnswerBytes, so that one size says what is retried in both directions.
+	maxKeptBodyBytes = 256 << 10
+	// bodyReserveBytes is the step in which the memory for kept bodies is reserved.
+	bodyReserveBytes = 16 << 10
+)
+
+var (
+	errTooManyBodies   = errors.New(reasonTooManyBodies)
+	errBodyNotReceived = errors.New(reasonBodyNotReceived)
+	// errFormerAttempt ends the reads of an attempt that has been replaced by another.
+	errFormerAttempt = errors.New("another attempt sends the body")
+	// errBodyClosed ends reads after the request was answered.
+	errBodyClosed = errors.New("request was answered before its body was sent")
+)
+
+// callerBody is the body of a caller's request. A body of up to maxKeptBodyBytes is read
+// before the request is sent. Of a longer one, the start is kept, and the rest is read from
+// the caller as fast as a backend server takes it.
+type callerBody struct {
+	// length is the number of bytes that the caller stated; -1 if none.
+	length int64
+	// limiter bounds the bytes that all requests of the node keep.
+	limiter *semaphore.Weighted
+
+	// reading is held while rest is read.
+	reading sync.Mutex
+	rest    io.Reader // what the caller has not sent yet, up to the limit of a body
+
+	// mu guards the fields below. Lock order: reading before mu.
+	mu sync.Mutex
+	// kept holds the start of the body; it is all that was read unless dropped is set.
+	kept     []byte
+	reserved int64
+	// dropped is set once more was sent than is kept.
+	dropped bool
+	// err is what ended the reads from the caller: io.EOF after the whole body.
+	err error
+	// attempt is the number of the latest reader.
+	attempt int
+	// onFailure ends the request once the rest of its body can't be received.
+	onFailure func()
+}
+
+// receiveBody reads the body of a request, or the start of a long one. A body above limit
+// is refused by its stated length, or else as soon as the limit is passed. If keep is at
+// least limit, the whole body is kept.
+func receiveBody(r *http.Request, limit, keep int64, limiter *semaphore.Weighted) (*callerBody, error) {
+	b := &callerBody{length: r.ContentLength, limiter: limiter, err: io.EOF}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return b, nil
+	}
+	if r.ContentLength > limit {
+		return nil, ErrBodyTooLarge
+	}
+	b.rest, b.err = &limitedBody{r.Body, limit}, nil
+	if !b.reserve(bodyReserveBytes) {
+		return nil, errTooManyBodies
+	}
+	if err := b.receiveStart(keep); err != nil {
+		b.release()
+		return nil, err
+	}
+	return b, nil
+}
+
+// receiveStart reads the body up to its end, to keep bytes, or until there is no memory to
+// keep more.
+func (b *callerBody) receiveStart(keep int64) error {
+	if b.length > 0 {
+		b.kept = make([]byte, 0, min(b.length, bodyReserveBytes)) // grows by what has arrived
+	}
+	for b.err == nil && int64(len(b.kept)) < keep && b.reserve(int64(len(b.kept))+bodyReserveBytes) {
+		room := min(b.reserved, keep) - int64(len(b.kept))
+		n := len(b.kept)
+		b.kept = append(b.kept, make([]byte, room)...)
+		m, err := b.rest.Read(b.kept[n:])
+		b.kept, b.err = b.kept[:n+m], err
+	}
+	switch {
+	case b.err == nil || errors.Is(b.err, io.EOF):
+		return nil
+	case errors.Is(b.err, ErrBodyTooLarge):
+		return ErrBodyTooLarge
+	}
+	return errBodyNotReceived
+}
+
+// reserve raises the reserved memory to n bytes and reports whether there was room.
+func (b *callerBody) reserve(n int64) bool {
+	if n <= b.reserved {
+		return true
+	}
+	if !b.limiter.TryAcquire(n - b.reserved) {
+		return false
+	}
+	b.reserved = n
+	return true
+}
+
+// release returns the reserved memory.
+func (b *callerBody) release() {
+	b.limiter.Release(b.reserved)
+	b.reserved = 0
+}
+
+// isWhole reports whether the whole body is kept, so that attempts may overlap.
+func (b *callerBody) isWhole() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.dropped && errors.Is(b.err, io.EOF)
+}
+
+// canRepeat reports whether another attempt can send the body from its start.
+func (b *callerBody) canRepeat() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.dropped && (b.err == nil || errors.Is(b.err, io.EOF))
+}
+
+// failure returns why the body did not arrive completely; nil if it did, or may still.
+func (b *callerBody) failure() error {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.err == nil, errors.Is(b.err, io.EOF), errors.Is(b.err, errBodyClosed):
+		return nil
+	case errors.Is(b.err, ErrBodyTooLarge):
+		return ErrBodyTooLarge
+	}
+	return errBodyNotReceived
+}
+
+// isReceived reports whether the caller has sent the whole body.
+func (b *callerBody) isReceived() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF)
+}
+
+// bytes returns a body of which all is kept.
+func (b *callerBody) bytes() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.kept
+}
+
+// open returns a reader of the body from its start for one more attempt, nil if there is no
+// body, and its length, 0 if that is unknown. It ends the readers of earlier attempts, unless
+// the whole body is kept.
+func (b *callerBody) open() (io.Reader, int64) {
+	if b == nil {
+		return nil, 0
+	}
+	if b.isWhole() {
+		if len(b.kept) == 0 {
+			return nil, 0
+		}
+		return bytes.NewReader(b.kept), int64(len(b.kept))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	return &bodyReader{body: b, attempt: b.attempt}, max(b.length, 0)
+}
+
+// bodyReader reads a body for one attempt.
+type bodyReader struct {
+	body    *callerBody
+	attempt int
+	offset  int
+}
+
+// Read implements io.Reader. What it reads from the caller is kept for another attempt as
+// long as there is room.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	b := r.body
+	if n, err := r.readKept(p); n > 0 || err != nil {
+		return n, err
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// A former attempt may have read more while this one waited.
+	if n, err := r.readKept(p); n > 0 || err != nil {
+		return n, err
+	}
+	n, err := b.rest.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		defer b.onFailure()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.err = err
+	current := r.attempt == b.attempt
+	if !b.dropped && current && !b.hasRoom(n) {
+		b.dropped, b.kept = true, nil
+	}
+	if !b.dropped {
+		b.kept = append(b.kept, p[:n]...)
+	}
+	if !current {
+		return 0, errFormerAttempt
+	}
+	r.offset += n
+	return n, err
+}
+
+// hasRoom reports whether n more bytes may be kept. The caller holds mu.
+func (b *callerBody) hasRoom(n int) bool {
+	size := int64(len(b.kept) + n)
+	return size <= maxKeptBodyBytes && b.reserve(size)
+}
+
+// readKept reads what is kept beyond the reader's offset. It returns 0 and no error if
+// more has to be read from the caller.
+func (r *bodyReader) readKept(p []byte) (int, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.attempt != b.attempt {
+		return 0, errFormerAttempt
+	}
+	if !b.dropped && r.offset < len(b.kept) {
+		n := copy(p, b.kept[r.offset:])
+		r.offset += n
+		return n, nil
+	}
+	return 0, b.err
+}
+
+// close ends the reads of the body once its request is answered, so that none is under way
+// when the handler returns. w is the writer of the answer.
+func (b *callerBody) close(w http.ResponseWriter) {
+	b.mu.Lock()
+	ended := b.err != nil
+	if !ended {
+		b.err = errBodyClosed
+	}
+	b.attempt++
+	b.mu.Unlock()
+	if !ended {
+		// A caller that has stopped sending would otherwise hold the read, and with it the
+		// handler.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release()
+}
+
+// limitedBody reads a body and returns ErrBodyTooLarge once it is longer than left.
+type limitedBody struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitedBody) Read(p []byte) (int, error) {
+	if int64(len(p)) > l.left+1 {
+		p = p[:l.left+1]
+	}
+	n, err := l.r.Read(p)
+	if int64(n) > l.left {
+		return int(l.left), ErrBodyTooLarge
+	}
+	l.left -= int64(n)
+	return n, err
+}
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -75,7 +75,7 @@
 // mayRetry reports whether the call is tried again. If so, the retry has been taken
 // from the budgets.
 func mayRetry(ctx context.Context, c *call, a *attempt) bool {
-	if ctx.Err() != nil || errors.Is(a.err, errNoServer) {
+	if ctx.Err() != nil || errors.Is(a.err, errNoServer) || !c.body.canRepeat() {
 		return false
 	}
 	if a.notRun() || a.result == routing.ResultFailed || a.answered() {
@@ -90,7 +90,7 @@
 	if err != nil {
 		return noServerAttempt(err)
 	}
-	if c.route.Hedge {
+	if c.route.Hedge && c.body.isWhole() {
 		return d.sendHedged(ctx, c, server)
 	}
 	return d.send(ctx, c, server)
@@ -144,13 +144,11 @@
 	req := &callmux.Request{
 		Route: c.route.Name, Service: server.Service, Version: server.Version,
 		Method: c.method, Path: c.path, Header: c.header, Kind: c.route.Kind,
-		RetryBudget: lent, Position: d.position(), BodyLength: int64(len(c.body)),
+		RetryBudget: lent, Position: d.position(),
 		Priority: c.route.Priority, MaxWait: maxSlotWait(c.route), TimeToLatencyTarget: c.timeToLatencyDeadline(),
 		Notice: d.notices.get(server.Host),
 	}
-	if len(c.body) > 0 {
-		req.Body = bytes.NewReader(c.body)
-	}
+	req.Body, req.BodyLength = c.body.open()
 	return req
 }
 
@@ -273,5 +271,5 @@
 // digestOf returns the digest of a write's method, path and body. A write that reuses
 // a key with another digest is refused.
 func digestOf(c *call) claim.Digest {
-	return claim.DigestOf(bytes.Join([][]byte{[]byte(c.method), []byte(c.path), c.body}, []byte{0}))
+	return claim.DigestOf(bytes.Join([][]byte{[]byte(c.method), []byte(c.path), c.body.bytes()}, []byte{0}))
 }
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -1,9 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -80,6 +80,13 @@
 
 // ServeHTTP matches a request to its route, reads its body and serves it.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		defer resetOnAbort(w)
+	}
+	if r.ContentLength != 0 {
+		// net/http would otherwise read the body, or some of it, before it sends an answer.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -104,14 +111,24 @@
 		e.refuseUnrouted(w, r, status, reason)
 		return
 	}
-	body, releaseBody, err := e.readBody(w, r)
+	limits := e.limitsOf(table, route)
+	if headBytes(r) > limits.HeaderBytes {
+		e.refuseUnrouted(w, r, http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error())
+		return
+	}
+	body, err := receiveBody(r, limits.BodyBytes, keptBytes(route, limits), e.bodyLimiter)
 	if err != nil {
 		e.refuseUnrouted(w, r, bodyStatus(err), err.Error())
 		return
 	}
-	defer releaseBody()
+	defer body.close(w)
+	if !body.isWhole() && route.Kind == model.KindWrite && !route.Unkeyed {
+		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyBodies)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r, route))
 	defer cancel()
+	body.onFailure = cancel
 	c := newCall(r, route, body)
 	c.service = e.dispatcher.picker.PickService(route)
 	c.latencyDeadline = e.latencyDeadlineOf(r, route)
@@ -182,38 +199,40 @@
 	}
 }
 
-var (
-	errTooManyBodies   = errors.New(reasonTooManyBodies)
-	errBodyNotReceived = errors.New(reasonBodyNotReceived)
-)
+// errHeadTooLarge is returned for a request head above the limit of the configuration.
+var errHeadTooLarge = errors.New("request head too large")
 
-// readBody reads the whole body into memory, so that the call can be retried. A body
-// of unknown length reserves the maximum body size until it has been read.
-func (e *entry) readBody(w http.ResponseWriter, r *http.Request) (body []byte, releaseBody func(), err error) {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return nil, func() {}, nil
+// limitsOf returns the limits of a request: those of the configuration in force or, where it
+// states none, of the settings. A write with a key is kept whole until its key is claimed, so
+// that the limit of the settings holds for it too.
+func (e *entry) limitsOf(table *routing.Table, route note.Route) note.CallerLimits {
+	l := table.Limits()
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = note.MaxHeaderBytes
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = e.bodyLimit
+	if l.BodyBytes == 0 || route.Kind == model.KindWrite && !route.Unkeyed {
+		l.BodyBytes = min(e.bodyLimit, cmp.Or(l.BodyBytes, e.bodyLimit))
 	}
-	if size > e.bodyLimit {
-		return nil, nil, ErrBodyTooLarge
-	}
-	if !e.bodyLimiter.TryAcquire(size) {
-		return nil, nil, errTooManyBodies
+	return l
+}
+
+// keptBytes returns how much of a request body is read before the request is sent.
+func keptBytes(route note.Route, limits note.CallerLimits) int64 {
+	if route.Kind == model.KindWrite && !route.Unkeyed {
+		return limits.BodyBytes + 1 // up to and including its end
 	}
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.bodyLimit))
-	if err != nil {
-		e.bodyLimiter.Release(size)
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, nil, ErrBodyTooLarge
+	return maxKeptBodyBytes
+}
+
+// headBytes returns the least number of bytes in which the head of a request was sent.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len("  HTTP/1.1\r\n\r\n") + len("Host:\r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(":\r\n")
 		}
-		return nil, nil, errBodyNotReceived
 	}
-	e.bodyLimiter.Release(size - int64(len(body)))
-	return body, func() { e.bodyLimiter.Release(int64(len(body))) }, nil
+	return int64(n)
 }
 
 func (e *entry) serve(ctx context.Context, w http.ResponseWriter, c *call) {
@@ -234,11 +253,18 @@
 
 // respond sends the answer of a request without a claim, or an error if there is none.
 func (e *entry) respond(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) {
+	if !c.body.isReceived() {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
 	switch {
 	case a.answered():
-		sendAnswer(w, a.resp)
+		sendAnswer(ctx, w, a.resp)
+	case a.notRun() && c.body.failure() != nil:
+		refuseNotRun(w, bodyStatus(c.body.failure()), c.body.failure().Error())
 	case a.notRun():
 		refuseCall(w, c, a)
+	case c.body.failure() != nil:
+		refuseUnknown(w, bodyStatus(c.body.failure()), a)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refuseUnknown(w, http.StatusGatewayTimeout, a)
 	default:
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -74,18 +74,7 @@
 // newTestEntryAt returns an entry with backend servers at the given hosts and call addresses.
 func newTestEntryAt(calls callSender, claims claimer, hosts map[model.HostID]string) *entry {
 	invariant.SetFatal(true)
-	cfg := note.NewConfig()
-	cfg.Services["ledger"] = note.Service{Name: "ledger", Slots: 20, Connections: 100, QueueLimit: 20}
-	cfg.Shares["ledger"] = note.Shares{"v1": model.ShareAll}
-	cfg.Routes["status"] = note.Route{Name: "status", PathPrefix: "/cabinets", Service: "ledger", Kind: model.KindLookup, Timeout: time.Second, MaxRetries: 2}
-	cfg.Routes["restock"] = note.Route{Name: "restock", PathPrefix: "/restocks", Service: "ledger", Kind: model.KindWrite, Timeout: time.Second, MaxRetries: 2}
-	cfg.Routes["virtual"] = note.Route{Name: "virtual", Host: "mesh.example", PathPrefix: "/virtual/", Service: "ledger", Kind: model.KindLookup, Timeout: 10 * time.Second}
-	var servers []membership.Announcement
-	for _, h := range slices.Sorted(maps.Keys(hosts)) {
-		servers = append(servers, membership.Announcement{Host: h, Service: "ledger", Version: "v1", DataCentre: "thun",
-			CallAddress: hosts[h], Slots: 20, State: membership.StateServing, Incarnation: 1})
-	}
-	table := routing.NewTable(cfg, servers)
+	table := testTable(hosts, note.CallerLimits{})
 	picker := routing.NewPicker(routing.PickerConfig{DataCentre: "thun", Seed: 1})
 	picker.SetTable(time.Now(), table)
 	log := slog.New(slog.DiscardHandler)
@@ -102,6 +91,23 @@
 	}
 }
 
+// testTable returns the routing table of the tests' configuration.
+func testTable(hosts map[model.HostID]string, limits note.CallerLimits) *routing.Table {
+	cfg := note.NewConfig()
+	cfg.Limits = limits
+	cfg.Services["ledger"] = note.Service{Name: "ledger", Slots: 20, Connections: 100, QueueLimit: 20}
+	cfg.Shares["ledger"] = note.Shares{"v1": model.ShareAll}
+	cfg.Routes["status"] = note.Route{Name: "status", PathPrefix: "/cabinets", Service: "ledger", Kind: model.KindLookup, Timeout: time.Second, MaxRetries: 2}
+	cfg.Routes["restock"] = note.Route{Name: "restock", PathPrefix: "/restocks", Service: "ledger", Kind: model.KindWrite, Timeout: time.Second, MaxRetries: 2}
+	cfg.Routes["virtual"] = note.Route{Name: "virtual", Host: "mesh.example", PathPrefix: "/virtual/", Service: "ledger", Kind: model.KindLookup, Timeout: 10 * time.Second}
+	var servers []membership.Announcement
+	for _, h := range slices.Sorted(maps.Keys(hosts)) {
+		servers = append(servers, membership.Announcement{Host: h, Service: "ledger", Version: "v1", DataCentre: "thun",
+			CallAddress: hosts[h], Slots: 20, State: membership.StateServing, Incarnation: 1})
+	}
+	return routing.NewTable(cfg, servers)
+}
+
 func answer(body string) *callmux.Response {
 	return &callmux.Response{Status: http.StatusOK, Header: map[string][]string{}, Limit: 20, Body: io.NopCloser(strings.NewReader(body))}
 }
--- a/mesh/node/node_test.go
+++ b/mesh/node/node_test.go
@@ -52,7 +52,7 @@
 		route.Unkeyed = true
 		w := httptest.NewRecorder()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		call := newCall(httptest.NewRequest(http.MethodPost, "/restocks", nil), route, []byte("crate"))
+		call := newCall(httptest.NewRequest(http.MethodPost, "/restocks", nil), route, &callerBody{kept: []byte("crate"), err: io.EOF})
 		call.service = route.Service
 		e.serve(ctx, w, call)
 		cancel()
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -1,12 +1,13 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,6 @@
 	reasonUnreachable        = "backend server unreachable"
 	reasonCanceledBeforeSend = "given up before it was sent"
 	reasonNoAnswer           = "no answer from the backend server"
-	reasonCloseDelimited     = "long answer of the backend server has no length"
 	reasonTruncated          = "answer of the backend server broke off"
 )
 
@@ -168,35 +168,65 @@
 // any of it is passed on, so that the call can be retried if the answer is truncated.
 const maxBufferedAnswerBytes = 256 << 10
 
-// bufferAnswer reads an answer of up to maxBufferedAnswerBytes into memory. An answer
-// without a length ends with its connection: a regular close (FIN) completes it, a
-// reset does not.
+// bufferAnswer reads an answer of up to maxBufferedAnswerBytes into memory, and the start of a
+// longer one. An answer without a length ends with its connection, whatever its size: a
+// regular close (FIN) completes it, a reset or the deadline does not.
 func bufferAnswer(resp *http.Response) error {
 	if resp.ContentLength > maxBufferedAnswerBytes {
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswerBytes+1))
+	start, size, err := readBlocks(resp.Body, resp.ContentLength)
 	if err != nil {
 		_ = resp.Body.Close()
 		return err
 	}
-	if len(prefix) <= maxBufferedAnswerBytes {
+	if size <= maxBufferedAnswerBytes {
 		_ = resp.Body.Close()
-		resp.Body, resp.ContentLength = io.NopCloser(bytes.NewReader(prefix)), int64(len(prefix))
+		resp.Body, resp.ContentLength = io.NopCloser(&start), size
 		return nil
 	}
-	if closeDelimited(resp) {
-		_ = resp.Body.Close()
-		return errCloseDelimited
-	}
-	resp.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(prefix), resp.Body), Closer: resp.Body}
+	resp.Body = &prefixedBody{Reader: io.MultiReader(&start, resp.Body), Closer: resp.Body}
 	return nil
 }
 
-// errCloseDelimited is returned for an answer without a length that is too large to
-// buffer. Once a part of it has been passed on, a truncated body could not be told
-// from a complete one.
-var errCloseDelimited = errors.New(reasonCloseDelimited)
+// answerBlockBytes is the size of the blocks in which an answer without a length is read.
+// Growing one slice would take a few times the memory of the answer until it is collected.
+const answerBlockBytes = 16 << 10
+
+// readBlocks reads an answer up to its end, or until more than maxBufferedAnswerBytes have
+// been read. length is negative if it is not known.
+func readBlocks(r io.Reader, length int64) (blocks net.Buffers, size int64, err error) {
+	blockSize := int64(answerBlockBytes)
+	if length >= 0 {
+		blockSize = length + 1 // the end shows only after the last byte
+	}
+	for size <= maxBufferedAnswerBytes {
+		block, err := readBlock(r, make([]byte, blockSize))
+		size += int64(len(block))
+		blocks = append(blocks, block)
+		if errors.Is(err, io.EOF) {
+			return blocks, size, nil
+		}
+		if err != nil {
+			return nil, size, err
+		}
+	}
+	return blocks, size, nil
+}
+
+// readBlock fills the block, unless it returns an error. Unlike io.ReadFull, it keeps the
+// regular end of a body apart from an early one, for which net/http returns
+// io.ErrUnexpectedEOF.
+func readBlock(r io.Reader, block []byte) ([]byte, error) {
+	n := 0
+	for n < len(block) {
+		m, err := r.Read(block[n:])
+		if n += m; err != nil {
+			return block[:n], err
+		}
+	}
+	return block, nil
+}
 
 // prefixedBody reads the buffered prefix of a body and then the rest.
 type prefixedBody struct {
@@ -223,12 +253,6 @@
 	return reasonUnreachable
 }
 
-// closeDelimited reports whether the end of the body is marked only by the close of
-// the connection, so that a truncated body could not be told from a complete one.
-func closeDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 func (s *serving) answer(resp *http.Response, release func(admission.Outcome), o admission.Outcome) *callmux.Response {
 	s.answeredCalls.Add(1)
 	telemetry.Latency("serving.latency").Update(o.Latency.Microseconds())
@@ -287,13 +311,16 @@
 // requestLength returns the request's content length; -1 if it is unknown.
 func requestLength(req *callmux.Request) int64 {
 	switch {
-	case req.Body == nil:
+	case req.Body == nil || req.Body == http.NoBody:
 		return 0
 	case req.BodyLength > 0:
 		return req.BodyLength
-	default:
-		return -1
 	}
+	// A streamed body comes without its length; the caller's header states it.
+	if n, err := strconv.ParseInt(http.Header(req.Header).Get("Content-Length"), 10, 64); err == nil && n > 0 {
+		return n
+	}
+	return -1
 }
 
 // remainingTime returns the time until the deadline of ctx, or defaultCallTimeout if
--- a/mesh/node/twonodes_test.go
+++ b/mesh/node/twonodes_test.go
@@ -24,6 +24,8 @@
 type twoNodes struct {
 	entry   *entry
 	serving *serving
+	// hosts maps the host of the backend server to its call address.
+	hosts map[model.HostID]string
 	// address is where the entry node accepts callers.
 	address string
 }
@@ -48,11 +50,12 @@
 	callAddress := serveCalls(tb, ca, s.handle)
 	client := callmux.NewClient(callmux.Config{Credentials: nodeCredentials(tb, ca, "entry")})
 	tb.Cleanup(client.Close)
-	e := newTestEntryAt(client, nil, map[model.HostID]string{"h1": callAddress})
+	hosts := map[model.HostID]string{"h1": callAddress}
+	e := newTestEntryAt(client, nil, hosts)
 	srv := httptest.NewServer(e)
 	srv.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	tb.Cleanup(srv.Close)
-	return &twoNodes{entry: e, serving: s, address: srv.Listener.Addr().String()}
+	return &twoNodes{entry: e, serving: s, hosts: hosts, address: srv.Listener.Addr().String()}
 }
 
 // acceptConnections runs serve for each connection to the returned address.
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -37,7 +37,7 @@
 	a := e.dispatcher.dispatch(ctx, c)
 	switch {
 	case a.answered():
-		e.completeWrite(w, grant, a)
+		e.completeWrite(ctx, w, grant, a)
 	case a.notRun():
 		e.updateClaim(func(ctx context.Context) error { return e.claims.Release(ctx, grant, a.reason) })
 		refuseCall(w, c, a)
@@ -51,7 +51,7 @@
 
 // completeWrite records the answer with the claim and sends it to the caller. An answer
 // that the record has room for is read completely before any of it is sent.
-func (e *entry) completeWrite(w http.ResponseWriter, grant claim.Grant, a *attempt) {
+func (e *entry) completeWrite(ctx context.Context, w http.ResponseWriter, grant claim.Grant, a *attempt) {
 	prefix, err := io.ReadAll(io.LimitReader(a.resp.Body, claim.MaxBodyBytes+1))
 	if err != nil {
 		_ = a.resp.Body.Close()
@@ -60,21 +60,21 @@
 		return
 	}
 	if len(prefix) > claim.MaxBodyBytes {
-		e.completeLargeWrite(w, grant, a, prefix)
+		e.completeLargeWrite(ctx, w, grant, a, prefix)
 		return
 	}
 	_ = a.resp.Body.Close()
 	answer := claim.NewAnswer(a.resp.Status, answerHeaders(a.resp), prefix)
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 	a.resp.Body = io.NopCloser(bytes.NewReader(prefix))
-	sendAnswer(w, a.resp)
+	sendAnswer(ctx, w, a.resp)
 }
 
 // completeLargeWrite streams an answer whose body the record has no room for, and records
 // it without the body once it is complete. Reading it into memory first would let a few
 // faulty backend servers use up the memory of the node. If the answer breaks off, the
 // claim stays in progress and becomes unknown.
-func (e *entry) completeLargeWrite(w http.ResponseWriter, grant claim.Grant, a *attempt, prefix []byte) {
+func (e *entry) completeLargeWrite(ctx context.Context, w http.ResponseWriter, grant claim.Grant, a *attempt, prefix []byte) {
 	digest := sha256.New()
 	body := io.TeeReader(io.MultiReader(bytes.NewReader(prefix), a.resp.Body), digest)
 	headers, status := answerHeaders(a.resp), a.resp.Status
@@ -82,7 +82,7 @@
 		io.Reader
 		io.Closer
 	}{body, a.resp.Body}
-	sendAnswer(w, a.resp)
+	sendAnswer(ctx, w, a.resp)
 	answer := claim.NewAnswerWithoutBody(status, headers, claim.Digest(digest.Sum(nil)))
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 }
--- a/mesh/serverconn/faulty_test.go
+++ b/mesh/serverconn/faulty_test.go
@@ -154,8 +154,8 @@
 }
 
 // Guards against an answer that breaks off in its head or body, or is reset, and is taken
-// for a complete one. With a body that only the end of the connection delimits, a cut
-// cannot be told from the end, so that the node refuses such answers.
+// for a complete one. A body that only the end of the connection delimits is complete when
+// the connection is closed in order; see TestAnswersThatEndWithTheirConnection of mesh/node.
 func TestAnswerCutAtAnyByteIsNotComplete(t *testing.T) {
 	const body = "hello"
 	for name, answer := range map[string]string{
