Add an experiment on large bodies

bench experiment bodies sends bodies of 1 KiB to 64 MiB in each framing through two nodes and without the mesh, and then 8 requests and 8 answers of 64 MiB at once, with slow and stopped ends, beside small requests. It prints ratios, the growth of memory and the 99th percentile of the small requests, and fails if a target is missed.

--- a/bench/cmd/bench/experiment.go
+++ b/bench/cmd/bench/experiment.go
@@ -12,6 +12,7 @@
 	Overload   overloadCmd   `cmd:"" help:"Goodput by request kind at 1, 2 and 4 times the capacity of the backend servers."`
 	Datacentre datacentreCmd `cmd:"" help:"A data centre taken out of service and returned under load."`
 	Nested     nestedCmd     `cmd:"" help:"Nested calls of 25 levels with dead and failing backend servers."`
+	Bodies     bodiesCmd     `cmd:"" help:"Large bodies with slow ends: time, memory, and small requests beside them."`
 	Faults     faultsCmd     `cmd:"" help:"Lookups and writes under random faults; every answer and run is checked."`
 }
 
@@ -43,6 +44,11 @@
 // Run measures nested calls with dead and failing backend servers.
 func (c *nestedCmd) Run() error { return c.run(0, experiment.Nested) }
 
+type bodiesCmd struct{ experimentFlags }
+
+// Run measures large bodies.
+func (c *bodiesCmd) Run() error { return c.run(0, experiment.Bodies) }
+
 type faultsCmd struct {
 	experimentFlags
 	Seed uint64 `default:"1" help:"Seed of the faults."`
--- a/bench/demo/process.go
+++ b/bench/demo/process.go
@@ -79,6 +79,15 @@
 	return cmd.Process.Signal(s)
 }
 
+// PID returns the process id; 0 before the first start.
+func (p *Process) PID() int {
+	cmd, _ := p.current()
+	if cmd == nil {
+		return 0
+	}
+	return cmd.Process.Pid
+}
+
 // Running reports whether the process was started and has not ended.
 func (p *Process) Running() bool {
 	cmd, done := p.current()
--- a/bench/standin/server.go
+++ b/bench/standin/server.go
@@ -76,6 +76,7 @@
 	mux.HandleFunc("POST /_standin/drain", s.serveDrain)
 	mux.HandleFunc("POST /_standin/cold", s.serveCold)
 	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc(BodiesPrefix, s.serveBodies)
 	mux.HandleFunc("/", s.serveRequest)
 	return mux
 }
