Form the control group by a majority of its founders at a first start

Cause: until the disks of the founding voters were recorded, a quorum was all of them, and the founders were known from the settings only. They are stored with the identity of the disk before the first vote now. With first_start, which the platform states, a majority forms the group after two election timeouts; only hosts that have stored the founders vote while their disk is not recorded, so that two majorities share a voter that kept its disk. Without the flag all founders are needed as before.

TestFormedNeedsTheDiskOfEachVoter becomes TestFormedNeedsTheDiskOfAVoter, as a group may now be formed without one of its voters; TestIsMember asks of such a voter to join. TestFoundingBearsLosses and TestRandomFoundings are new.

--- a/mesh/control/backend.go
+++ b/mesh/control/backend.go
@@ -356,20 +356,14 @@
 			continue
 		}
 		reason := ""
-		if !formed(st.Members) {
-			reason = "; it was never formed, for which all of its voters must run"
+		if !st.Members.Formed() {
+			reason = "; it was never formed, for which all of its voters must run, or a majority with first_start"
 		}
 		out = append(out, fmt.Sprintf("claim group %d has no leader: writes with its keys are refused%s", g, reason))
 	}
 	return out
 }
 
-// formed reports whether the group has ever had a leader: the first leader
-// records the disks of the voters.
-func formed(members replog.Members) bool {
-	return !slices.ContainsFunc(members, func(m replog.Member) bool { return m.Voter && m.Disk == "" })
-}
-
 // Nodes implements operator.Backend.
 func (b operatorBackend) Nodes(ctx context.Context, service model.ServiceName) ([]operator.NodeView, operator.Read, error) {
 	r := b.confirmRead(ctx)
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -150,7 +150,7 @@
 	}
 	l, err := replog.Open(replog.Config{
 		Cluster: c.cfg.Cluster, Group: group, Self: c.cfg.Host,
-		Dir: filepath.Join(c.cfg.DataDir, "group-"+strconv.Itoa(int(group))), Voters: c.initialVoters(),
+		Dir: filepath.Join(c.cfg.DataDir, "group-"+strconv.Itoa(int(group))), Voters: c.initialVoters(), FirstStart: c.cfg.FirstStart,
 		ElectionTimeout: c.cfg.Timeouts.Election, Heartbeat: c.cfg.Timeouts.Heartbeat,
 		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries), MayVote: mayVote,
 		Log: c.log.With("group", group),
--- a/mesh/control/join.go
+++ b/mesh/control/join.go
@@ -53,11 +53,12 @@
 	}
 }
 
-// isMember reports whether this host is a member with its current disk. A
-// founding voter whose disk is not recorded yet counts as a member.
+// isMember reports whether this host is a member with its current disk. A founding voter
+// counts as one until the group is formed; if the others have formed it without this host,
+// it asks to join.
 func isMember(st replog.Status) bool {
 	m, ok := st.Members.Find(st.Self)
-	return ok && (m.Disk == "" || m.Disk == st.Disk)
+	return ok && (m.Disk == st.Disk || m.Disk == "" && !st.Members.Formed())
 }
 
 // isAddressRecorded reports whether both the member list and the replicated
@@ -77,9 +78,10 @@
 // until the leader accepts. When a reply names the address of the leader, the
 // leader is asked next.
 func (c *Control) requestJoin(ctx context.Context) {
-	req := joinRequest{Address: c.address(), Disks: map[uint32]replog.DiskID{}}
+	req := joinRequest{Address: c.address(), Disks: map[uint32]replog.DiskID{}, Founder: map[uint32]bool{}}
 	for group, l := range c.transport.allLogs() {
-		req.Disks[group] = l.Status().Disk
+		st := l.Status()
+		req.Disks[group], req.Founder[group] = st.Disk, st.Founder
 	}
 	if c.isLeader() {
 		if _, err := c.handleJoin(ctx, peer.Identity{Host: c.cfg.Host}, req); err != nil {
@@ -149,7 +151,7 @@
 		if l == nil {
 			return memberReply{}, eris.Wrapf(ErrForbidden, "no group %d", group)
 		}
-		if err := l.BeginAddHost(ctx, replog.Member{Host: req.Address.Host, Disk: disk, Address: req.Address.Peer}); err != nil {
+		if err := l.BeginAddHost(ctx, replog.Member{Host: req.Address.Host, Disk: disk, Voter: req.Founder[group], Address: req.Address.Peer}); err != nil {
 			return memberReply{}, eris.Wrapf(ErrNoLeader, "group %d: %v", group, err)
 		}
 	}
--- a/mesh/control/message.go
+++ b/mesh/control/message.go
@@ -133,6 +133,8 @@
 	Address HostAddress `cbor:"1,keyasint"`
 	// Disks holds the disk identity of the host in each group.
 	Disks map[uint32]replog.DiskID `cbor:"2,keyasint"`
+	// Founder holds the groups whose founders the host has stored on its disk.
+	Founder map[uint32]bool `cbor:"3,keyasint,omitempty"`
 }
 
 // memberReply is the reply to a memberRequest or a joinRequest.
--- a/mesh/replog/config.go
+++ b/mesh/replog/config.go
@@ -25,8 +25,12 @@
 	Dir string
 	// Voters are the hosts that bootstrap a new group. The group is bootstrapped
 	// once all of them can reach each other. Voters is empty on a host that joins
-	// by AddHost, and is ignored once the group is bootstrapped.
+	// by AddHost, and is ignored once this host has stored them at its first start.
 	Voters []model.HostID
+	// FirstStart says that no host of Voters has run before and that none of them starts
+	// with Voters again after the loss of its disk. A majority of them then bootstraps the
+	// group if the others do not answer within a few election timeouts.
+	FirstStart bool
 	// ElectionTimeout is the leader lease and the minimum time without a message
 	// from the leader before an election. A shorter timeout replaces a failed
 	// leader sooner. It must cover the network round trip, a synced write and a
--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -30,6 +30,11 @@
 	Group   uint32
 	Self    model.HostID
 	Disk    DiskID
+	// Founder says that the disk of this host has held the voters that form the group since
+	// its first start. Only a founder is a voter while its disk is not recorded.
+	Founder bool
+	// FirstStart lets a majority of the voters form the group; see Config.
+	FirstStart bool
 	// ElectionTimeout is the leader lease and the minimum of the randomized
 	// election timeout; the maximum is twice this value.
 	ElectionTimeout time.Duration
@@ -86,6 +91,8 @@
 
 	votes            map[model.HostID]voteReply
 	electionDeadline time.Time
+	// majorityForms is when a majority of the voters may form the group.
+	majorityForms time.Time
 	// noLeaderSinceStart is set until this host hears from a leader for the first
 	// time after its start.
 	noLeaderSinceStart bool
@@ -164,6 +171,7 @@
 		}
 	}
 	c.noLeaderSinceStart = true
+	c.majorityForms = now.Add(foundingElectionTimeouts * cfg.ElectionTimeout)
 	c.resetElectionDeadline()
 	return c
 }
--- a/mesh/replog/election.go
+++ b/mesh/replog/election.go
@@ -22,6 +22,9 @@
 }
 
 func (c *Core) stepVote(m Message) {
+	if m.ToDisk == "" && !c.cfg.Founder {
+		return // asks a founder, whose disk is lost
+	}
 	pre := m.Kind == MsgPreVote
 	r := Message{Kind: MsgVoteReply}
 	grant := c.log.upToDate(m.Index, m.LogTerm) && m.Term >= c.term
@@ -62,7 +65,7 @@
 			granted++
 		}
 	}
-	if granted < c.Members().quorum() {
+	if granted < c.electionQuorum() {
 		return
 	}
 	if c.role == PreCandidate {
@@ -84,7 +87,7 @@
 			c.progress[m.Host] = c.newProgress(m.Disk)
 		}
 	}
-	if c.Members().disksKnown() {
+	if c.Members().Formed() {
 		// Entries of earlier terms are committed only together with a later entry of
 		// the current term.
 		c.appendAsLeader(Entry{Kind: EntryNoop})
--- a/mesh/replog/identity.go
+++ b/mesh/replog/identity.go
@@ -30,40 +30,48 @@
 	Group   uint32       `cbor:"2,keyasint"`
 	Host    model.HostID `cbor:"3,keyasint"`
 	Disk    DiskID       `cbor:"4,keyasint"`
+	// Founders are the voters that form the group, and FirstStart says that none of them
+	// had run before; see Config. They are stored before the first vote, so that a host
+	// that is stopped before the group is formed takes part with the settings of any
+	// later start. Both are empty on a host that joined.
+	Founders   []model.HostID `cbor:"5,keyasint,omitempty"`
+	FirstStart bool           `cbor:"6,keyasint,omitempty"`
 }
 
-// openIdentity reads the identity in dir, or creates one if dir is empty.
-func openIdentity(fsys wal.FS, dir string, want identity) (DiskID, error) {
+// openIdentity reads the identity in dir, or creates one if dir is empty. If the identity in
+// dir states no founders, because it is of a former release or of a host that joined, those of
+// want apply without FirstStart.
+func openIdentity(fsys wal.FS, dir string, want identity) (identity, error) {
 	names, err := fsys.List(dir)
 	if err != nil {
-		return "", diskError(wal.Classify(err))
+		return want, diskError(wal.Classify(err))
 	}
 	name := filepath.Join(dir, identityFile)
 	isSegment := func(n string) bool { return strings.HasSuffix(n, wal.SegmentSuffix) }
 	if slices.Contains(names, identityFile) {
 		if !slices.ContainsFunc(names, isSegment) {
-			return "", eris.Wrapf(ErrDamaged, "%s exists, but the write-ahead log is missing", name)
+			return want, eris.Wrapf(ErrDamaged, "%s exists, but the write-ahead log is missing", name)
 		}
 		if err := wal.CheckFirstSegment(fsys, dir); err != nil {
-			return "", diskError(err)
+			return want, diskError(err)
 		}
 		return loadIdentity(fsys, name, want)
 	}
 	for _, n := range names {
 		if n != lockFile && n != identityFile+wal.TempSuffix && !isSegment(n) {
-			return "", eris.Wrapf(ErrDamaged, "%s is missing, but %s exists", name, n)
+			return want, eris.Wrapf(ErrDamaged, "%s is missing, but %s exists", name, n)
 		}
 	}
 	if err := createLog(fsys, dir); err != nil {
-		return "", err
+		return want, err
 	}
 	want.Disk = DiskID(rand.Text())
 	body, err := cbor.Marshal(want)
 	if err != nil {
-		return "", eris.Wrapf(ErrDisk, "encode identity: %v", err)
+		return want, eris.Wrapf(ErrDisk, "encode identity: %v", err)
 	}
 	head := binary.LittleEndian.AppendUint32([]byte(identityMagic), crc32.Checksum(body, castagnoli))
-	return want.Disk, diskError(wal.WriteAtomic(fsys, name, head, body))
+	return want, diskError(wal.WriteAtomic(fsys, name, head, body))
 }
 
 // createLog creates the write-ahead log before the identity file. An identity
@@ -79,23 +87,25 @@
 	return diskError(wal.Classify(w.Close()))
 }
 
-func loadIdentity(fsys wal.FS, name string, want identity) (DiskID, error) {
+func loadIdentity(fsys wal.FS, name string, want identity) (identity, error) {
 	b, err := fsys.ReadFile(name)
 	if err != nil {
-		return "", diskError(wal.Classify(err))
+		return want, diskError(wal.Classify(err))
 	}
 	head := len(identityMagic) + 4
 	if len(b) < head || string(b[:len(identityMagic)]) != identityMagic {
-		return "", eris.Wrapf(ErrDamaged, "%s at offset 0: wrong file header", name)
+		return want, eris.Wrapf(ErrDamaged, "%s at offset 0: wrong file header", name)
 	}
 	var id identity
 	if crc32.Checksum(b[head:], castagnoli) != binary.LittleEndian.Uint32(b[len(identityMagic):]) || cbor.Unmarshal(b[head:], &id) != nil {
-		return "", eris.Wrapf(ErrDamaged, "%s at offset %d: checksum mismatch", name, head)
+		return want, eris.Wrapf(ErrDamaged, "%s at offset %d: checksum mismatch", name, head)
 	}
-	want.Disk = id.Disk
-	if id != want {
-		return "", eris.Wrapf(ErrConfig, "%s belongs to cluster %q, group %d, host %s; this is cluster %q, group %d, host %s",
+	if id.Cluster != want.Cluster || id.Group != want.Group || id.Host != want.Host {
+		return want, eris.Wrapf(ErrConfig, "%s belongs to cluster %q, group %d, host %s; this is cluster %q, group %d, host %s",
 			name, id.Cluster, id.Group, id.Host, want.Cluster, want.Group, want.Host)
 	}
-	return id.Disk, nil
+	if len(id.Founders) == 0 {
+		id.Founders = want.Founders
+	}
+	return id, nil
 }
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -85,9 +85,11 @@
 
 // Status is the state of the local replica.
 type Status struct {
-	Group         uint32       `json:"group"`
-	Self          model.HostID `json:"self"`
-	Disk          DiskID       `json:"disk"`
+	Group uint32       `json:"group"`
+	Self  model.HostID `json:"self"`
+	Disk  DiskID       `json:"disk"`
+	// Founder reports whether this host forms the group; see CoreConfig.
+	Founder       bool         `json:"founder,omitempty"`
 	Role          Role         `json:"role"`
 	Term          uint64       `json:"term"`
 	Leader        model.HostID `json:"leader"`
@@ -143,11 +145,13 @@
 
 // recoverLog reads the files and restores the state machine.
 func recoverLog(cfg Config, sm StateMachine, tr Transport) (*Log, error) {
-	id, err := openIdentity(cfg.FS, cfg.Dir, identity{Cluster: cfg.Cluster, Group: cfg.Group, Host: cfg.Self})
+	id, err := openIdentity(cfg.FS, cfg.Dir, identity{
+		Cluster: cfg.Cluster, Group: cfg.Group, Host: cfg.Self, Founders: cfg.Voters, FirstStart: cfg.FirstStart && len(cfg.Voters) > 0,
+	})
 	if err != nil {
 		return nil, err
 	}
-	d, rec, err := openDisk(cfg.FS, cfg.Dir, cfg.SegmentBytes, initialMembers(cfg.Voters))
+	d, rec, err := openDisk(cfg.FS, cfg.Dir, cfg.SegmentBytes, initialMembers(id.Founders))
 	if err != nil {
 		return nil, err
 	}
@@ -161,14 +165,15 @@
 		}
 	}
 	l := &Log{
-		cfg: cfg, id: id,
+		cfg: cfg, id: id.Disk,
 		inbox: make(chan Message, inboxCapacity), proposals: make(chan proposal, proposalCapacity),
 		reads: make(chan chan<- outcome, readCapacity), adminRequests: make(chan adminRequest),
 		stop: make(chan struct{}), stopped: make(chan struct{}), changed: make(chan struct{}),
 		pendingReads: map[uint64]chan<- outcome{},
 	}
 	core := NewCore(CoreConfig{
-		Cluster: cfg.Cluster, Group: cfg.Group, Self: cfg.Self, Disk: id,
+		Cluster: cfg.Cluster, Group: cfg.Group, Self: cfg.Self, Disk: id.Disk,
+		Founder: len(id.Founders) > 0, FirstStart: id.FirstStart,
 		ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
 		MaxBatchBytes: maxBatchBytes, MaxInflight: maxInflightEntries,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/mesh/replog/members.go
+++ b/mesh/replog/members.go
@@ -30,15 +30,11 @@
 	return n
 }
 
-// disksKnown reports whether the disk of every voter is known. It is false until
-// the group is bootstrapped.
-func (ms Members) disksKnown() bool {
-	for _, m := range ms {
-		if m.Voter && m.Disk == "" {
-			return false
-		}
-	}
-	return true
+// Formed reports whether the group is bootstrapped: its first leader records the disks of the
+// voters that have elected it.
+func (ms Members) Formed() bool {
+	return !slices.ContainsFunc(ms, func(m Member) bool { return m.Voter }) ||
+		slices.ContainsFunc(ms, func(m Member) bool { return m.Voter && m.Disk != "" })
 }
 
 // quorum returns the number of voters in a majority, or in all if the group is
@@ -46,12 +42,27 @@
 // cannot be told apart from the original one; requiring all voters prevents
 // bootstrapping two groups from the same hosts.
 func (ms Members) quorum() int {
-	if !ms.disksKnown() {
+	if !ms.Formed() {
 		return ms.Voters()
 	}
 	return ms.Voters()/2 + 1
 }
 
+// foundingElectionTimeouts is how long, in election timeouts, the founders of a first start
+// wait for all of them. A host that comes later joins the group, which costs a few entries.
+const foundingElectionTimeouts = 2
+
+// electionQuorum returns the number of votes that elect a leader. At a first start, a host
+// that lost its disk comes back without its settings as a founder and refuses to vote as one,
+// so that any two majorities of founders have a voter in common that kept its disk.
+func (c *Core) electionQuorum() int {
+	ms := c.Members()
+	if c.cfg.FirstStart && !ms.Formed() && !c.now.Before(c.majorityForms) {
+		return ms.Voters()/2 + 1
+	}
+	return ms.quorum()
+}
+
 // with returns a copy in which m replaces the member with the same host, or is
 // added.
 func (ms Members) with(m Member) Members {
@@ -85,18 +96,23 @@
 // AddHost proposes a host with its disk as a learner. The leader promotes it to
 // a voter once it has caught up. If the host is a member with another disk, the
 // same change removes that old identity. If only the address differs, the host
-// keeps its vote.
+// keeps its vote. So does a founder whose disk was not known until now, which it states
+// by Voter: its vote has always been that of this disk.
 func (c *Core) AddHost(m Member) error {
 	if m.Disk == "" {
 		return eris.Wrapf(ErrMembers, "add host %s: no disk id given", m.Host)
 	}
 	ms := c.Members()
+	isFounder := m.Voter
 	m.Voter = false
-	if known, ok := ms.Find(m.Host); ok && known.Disk == m.Disk {
+	switch known, ok := ms.Find(m.Host); {
+	case ok && known.Disk == m.Disk:
 		if m.Address == "" || known.Address == m.Address {
 			return nil
 		}
 		m.Voter = known.Voter
+	case ok && known.Disk == "":
+		m.Voter = known.Voter && isFounder
 	}
 	next := ms.with(m)
 	if next.Voters() == 0 {
@@ -149,7 +165,7 @@
 // isVoterIn reports whether this host, with its current disk, is a voter in ms.
 func (c *Core) isVoterIn(ms Members) bool {
 	m, ok := ms.Find(c.cfg.Self)
-	return ok && m.Voter && (m.Disk == "" || m.Disk == c.cfg.Disk)
+	return ok && m.Voter && (m.Disk == c.cfg.Disk || m.Disk == "" && c.cfg.Founder)
 }
 
 // mayCampaign reports whether this host is a voter, or was one before a
@@ -199,8 +215,8 @@
 	}
 	ms := c.Members()
 	for h, p := range c.progress {
-		if m, ok := ms.Find(h); !ok || m.Disk != p.disk && p.disk != "" {
-			delete(c.progress, h)
+		if m, ok := ms.Find(h); !ok || m.Disk != p.disk {
+			delete(c.progress, h) // what it has acknowledged may be on another disk
 		}
 	}
 	for _, m := range ms {
@@ -211,12 +227,10 @@
 }
 
 // recordDisks bootstraps the group: it appends the members with the disks that
-// voted for this leader. From this entry on, a majority is a quorum.
+// voted for this leader. From this entry on, a majority is a quorum. The disk of a voter
+// that has not voted stays unknown; it joins by AddHost, or is removed.
 func (c *Core) recordDisks() {
 	ms := c.Members()
-	if ms.disksKnown() {
-		return
-	}
 	next := slices.Clone(ms)
 	for i, m := range next {
 		switch {
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -258,7 +258,8 @@
 func (l *Log) publishStatus() {
 	core := l.engine.core
 	st := Status{
-		Group: l.cfg.Group, Self: l.cfg.Self, Disk: l.id, Role: core.role, Term: core.term, Leader: core.leader,
+		Founder: l.engine.core.cfg.Founder,
+		Group:   l.cfg.Group, Self: l.cfg.Self, Disk: l.id, Role: core.role, Term: core.term, Leader: core.leader,
 		Commit: core.commit, LastIndex: core.log.last(), SnapshotIndex: core.snapshot.Index,
 		Members: core.Members(), MembersCommitted: core.membersCommitted(), DiskFull: l.diskFullPaused,
 		QuorumContact: core.QuorumContact(),
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -30,6 +30,10 @@
 	// Operators lists the operators that may use the operator interface. It may be
 	// empty on a closed network, where another HTTP handler serves operators.
 	Operators []Operator `json:"operators" validate:"max=1000,unique=Name,unique=TokenSHA256,dive"`
+	// FirstStart says that no control host of the settings has run before; default false. A
+	// majority of the voters then forms the control group if the others do not answer. It
+	// must be false when a control host starts again, above all after the loss of its disk.
+	FirstStart bool `json:"first_start"`
 	// AutoJoin lets the control group change its members by itself: a host that is
 	// not a member asks the other control hosts to add it, and the leader removes a
 	// voter that does not respond if those that do are enough for Tolerate. Default
