Keep the connection of an answer that is ready at its deadline

Cause: when a request ended while its answer was being written, the write deadline was set by another goroutine, possibly after net/http had cleared it for the next request, so that the next answer on the connection failed with "i/o timeout". Servers that answer at their deadline made that frequent. That the caller had left was ruled out: its context ended only after the failed write.

The end of the request is waited for before the handler returns, and the deadline is removed, so that an answer which is complete is also sent.

TestAnswerAtTheDeadlineKeepsItsConnection fails without the wait.

--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -108,7 +108,7 @@
 // answer for a complete one.
 func sendAnswer(ctx context.Context, w http.ResponseWriter, resp *callmux.Response) {
 	defer resp.Body.Close()
-	defer context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) })()
+	defer failWritesAfter(ctx, w)()
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
@@ -121,6 +121,24 @@
 	}
 }
 
+// failWritesAfter makes writes to the caller fail once ctx has ended. The returned function
+// ends that. If ctx ends in between, it waits until the deadline has been set and removes it:
+// set later, it would fail the next answer on the connection.
+func failWritesAfter(ctx context.Context, w http.ResponseWriter) (end func()) {
+	connection, set := http.NewResponseController(w), make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(set)
+		_ = connection.SetWriteDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if stop() {
+			return
+		}
+		<-set
+		_ = connection.SetWriteDeadline(time.Time{})
+	}
+}
+
 // resetOnAbort resets the connection of a handler that aborts its answer. In HTTP/1.0 an
 // answer without a length ends with its connection, so that a close would complete it.
 func resetOnAbort(w http.ResponseWriter) {
--- a/mesh/node/answers_test.go
+++ b/mesh/node/answers_test.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
+
+	"balsamtrail.org/mesh/callmux"
 )
 
 // Guards against a caller that does not take its answer and holds the request beyond its
@@ -67,3 +71,44 @@
 		}
 	}
 }
+
+// endingBody is a body whose request ends while its last byte is read.
+type endingBody struct{ end context.CancelFunc }
+
+// Read implements io.Reader.
+func (b endingBody) Read(p []byte) (int, error) {
+	b.end()
+	p[0] = 'x'
+	return 1, io.EOF
+}
+
+// Close implements io.Closer.
+func (endingBody) Close() error { return nil }
+
+// Guards against an answer that is ready at the deadline of its request and is lost, or that
+// makes the next answer on the connection fail.
+func TestAnswerAtTheDeadlineKeepsItsConnection(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		sendAnswer(ctx, w, &callmux.Response{Status: http.StatusOK, Body: endingBody{cancel}})
+	}))
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for n := range 1000 {
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "x" {
+			t.Fatalf("request %d: %q, %v", n, body, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
