--- a/mesh/note/note.go
+++ b/mesh/note/note.go
@@ -208,7 +208,7 @@
 
 func (m Move) check(field string) error {
 	switch {
-	case !validName(string(m.To)):
+	case !validVersion(m.To):
 		return invalid(field+".to", "%q is not a version name", m.To)
 	case m.By.IsZero():
 		return invalid(field+".by", "the deadline is missing")
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -296,7 +296,7 @@
 	}
 	var sum model.Share
 	for v, s := range shares {
-		if !validName(string(v)) {
+		if !validVersion(v) {
 			return invalid(field, "%q is not a version name", v)
 		}
 		if s > model.ShareAll {
@@ -310,12 +310,20 @@
 	return nil
 }
 
-func validName(s string) bool {
+func validName(s string) bool { return consistsOf(s, "-_.") }
+
+// validVersion also allows what versions of software contain, such as build metadata after a
+// plus sign.
+func validVersion(v model.ServiceVersion) bool { return consistsOf(string(v), "-_.+~:") }
+
+// consistsOf reports whether s has a valid length and only letters, digits and characters of
+// punctuation.
+func consistsOf(s, punctuation string) bool {
 	if s == "" || len(s) > maxNameLength {
 		return false
 	}
 	for _, r := range s {
-		ok := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r)
+		ok := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune(punctuation, r)
 		if !ok {
 			return false
 		}
--- a/mesh/registration/state.go
+++ b/mesh/registration/state.go
@@ -45,7 +45,9 @@
 	return s != "" && len(s) <= maxInstanceBytes && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
 }
 
-var versionPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+// versionPattern allows what versions of software contain, such as build metadata after a
+// plus sign; mesh/note allows the same.
+var versionPattern = regexp.MustCompile(`^[A-Za-z0-9._+~:-]{1,64}$`)
 
 // Expected is the backend server that the node's settings describe. Only its heartbeats are
 // accepted.
--- a/mesh/registration/state_test.go
+++ b/mesh/registration/state_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"balsamtrail.org/mesh/model"
 )
 
 var expectedServer = Expected{Service: "ledger", DataCentre: "thun", Address: "10.0.0.1:80"}
@@ -134,3 +136,14 @@
 		}
 	}
 }
+
+// Guards against a backend server that is refused for good because of its version.
+func TestVersionsOfSoftwareRegister(t *testing.T) {
+	for version, want := range map[model.ServiceVersion]bool{"v1": true, "1.4.0-rc.1+build.7": true, "2:1.0~beta": true, "": false, "a b": false, "caf\xe9": false} {
+		h := testHeartbeat("a", 1, 1, StateReady)
+		h.Version = version
+		if _, err := New(expectedServer).Heartbeat(h); (err == nil) != want {
+			t.Errorf("%q: %v", version, err)
+		}
+	}
+}
