Give up a peer connection that carries nothing

A control host that had been paused took no part for 15 to 30 s in 2 of 50 pauses: every stream on its connection to the new leader timed out, and the connection stayed. QUIC keeps one for three probe timeouts, which follow from the measured round trips, and an acknowledgement that waits during a pause counts as one of seconds.

That the peer refuses the host was ruled out: the spec has a peer that answers.

--- a/mesh/peer/blackhole_test.go
+++ b/mesh/peer/blackhole_test.go
@@ -1,9 +1,11 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,6 +19,8 @@
 type udpRelay struct {
 	front  *net.UDPConn
 	target *net.UDPAddr
+	// delay is how long each datagram takes in each direction, in nanoseconds.
+	delay atomic.Int64
 
 	mu    sync.Mutex
 	flows map[string]*udpFlow
@@ -56,11 +60,17 @@
 			return
 		}
 		if f := r.flow(src); f != nil {
-			_, _ = f.upstream.Write(buf[:n])
+			r.later(buf[:n], func(p []byte) { _, _ = f.upstream.Write(p) })
 		}
 	}
 }
 
+// later sends a copy of a datagram after the delay.
+func (r *udpRelay) later(datagram []byte, send func([]byte)) {
+	p := bytes.Clone(datagram)
+	time.AfterFunc(time.Duration(r.delay.Load()), func() { send(p) })
+}
+
 // flow returns the flow of a source, or nil if its datagrams are dropped.
 func (r *udpRelay) flow(src *net.UDPAddr) *udpFlow {
 	r.mu.Lock()
@@ -93,7 +103,7 @@
 		dropped := f.dropped
 		r.mu.Unlock()
 		if !dropped {
-			_, _ = r.front.WriteToUDP(buf[:n], src)
+			r.later(buf[:n], func(p []byte) { _, _ = r.front.WriteToUDP(p, src) })
 		}
 	}
 }
@@ -130,4 +140,31 @@
 		Expect(call()).NotTo(Succeed(), "the relay drops this connection")
 		Eventually(call).WithTimeout(2 * peer.DefaultIdleTimeout).Should(Succeed())
 	})
+
+	// Guards against a connection that carries nothing and stays in use for many seconds,
+	// because QUIC keeps it for three probe timeouts and has measured long round trips.
+	It("is replaced within 2 s of its loss after long round trips", func() {
+		dir := GinkgoT().TempDir()
+		c1 := peer.Identity{Role: peer.RoleControl, DataCentre: "thun", Host: "c1"}
+		control := endpoint(dir, c1)
+		node := endpoint(dir, peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "n1"})
+		peer.HandleCall(control, "echo", []peer.Role{peer.RoleNode},
+			func(_ context.Context, _ peer.Identity, req echo) (echo, error) { return req, nil })
+		relay := startRelay(control.Addr().String())
+		call := func(timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			var out echo
+			return node.Call(ctx, relay.front.LocalAddr().String(), c1, "echo", echo{Text: "hello"}, &out)
+		}
+		Expect(call(time.Second)).To(Succeed())
+		relay.delay.Store(int64(300 * time.Millisecond))
+		Expect(call(3 * time.Second)).To(Succeed())
+		Expect(call(3 * time.Second)).To(Succeed())
+		relay.dropFlows()
+		relay.delay.Store(0)
+		lost := time.Now()
+		Eventually(func() error { return call(900 * time.Millisecond) }).WithTimeout(10 * time.Second).WithPolling(time.Millisecond).Should(Succeed())
+		Expect(time.Since(lost)).To(BeNumerically("<", 2*time.Second))
+	})
 })
--- a/mesh/peer/call.go
+++ b/mesh/peer/call.go
@@ -67,6 +67,7 @@
 	}
 	var r reply
 	if err := st.Recv(&r); err != nil {
+		noteTimeout(ctx, st)
 		return eris.Wrapf(ErrClosed, "%s %s: %v", addr, name, err)
 	}
 	if r.Error != "" {
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 )
 
@@ -87,6 +88,8 @@
 	wg        sync.WaitGroup
 	// accepted and dialled count the handshakes.
 	accepted, dialled handshakeCounters
+	// givenUp counts the connections that were closed by streamTimedOut.
+	givenUp metrics.Counter
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -127,7 +130,8 @@
 	}
 	e := &Endpoint{cfg: cfg, methods: map[string]method{}, conns: map[string]*outbound{}, outbounds: map[*outbound]struct{}{},
 		redials: map[string]redialDelay{}, closing: make(chan struct{}), accepted: handshakeCountersOf("accepted"), dialled: handshakeCountersOf("dialled"),
-		gate: &handshakeGate{limit: cfg.Handshakes, acceptNodes: cfg.AcceptNodes}}
+		givenUp: metrics.GetOrRegisterCounter("peer.given_up", metrics.DefaultRegistry),
+		gate:    &handshakeGate{limit: cfg.Handshakes, acceptNodes: cfg.AcceptNodes}}
 	e.transport = &quic.Transport{Conn: sock}
 	tlsConfig := e.gate.limitHandshakes(cfg.Credentials.ServerTLS(alpnControl, alpnNode), e.accepted)
 	e.listener, err = e.transport.Listen(tlsConfig, e.quicConfig())
@@ -273,7 +277,8 @@
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
 	context.AfterFunc(st.Context(), func() { e.release(o) })
-	s := &quicStream{st: st, peer: o.peer, counters: trafficOf(name, e.isRemote(o.peer))}
+	s := &quicStream{st: st, peer: o.peer, counters: trafficOf(name, e.isRemote(o.peer)),
+		onTimeout: func() { e.streamTimedOut(o) }}
 	if err := s.Send(streamHeader{Method: name}); err != nil {
 		s.Abort()
 		return nil, err
--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -25,6 +26,8 @@
 	conn      *quic.Conn
 	peer      Identity
 	err       error
+	// checking is set while streamTimedOut looks at the connection.
+	checking atomic.Bool
 	// refs counts the open streams and the calls that are about to open one;
 	// idleSince is when refs was last decremented. Both are guarded by Endpoint.mu.
 	refs      int
--- a/mesh/peer/receive.go
+++ b/mesh/peer/receive.go
@@ -19,6 +19,9 @@
 	case err == nil:
 		return nil
 	case !inTime:
+		if s, ok := st.(*quicStream); ok {
+			s.timedOut()
+		}
 		return eris.Wrapf(ErrTimeout, "no frame from %s within %s", st.Peer(), timeout)
 	case errors.Is(err, io.EOF):
 		return eris.Wrapf(ErrClosed, "%s ended the stream", st.Peer())
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -42,6 +42,8 @@
 	// counters holds the traffic counters of the stream's method; nil until the
 	// method is known.
 	counters *traffic
+	// onTimeout is called when the peer has not answered in time; nil on an accepted stream.
+	onTimeout func()
 
 	// mu serialises Send.
 	mu sync.Mutex
