Send a request of another node to the backend server only once

Cause: requests without a body may be sent again when a kept connection ends without an answer, which no retry budget counts. By accident that had been so for requests that entered at the node only, since those of other nodes had an empty body of unknown length.

Only requests that entered at this node are sent again here; other nodes try theirs again within their budget.

--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -118,15 +118,15 @@
 	length       int64
 	timeout      time.Duration
 	budget       int
-	// idempotent allows the transport to send the request again if the backend server
-	// has closed the keep-alive connection.
-	idempotent bool
+	// mayResend allows the transport to send an idempotent request again if the backend
+	// server has closed the keep-alive connection.
+	mayResend bool
 }
 
-// do sends a request, at most once unless it is idempotent. ErrNotRun means that no
+// do sends a request, at most once unless mayResend is set. ErrNotRun means that no
 // byte of the request was sent; after any other error it may have run.
 func (b *backend) do(ctx context.Context, r backendRequest) (*http.Response, error) {
-	if r.idempotent {
+	if r.mayResend {
 		ctx = serverconn.AllowResend(ctx)
 	}
 	req, err := b.newRequest(ctx, r)
--- a/mesh/node/backend_test.go
+++ b/mesh/node/backend_test.go
@@ -107,7 +107,7 @@
 	defer b.close()
 	for i := range 4 {
 		resp, err := b.do(context.Background(), backendRequest{method: http.MethodGet, path: "/cabinets/7",
-			header: http.Header{}, timeout: time.Second, idempotent: true})
+			header: http.Header{}, timeout: time.Second, mayResend: true})
 		if err != nil {
 			t.Fatalf("lookup %d: %v", i, err)
 		}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -72,8 +72,7 @@
 // New builds a node and opens its peer and call listeners. Run starts it.
 func New(ctx context.Context, cfg settings.Node, log *slog.Logger, options ...Option) (*Node, error) {
 	log = log.With("cluster", cfg.Cluster, "region", cfg.Region)
-	identity := peer.Identity{Role: peer.RoleNode, DataCentre: cfg.DataCentre, Host: cfg.Host}
-	creds, err := peer.CredentialsOf(identity, cfg.Credentials, cfg.ClosedNetwork, log)
+	creds, err := peer.CredentialsOf(identityOf(cfg), cfg.Credentials, cfg.ClosedNetwork, log)
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
 	}
@@ -107,11 +106,16 @@
 	if err := n.loadCache(); err != nil {
 		return nil, err
 	}
-	n.buildDataPlane(creds, identity, base)
+	n.buildDataPlane(creds, identityOf(cfg), base)
 	n.registerPeerMethods()
 	return n, nil
 }
 
+// identityOf returns the identity in the certificate of a node.
+func identityOf(cfg settings.Node) peer.Identity {
+	return peer.Identity{Role: peer.RoleNode, DataCentre: cfg.DataCentre, Host: cfg.Host}
+}
+
 func childAdmission(f settings.FanOut) distribute.AdmissionConfig {
 	a := distribute.NodeAdmission()
 	a.Children, a.Snapshots = f.Children, f.Snapshots
@@ -179,7 +183,7 @@
 
 func (n *Node) newServing(logSampler *telemetry.RequestSampler) *serving {
 	s := &serving{
-		log: n.log, gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
+		log: n.log, self: identityOf(n.cfg), gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
 		version:    func() model.ServiceVersion { return n.publisher.Current().Version },
 		logSampler: logSampler,
 		position:   n.position, onNewerPosition: n.recordNewerPeer,
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -35,7 +35,9 @@
 // serving is the serving side of a node: it forwards calls from other nodes, and from
 // this node's entry side, to this node's backend server.
 type serving struct {
-	log      *slog.Logger
+	log *slog.Logger
+	// self is the identity that calls of this node's entry side come from.
+	self     peer.Identity
 	gate     *admission.Gate
 	backend  *backend
 	service  model.ServiceName
@@ -76,7 +78,7 @@
 		reason, retryAfter := refusalReason(err)
 		return s.decline(req, reason, retryAfter), nil
 	}
-	return s.forward(ctx, req, release), nil
+	return s.forward(ctx, req, from == s.self, release), nil
 }
 
 // latencyDeadlineOf returns the time by which the caller should have its answer; zero
@@ -124,13 +126,14 @@
 }
 
 // forward sends an admitted request to the backend server and returns its answer or a
-// refusal. Only backend.do may send it again, and only if it is idempotent.
-func (s *serving) forward(ctx context.Context, req *callmux.Request, release func(admission.Outcome)) *callmux.Response {
+// refusal. Only backend.do may send it again, and only if it is idempotent and entered at
+// this node. A request of another node is tried again there, within its retry budget.
+func (s *serving) forward(ctx context.Context, req *callmux.Request, entered bool, release func(admission.Outcome)) *callmux.Response {
 	started, server := time.Now(), *s.backend.current.Load()
 	resp, err := s.backend.do(ctx, backendRequest{
 		method: req.Method, path: req.Path, header: endToEndHeaders(req.Header),
 		body: req.Body, length: requestLength(req), timeout: remainingTime(ctx), budget: req.RetryBudget,
-		idempotent: req.Kind.Idempotent(),
+		mayResend: entered && req.Kind.Idempotent(),
 	})
 	latency := time.Since(started)
 	if err == nil && resp.StatusCode != http.StatusMisdirectedRequest { // that one is from another instance
