--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	./bin/bench faults --bin bin $(NAMES)
 
 # Experiments on the traffic side; run them one after the other.
-.PHONY: experiment-latency experiment-overload experiment-datacentre experiment-faults
+.PHONY: experiment-latency experiment-overload experiment-datacentre experiment-bodies experiment-faults
 
 experiment-latency: build
 	./bin/bench experiment latency --bin bin
@@ -32,6 +32,9 @@
 	./bin/bench experiment datacentre --bin bin --size aare
 	./bin/bench experiment datacentre --bin bin --size sfax
 
+experiment-bodies: build
+	./bin/bench experiment bodies --bin bin
+
 experiment-faults: build
 	./bin/bench experiment faults --bin bin
 
