Claim the key of a long write with the start of its body

The body of a write with a key was kept whole until its key was claimed, so that the settings of the node bounded it and not the configuration. Its key is now claimed with the digest of the first 256 KiB, and the digest of the whole body, taken while it is passed on, is recorded with the answer. A resend is read and compared before it gets the answer; another body gets 422. Nothing of a body is sent before its key is claimed, as before.

--- a/mesh/claim/message.go
+++ b/mesh/claim/message.go
@@ -38,6 +38,9 @@
 	BodyDigest Digest `cbor:"4,keyasint"`
 	// BodyOmitted says that Body was omitted because it was too large or the group had no room for it.
 	BodyOmitted bool `cbor:"5,keyasint,omitempty"`
+	// RequestDigest is the digest of the whole body of the request, if that of the claim
+	// covers only its start; nil if it was not received completely before the answer.
+	RequestDigest *Digest `cbor:"6,keyasint,omitempty"`
 }
 
 // NewAnswer returns the record of an answer. A body above MaxBodyBytes is replaced
--- a/mesh/node/callerbody.go
+++ b/mesh/node/callerbody.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
+	"hash"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"balsamtrail.org/mesh/claim"
 )
 
 const (
@@ -37,9 +41,10 @@
 	// limiter bounds the bytes that all requests of the node keep.
 	limiter *semaphore.Weighted
 
-	// reading is held while rest is read.
+	// reading is held while rest is read. It also guards hash.
 	reading sync.Mutex
 	rest    io.Reader // what the caller has not sent yet, up to the limit of a body
+	hash    hash.Hash // of what the caller has sent; nil if no digest is needed
 
 	// mu guards the fields below. Lock order: reading before mu.
 	mu sync.Mutex
@@ -57,10 +62,13 @@
 }
 
 // receiveBody reads the body of a request, or the start of a long one. A body above limit
-// is refused by its stated length, or else as soon as the limit is passed. If keep is at
-// least limit, the whole body is kept.
-func receiveBody(r *http.Request, limit, keep int64, limiter *semaphore.Weighted) (*callerBody, error) {
+// is refused by its stated length, or else as soon as the limit is passed. withDigest is
+// set for a body whose digest is needed.
+func receiveBody(r *http.Request, limit int64, withDigest bool, limiter *semaphore.Weighted) (*callerBody, error) {
 	b := &callerBody{length: r.ContentLength, limiter: limiter, err: io.EOF}
+	if withDigest {
+		b.hash = sha256.New()
+	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return b, nil
 	}
@@ -71,25 +79,26 @@
 	if !b.reserve(bodyReserveBytes) {
 		return nil, errTooManyBodies
 	}
-	if err := b.receiveStart(keep); err != nil {
+	if err := b.receiveStart(); err != nil {
 		b.release()
 		return nil, err
 	}
 	return b, nil
 }
 
-// receiveStart reads the body up to its end, to keep bytes, or until there is no memory to
-// keep more.
-func (b *callerBody) receiveStart(keep int64) error {
+// receiveStart reads the body up to its end, to maxKeptBodyBytes, or until there is no memory
+// to keep more.
+func (b *callerBody) receiveStart() error {
 	if b.length > 0 {
 		b.kept = make([]byte, 0, min(b.length, bodyReserveBytes)) // grows by what has arrived
 	}
-	for b.err == nil && int64(len(b.kept)) < keep && b.reserve(int64(len(b.kept))+bodyReserveBytes) {
-		room := min(b.reserved, keep) - int64(len(b.kept))
+	for b.err == nil && len(b.kept) < maxKeptBodyBytes && b.reserve(int64(len(b.kept))+bodyReserveBytes) {
+		room := min(b.reserved, maxKeptBodyBytes) - int64(len(b.kept))
 		n := len(b.kept)
 		b.kept = append(b.kept, make([]byte, room)...)
 		m, err := b.rest.Read(b.kept[n:])
 		b.kept, b.err = b.kept[:n+m], err
+		b.addToDigest(b.kept[n:])
 	}
 	switch {
 	case b.err == nil || errors.Is(b.err, io.EOF):
@@ -100,6 +109,23 @@
 	return errBodyNotReceived
 }
 
+func (b *callerBody) addToDigest(p []byte) {
+	if b.hash != nil {
+		_, _ = b.hash.Write(p) // never fails
+	}
+}
+
+// digest returns the digest of the whole body; false if it is not known, because the caller
+// has not sent all of it.
+func (b *callerBody) digest() (claim.Digest, bool) {
+	if !b.isReceived() || b.hash == nil {
+		return claim.Digest{}, false
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	return claim.Digest(b.hash.Sum(nil)), true
+}
+
 // reserve raises the reserved memory to n bytes and reports whether there was room.
 func (b *callerBody) reserve(n int64) bool {
 	if n <= b.reserved {
@@ -164,7 +190,8 @@
 	return errors.Is(b.err, io.EOF)
 }
 
-// bytes returns a body of which all is kept.
+// bytes returns what is kept: the whole body, or the start of a long one that has not been
+// sent yet.
 func (b *callerBody) bytes() []byte {
 	if b == nil {
 		return nil
@@ -212,6 +239,7 @@
 		return n, err
 	}
 	n, err := b.rest.Read(p)
+	b.addToDigest(p[:n])
 	if err != nil && !errors.Is(err, io.EOF) {
 		defer b.onFailure()
 	}
--- a/mesh/node/callerbody_test.go
+++ b/mesh/node/callerbody_test.go
@@ -178,7 +178,7 @@
 	r := httptest.NewRequest(http.MethodPost, "/", node)
 	r.ContentLength = int64(len(sent))
 	go func() { _, _ = caller.Write(sent[:maxKeptBodyBytes/2]) }()
-	b, err := receiveBody(r, 1<<30, maxKeptBodyBytes/2, semaphore.NewWeighted(bodyMemoryBytes))
+	b, err := receiveBody(r, 1<<30, false, semaphore.NewWeighted(maxKeptBodyBytes/2)) // room to keep half
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -268,8 +268,8 @@
 	return server, err == nil
 }
 
-// digestOf returns the digest of a write's method, path and body. A write that reuses
-// a key with another digest is refused.
+// digestOf returns the digest of a write's method, path and body, or the kept start of a long
+// one; see claim.Answer.RequestDigest. A write that reuses a key with another digest is refused.
 func digestOf(c *call) claim.Digest {
 	return claim.DigestOf(bytes.Join([][]byte{[]byte(c.method), []byte(c.path), c.body.bytes()}, []byte{0}))
 }
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -111,18 +111,19 @@
 		e.refuseUnrouted(w, r, status, reason)
 		return
 	}
-	limits := e.limitsOf(table, route)
+	limits, keyed := e.limitsOf(table), route.Kind == model.KindWrite && !route.Unkeyed
 	if headBytes(r) > limits.HeaderBytes {
 		e.refuseUnrouted(w, r, http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error())
 		return
 	}
-	body, err := receiveBody(r, limits.BodyBytes, keptBytes(route, limits), e.bodyLimiter)
+	body, err := receiveBody(r, limits.BodyBytes, keyed, e.bodyLimiter)
 	if err != nil {
 		e.refuseUnrouted(w, r, bodyStatus(err), err.Error())
 		return
 	}
 	defer body.close(w)
-	if !body.isWhole() && route.Kind == model.KindWrite && !route.Unkeyed {
+	if keyed && !body.isWhole() && len(body.bytes()) < maxKeptBodyBytes {
+		// The digest of the claim would depend on the memory that was left.
 		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyBodies)
 		return
 	}
@@ -202,26 +203,11 @@
 // errHeadTooLarge is returned for a request head above the limit of the configuration.
 var errHeadTooLarge = errors.New("request head too large")
 
-// limitsOf returns the limits of a request: those of the configuration in force or, where it
-// states none, of the settings. A write with a key is kept whole until its key is claimed, so
-// that the limit of the settings holds for it too.
-func (e *entry) limitsOf(table *routing.Table, route note.Route) note.CallerLimits {
+// limitsOf returns the limits of requests: those of the configuration in force or, where it
+// states none, of the settings.
+func (e *entry) limitsOf(table *routing.Table) note.CallerLimits {
 	l := table.Limits()
-	if l.HeaderBytes == 0 {
-		l.HeaderBytes = note.MaxHeaderBytes
-	}
-	if l.BodyBytes == 0 || route.Kind == model.KindWrite && !route.Unkeyed {
-		l.BodyBytes = min(e.bodyLimit, cmp.Or(l.BodyBytes, e.bodyLimit))
-	}
-	return l
-}
-
-// keptBytes returns how much of a request body is read before the request is sent.
-func keptBytes(route note.Route, limits note.CallerLimits) int64 {
-	if route.Kind == model.KindWrite && !route.Unkeyed {
-		return limits.BodyBytes + 1 // up to and including its end
-	}
-	return maxKeptBodyBytes
+	return note.CallerLimits{HeaderBytes: cmp.Or(l.HeaderBytes, note.MaxHeaderBytes), BodyBytes: cmp.Or(l.BodyBytes, e.bodyLimit)}
 }
 
 // headBytes returns the least number of bytes in which the head of a request was sent.
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -177,7 +177,7 @@
 		log:     n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
 		logSampler: logSampler, freshness: n.freshness, service: n.cfg.Backend.Service,
 		callLimiter: semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
-		bodyLimiter: semaphore.NewWeighted(max(bodyMemoryBytes, n.cfg.Limits.BodyBytes)),
+		bodyLimiter: semaphore.NewWeighted(bodyMemoryBytes),
 	}
 }
 
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -29,7 +29,7 @@
 	deadline, _ := ctx.Deadline()
 	grant, err := e.claims.Claim(ctx, key, digestOf(c), c.route.Name, time.Until(deadline))
 	if err != nil {
-		e.refuseClaim(w, c, err)
+		e.refuseClaim(ctx, w, c, err)
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, grant.Deadline)
@@ -37,7 +37,7 @@
 	a := e.dispatcher.dispatch(ctx, c)
 	switch {
 	case a.answered():
-		e.completeWrite(ctx, w, grant, a)
+		e.completeWrite(ctx, w, c, grant, a)
 	case a.notRun():
 		e.updateClaim(func(ctx context.Context) error { return e.claims.Release(ctx, grant, a.reason) })
 		refuseCall(w, c, a)
@@ -51,7 +51,7 @@
 
 // completeWrite records the answer with the claim and sends it to the caller. An answer
 // that the record has room for is read completely before any of it is sent.
-func (e *entry) completeWrite(ctx context.Context, w http.ResponseWriter, grant claim.Grant, a *attempt) {
+func (e *entry) completeWrite(ctx context.Context, w http.ResponseWriter, c *call, grant claim.Grant, a *attempt) {
 	prefix, err := io.ReadAll(io.LimitReader(a.resp.Body, claim.MaxBodyBytes+1))
 	if err != nil {
 		_ = a.resp.Body.Close()
@@ -60,11 +60,12 @@
 		return
 	}
 	if len(prefix) > claim.MaxBodyBytes {
-		e.completeLargeWrite(ctx, w, grant, a, prefix)
+		e.completeLargeWrite(ctx, w, c, grant, a, prefix)
 		return
 	}
 	_ = a.resp.Body.Close()
 	answer := claim.NewAnswer(a.resp.Status, answerHeaders(a.resp), prefix)
+	answer.RequestDigest = requestDigest(c)
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 	a.resp.Body = io.NopCloser(bytes.NewReader(prefix))
 	sendAnswer(ctx, w, a.resp)
@@ -74,7 +75,7 @@
 // it without the body once it is complete. Reading it into memory first would let a few
 // faulty backend servers use up the memory of the node. If the answer breaks off, the
 // claim stays in progress and becomes unknown.
-func (e *entry) completeLargeWrite(ctx context.Context, w http.ResponseWriter, grant claim.Grant, a *attempt, prefix []byte) {
+func (e *entry) completeLargeWrite(ctx context.Context, w http.ResponseWriter, c *call, grant claim.Grant, a *attempt, prefix []byte) {
 	digest := sha256.New()
 	body := io.TeeReader(io.MultiReader(bytes.NewReader(prefix), a.resp.Body), digest)
 	headers, status := answerHeaders(a.resp), a.resp.Status
@@ -84,9 +85,34 @@
 	}{body, a.resp.Body}
 	sendAnswer(ctx, w, a.resp)
 	answer := claim.NewAnswerWithoutBody(status, headers, claim.Digest(digest.Sum(nil)))
+	answer.RequestDigest = requestDigest(c)
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 }
 
+// requestDigest returns the digest of a body of which the claim has only the start; nil if the
+// claim has all of it, or the caller has not sent it completely.
+func requestDigest(c *call) *claim.Digest {
+	if d, ok := c.body.digest(); ok && !c.body.isWhole() {
+		return &d
+	}
+	return nil
+}
+
+// isSameRequest reports whether the rest of a long body is the one that was recorded with the
+// answer of its key. It reads the rest from the caller, until ctx ends.
+func isSameRequest(ctx context.Context, w http.ResponseWriter, c *call, recorded *claim.Digest) (bool, error) {
+	if recorded == nil || c.body.isWhole() {
+		return true, nil
+	}
+	defer context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) })()
+	rest, _ := c.body.open()
+	if _, err := io.Copy(io.Discard, rest); err != nil {
+		return false, err
+	}
+	d, ok := c.body.digest()
+	return ok && d == *recorded, nil
+}
+
 // updateClaim completes or releases a claim in the background, so that it adds no
 // latency to the answer. A resend that arrives before it has ended sees the write in
 // progress.
@@ -115,13 +141,28 @@
 }
 
 // refuseClaim answers a write whose claim was not granted.
-func (e *entry) refuseClaim(w http.ResponseWriter, c *call, err error) {
+func (e *entry) refuseClaim(ctx context.Context, w http.ResponseWriter, c *call, err error) {
 	telemetry.Counter("entry.claim-refused").Inc(1)
 	e.log.Info("claim for write not granted", "route", string(c.route.Name), "service", string(c.route.Service), "reason", err.Error())
 	var answered *claim.AnsweredError
+	if errors.As(err, &answered) {
+		same, bodyErr := isSameRequest(ctx, w, c, answered.Answer.RequestDigest)
+		switch {
+		case same:
+			replayAnswer(w, answered.Answer)
+			return
+		case bodyErr == nil:
+			err = claim.ErrBodyMismatch
+		default:
+			w.Header().Set("Connection", "close")
+			refuse(w, bodyStatus(bodyErr), outcomeAnswered, "a write with this key has run; the body could not be compared: "+bodyErr.Error())
+			return
+		}
+	}
+	if !c.body.isReceived() {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
 	switch {
-	case errors.As(err, &answered):
-		replayAnswer(w, answered.Answer)
 	case errors.Is(err, claim.ErrInProgress):
 		w.Header().Set("Retry-After", "1")
 		refuse(w, http.StatusConflict, outcomeInProgress, err.Error())
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -195,8 +195,7 @@
 // NodeLimits holds the limits of sizes and counts of a node.
 type NodeLimits struct {
 	// BodyBytes is the largest size of a request body in bytes, if the configuration states
-	// none, and of a write with a key in any case; default 4194304. A higher value allows
-	// larger uploads. The whole body of a write with a key is kept in memory.
+	// none; default 4194304. A higher value allows larger uploads.
 	BodyBytes int64 `json:"body_bytes" validate:"min=1024,max=1073741824"`
 	// HeaderBytes is the largest size of a request header in bytes; default 65536, which is
 	// also the most that nodes pass on to each other. A lower value uses less memory per
