--- a/mesh/cmd/balsamtrail/main_test.go
+++ b/mesh/cmd/balsamtrail/main_test.go
@@ -161,6 +161,16 @@
 		Expect(errs.String()).To(ContainSubstring("not finished within 100ms"))
 	})
 
+	// Guards against a script that takes a slow control host for an unreachable one.
+	It("ends a watch whose first answer exceeds --wait", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		server = "https://" + silent.Addr().String()
+		Expect(runTool("status", "ledger", "--watch", "--wait", "100ms")).To(Equal(exitFailure))
+		Expect(errs.String()).To(ContainSubstring("not finished within 100ms"))
+	})
+
 	It("distinguishes usage errors, unreachable hosts and unknown outcomes", func() {
 		Expect(runTool("publish")).To(Equal(exitUsage))
 		Expect(runTool("withdraw", "1")).To(Equal(exitUsage))
--- a/mesh/cmd/balsamtrail/status.go
+++ b/mesh/cmd/balsamtrail/status.go
@@ -74,7 +74,7 @@
 	}
 	a, err := cl.Move(ctx, model.ServiceName(c.Service))
 	if err != nil {
-		return err
+		return c.waitError(ctx, err)
 	}
 	for {
 		if err := e.print(a, func(t *table) { progressRow(t, a.Move) }); err != nil {
