Let the soak end and restart a process only once at a time

Faults of the soak, not of the nodes: their logs show one start for each injection.

Process.Start does nothing while the program runs, and a signal to a process that was told to end is no failure; one that ended by itself still is.

--- a/bench/demo/process.go
+++ b/bench/demo/process.go
@@ -24,6 +24,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+	// ending is set once the process was told to end.
+	ending bool
 }
 
 // stopTimeout is how long Stop waits after SIGTERM before it kills the process.
@@ -35,10 +37,20 @@
 	return &Process{Name: name, args: args, dir: dir}
 }
 
-// Start starts the program and appends its output to the log file.
+// Start starts the program and appends its output to the log file. It does nothing if the
+// program runs: two instances would compete for its addresses, and one of them would be lost
+// track of.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.done != nil {
+		select {
+		case <-p.done:
+		default:
+			return nil
+		}
+	}
+	p.ending = false
 	log, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -76,9 +88,21 @@
 	if cmd == nil {
 		return nil
 	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.mu.Lock()
+		p.ending = true
+		p.mu.Unlock()
+	}
 	return cmd.Process.Signal(s)
 }
 
+// Ending reports whether the process was told to end since its last start.
+func (p *Process) Ending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ending
+}
+
 // PID returns the process id; 0 before the first start.
 func (p *Process) PID() int {
 	cmd, _ := p.current()
--- a/bench/soak/inject.go
+++ b/bench/soak/inject.go
@@ -358,9 +358,18 @@
 }
 
 func pause(p *demo.Process, duration time.Duration) error {
-	if err := p.Signal(syscall.SIGSTOP); err != nil {
+	if err := ignoreEnded(p, p.Signal(syscall.SIGSTOP)); err != nil {
 		return fmt.Errorf("pause: %w", err)
 	}
 	time.Sleep(duration)
-	return p.Signal(syscall.SIGCONT)
+	return ignoreEnded(p, p.Signal(syscall.SIGCONT))
+}
+
+// ignoreEnded drops the error of a signal to a process that another injection has ended. A
+// process that ended by itself remains an error.
+func ignoreEnded(p *demo.Process, err error) error {
+	if errors.Is(err, os.ErrProcessDone) && p.Ending() {
+		return nil
+	}
+	return err
 }
--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -6,6 +6,8 @@
 	cause string
 }{
 	{7, "the soak appended bytes to a log that no crash leaves, and the control host refused the log as damaged; the soak appends zeros since then"},
+	{123, "a node was paused after another injection had killed it; such a pause has no effect since then"},
+	{150, "two injections ended and restarted one node, so that two instances competed for its addresses"},
 }
 
 // RegressionSeeds returns the seeds that once failed.
