Accept both statuses of a deadline in a test of stalled callers

Traced: the entry node and the serving node have the same deadline, and the refusal of the serving node ("no answer from the backend server") may arrive just before the entry node's own deadline. Both statuses promise nothing, so that the test was wrong to ask for one of them.

--- a/mesh/node/callerbody_test.go
+++ b/mesh/node/callerbody_test.go
@@ -225,7 +225,10 @@
 	head := "POST /cabinets/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 400_000)
 	began := time.Now()
 	resp, err := n.exchange(t, head) // the route's timeout is 1 s
-	if err != nil || resp.StatusCode != http.StatusGatewayTimeout || time.Since(began) > 3*time.Second {
+	// Both nodes have the same deadline. If the serving node's refusal comes first, the
+	// status is 502.
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout && resp.StatusCode != http.StatusBadGateway ||
+		resp.Header.Get(HeaderOutcome) != outcomeUnknown || resp.Header.Get(HeaderNotRun) != "" || time.Since(began) > 3*time.Second {
 		t.Errorf("stalled caller: %+v, %v after %s", resp, err, time.Since(began))
 	}
 	<-ended
