--- a/mesh/node/callerbody.go
+++ b/mesh/node/callerbody.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// maxKeptBodyBytes is how much of a request body is kept for another attempt. It equals
-	// maxBufferedAnswerBytes, so that one size says what is retried in both directions.
-	maxKeptBodyBytes = 256 << 10
+	// maxKeptBodyBytes is how much of a request body is kept for another attempt: one size
+	// says what is retried in both directions.
+	maxKeptBodyBytes = maxBufferedAnswerBytes
 	// bodyReserveBytes is the step in which the memory for kept bodies is reserved.
 	bodyReserveBytes = 16 << 10
 )
