Add the request kinds upload and download

Uploads and downloads were only mapped to writes and lookups. An upload runs at most once and has no idempotency key, so that it is not retried once it may have run. A download is idempotent, may be retried, and is not hedged: a second large response would take the room of others on the caller's link. Without a priority the order is urgent, write and upload, lookup and download.

--- a/bench/experiment/system.go
+++ b/bench/experiment/system.go
@@ -207,7 +207,7 @@
 func (s *system) checkRoutes() error {
 	for _, b := range s.fleet.Servers {
 		for _, r := range s.Size.Routes {
-			if r.Kind == model.KindWrite {
+			if !r.Kind.Idempotent() {
 				continue
 			}
 			resp, err := http.Get(b.CallerURL + r.Prefix + "/7") //nolint:noctx // bounded by the route's timeout
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -137,6 +137,8 @@
 	var body []byte
 	if f.Kind == model.KindWrite {
 		key = fmt.Sprintf("%d-%s", due.Unix(), "key"+nonce+"0000")
+	}
+	if !f.Kind.Idempotent() {
 		body = bytes.Repeat([]byte(nonce[:1]), f.BodyBytes)
 	}
 	var res result
@@ -151,7 +153,7 @@
 		target = f.Targets[rand.IntN(len(f.Targets))]
 	}
 	res.latency = time.Since(due)
-	if res.outcome == OutcomeOK && f.Kind != model.KindWrite && res.latency > f.Timeout {
+	if res.outcome == OutcomeOK && f.Kind.Idempotent() && res.latency > f.Timeout {
 		res.outcome = OutcomeLate
 	}
 	g.report.add(f, res, due)
--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -59,9 +59,9 @@
 const (
 	// urgentClass holds urgent requests.
 	urgentClass = iota
-	// writeClass holds writes.
+	// writeClass holds writes and uploads.
 	writeClass
-	// lookupClass holds lookups.
+	// lookupClass holds lookups and downloads.
 	lookupClass
 	// firstPriorityClass holds the requests of priority 1 that can meet their latency
 	// target. The next class holds those that cannot; the other priorities follow.
@@ -231,7 +231,7 @@
 		return class
 	case w.Kind == model.KindUrgent:
 		return urgentClass
-	case w.Kind == model.KindWrite:
+	case w.Kind == model.KindWrite || w.Kind == model.KindUpload:
 		return writeClass
 	default:
 		return lookupClass
--- a/mesh/admission/scheduler_test.go
+++ b/mesh/admission/scheduler_test.go
@@ -113,10 +113,10 @@
 
 func (l *listQueue) push(now time.Time, w *Waiter) (evicted *Waiter) {
 	if len(l.list) >= l.limit {
-		i := slices.IndexFunc(l.list, func(o *Waiter) bool { return o.Kind == model.KindLookup })
+		i := slices.IndexFunc(l.list, func(o *Waiter) bool { return o.Kind == model.KindLookup || o.Kind == model.KindDownload })
 		if i < 0 && w.Kind == model.KindUrgent {
 			for j, o := range l.list {
-				if o.Kind == model.KindWrite {
+				if !o.Kind.Idempotent() {
 					i = j
 				}
 			}
@@ -143,7 +143,7 @@
 		switch {
 		case w.Kind == model.KindUrgent:
 			return []int64{0, w.ExpiresAt.UnixNano(), arrival}
-		case w.Kind == model.KindWrite:
+		case !w.Kind.Idempotent():
 			return []int64{1, arrival}
 		case overloaded:
 			return []int64{2, -arrival}
@@ -183,7 +183,7 @@
 			Expect(q.Expire(now)).To(ConsistOf(naive.expire(now)))
 			switch op := r.IntN(10); {
 			case op < 5:
-				w := &Waiter{Request: Request{Kind: model.Kinds[r.IntN(3)]}}
+				w := &Waiter{Request: Request{Kind: model.Kinds[r.IntN(len(model.Kinds))]}}
 				w.ExpiresAt = now.Add(time.Duration(1+r.IntN(200)) * time.Millisecond)
 				Expect(q.Push(now, w)).To(BeIdenticalTo(naive.push(now, w)))
 				known = append(known, w)
--- a/mesh/model/kind.go
+++ b/mesh/model/kind.go
@@ -16,15 +16,27 @@
 	// KindUrgent is an idempotent internal request that is served before requests of
 	// other kinds.
 	KindUrgent
+	// KindUpload is a request with a large body that runs at most once and has no
+	// idempotency key.
+	KindUpload
+	// KindDownload is an idempotent request with a large response. It may be retried
+	// but is not hedged, because a second response would take the room of others on
+	// the caller's link.
+	KindDownload
 )
 
 // Kinds lists all request kinds.
-var Kinds = []Kind{KindLookup, KindWrite, KindUrgent}
+var Kinds = []Kind{KindLookup, KindWrite, KindUrgent, KindUpload, KindDownload}
 
-var kindNames = map[Kind]string{KindLookup: "lookup", KindWrite: "write", KindUrgent: "urgent"}
+var kindNames = map[Kind]string{
+	KindLookup: "lookup", KindWrite: "write", KindUrgent: "urgent", KindUpload: "upload", KindDownload: "download",
+}
+
+// Valid reports whether k is one of Kinds.
+func (k Kind) Valid() bool { return k >= KindLookup && k <= KindDownload }
 
 // Idempotent reports whether a request of this kind may run more than once.
-func (k Kind) Idempotent() bool { return k == KindLookup || k == KindUrgent }
+func (k Kind) Idempotent() bool { return k == KindLookup || k == KindUrgent || k == KindDownload }
 
 // String returns the name of the kind as used in notes and logs.
 func (k Kind) String() string {
@@ -50,5 +62,5 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("unknown request kind %q: want lookup, write or urgent", b)
+	return fmt.Errorf("unknown request kind %q: want lookup, write, urgent, upload or download", b)
 }
--- a/mesh/node/node_test.go
+++ b/mesh/node/node_test.go
@@ -25,9 +25,14 @@
 	"balsamtrail.org/mesh/telemetry"
 )
 
-// An unkeyed write must not be sent again once it may have run, but must be retried on
-// another backend server while it is known not to have run.
+// An unkeyed write or an upload must not be sent again once it may have run, but must be
+// retried on another backend server while it is known not to have run.
 func TestUnkeyedWriteIsSentOnceOnly(t *testing.T) {
+	t.Run("write", func(t *testing.T) { testSentOnceOnly(t, model.KindWrite, true) })
+	t.Run("upload", func(t *testing.T) { testSentOnceOnly(t, model.KindUpload, false) })
+}
+
+func testSentOnceOnly(t *testing.T, kind model.Kind, unkeyed bool) {
 	for name, c := range map[string]struct {
 		first    *callmux.Response
 		status   int
@@ -49,7 +54,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		route.Unkeyed = true
+		route.Kind, route.Unkeyed = kind, unkeyed
 		w := httptest.NewRecorder()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		call := newCall(httptest.NewRequest(http.MethodPost, "/restocks", nil), route, &callerBody{kept: []byte("crate"), err: io.EOF})
--- a/mesh/note/json_test.go
+++ b/mesh/note/json_test.go
@@ -54,6 +54,8 @@
 		Entry("no slots", `"slots": 20`, `"slots": 0`, "services.added[0].slots"),
 		Entry("unknown kind", `"lookup"`, `"read"`, "routes.added[0].kind"),
 		Entry("hedged write", `"lookup"`, `"write"`, "routes.added[0].hedge"),
+		Entry("hedged upload", `"lookup"`, `"upload"`, "routes.added[0].hedge"),
+		Entry("hedged download", `"lookup"`, `"download"`, "routes.added[0].hedge"),
 		Entry("unknown method", `"GET"`, `"get"`, "routes.added[0].methods[0]"),
 		Entry("too many retries", `"max_retries": 1`, `"max_retries": 9`, "routes.added[0].max_retries"),
 		Entry("relative path", `"/stock"`, `"stock"`, "routes.added[0].path_prefix"),
--- a/mesh/note/random_test.go
+++ b/mesh/note/random_test.go
@@ -164,6 +164,12 @@
 	return model.ServiceName(rapid.SampledFrom([]string{"ledger", "roster", "alerts"}).Draw(t, "service"))
 }
 
+func drawRoute(t *rapid.T, name model.RouteName, to model.ServiceName) Route {
+	r := route(name, to)
+	r.Kind = rapid.SampledFrom(model.Kinds).Draw(t, "kind")
+	return r
+}
+
 // drawNote draws a note that mostly fits c: absent names are added, present ones are
 // changed or withdrawn.
 func drawNote(t *rapid.T, c Config, number uint64, now time.Time) Note {
@@ -187,9 +193,9 @@
 	case present && (withdraw || rapid.Bool().Draw(t, "withdraw route")):
 		n.Routes.Withdrawn = []string{string(routeName)}
 	case present:
-		n.Routes.Changed = []Route{route(routeName, drawService(t))}
+		n.Routes.Changed = []Route{drawRoute(t, routeName, drawService(t))}
 	case rapid.Bool().Draw(t, "add route"):
-		n.Routes.Added = []Route{route(routeName, name)}
+		n.Routes.Added = []Route{drawRoute(t, routeName, name)}
 	}
 	if withdraw {
 		return n
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -195,7 +195,7 @@
 		return invalid(field+".name", "%q is not a name", r.Name)
 	case !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPathLength:
 		return invalid(field+".path_prefix", "%q, want a path of at most %d bytes that starts with /", r.PathPrefix, maxPathLength)
-	case r.Kind < model.KindLookup || r.Kind > model.KindUrgent:
+	case !r.Kind.Valid():
 		return invalid(field+".kind", "%d is not a kind", r.Kind)
 	case r.Timeout <= 0 || r.Timeout > maxTimeout:
 		return invalid(field+".timeout", "%s, want more than 0 and at most %s", r.Timeout, maxTimeout)
@@ -207,8 +207,8 @@
 		return invalid(field+".host", "%q, want lower case and at most %d bytes", r.Host, maxHostLength)
 	case r.LatencyTarget < 0 || r.LatencyTarget > maxTimeout:
 		return invalid(field+".latency_target", "%s, want 0 to %s", r.LatencyTarget, maxTimeout)
-	case r.Unkeyed && r.Kind != model.KindWrite:
-		return invalid(field+".unkeyed", "only writes have idempotency keys")
+	case r.Unkeyed && r.Kind.Idempotent():
+		return invalid(field+".unkeyed", "a %s has no idempotency key", r.Kind)
 	case r.RetryErrors && !r.Kind.Idempotent():
 		return invalid(field+".retry_errors", "a %s runs at most once", r.Kind)
 	case len(r.Methods) > len(httpMethods):
--- a/mesh/routing/table_test.go
+++ b/mesh/routing/table_test.go
@@ -164,6 +164,9 @@
 		Entry("a write that may have run", model.KindWrite, ResultFailed, false, time.Duration(0), MayHaveRun),
 		Entry("a write that has not run", model.KindWrite, ResultRefused, true, time.Duration(0), RetryAllowed),
 		Entry("a request of which no byte was sent", model.KindWrite, ResultFailed, true, time.Duration(0), RetryAllowed),
+		Entry("an upload that may have run", model.KindUpload, ResultFailed, false, time.Duration(0), MayHaveRun),
+		Entry("an upload that has not run", model.KindUpload, ResultRefused, true, time.Duration(0), RetryAllowed),
+		Entry("a download", model.KindDownload, ResultFailed, false, time.Duration(0), RetryAllowed),
 		Entry("an error answer", model.KindLookup, ResultError, false, time.Duration(0), ErrorNotRetryable),
 		Entry("after the deadline", model.KindLookup, ResultFailed, true, time.Second, PastDeadline),
 	)
