Decide admission by the distribution of service times

Admission used one mean per route, which followed slowness for 30 s and took in the service times of cold servers, and did not know how fast its queue drains.

Each route now has a decayed distribution without the cold time. A request is not started if fewer than half of such requests would end within its remaining time, and it is served after others once it misses its target, also if that happens in the queue; both scale with the slowness or coldness of the moment. The ratio of cold to usual service times is learned (prior 2). 0.3 of the latency target stands in for an unknown median, and never refuses. Requests are refused at once if the waiters before them take too long by the measured drain rate, and Retry-After comes from it where all servers tried could tell.

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -85,17 +85,17 @@
 	if d.refused != "" {
 		telemetry.Counter(MetricRefused + metricNames[d.refused]).Inc(1)
 		g.log.Debug("request refused", "route", string(t.Route), "kind", t.Kind.String(), "reason", string(d.refused))
-		return nil, &NotRun{Reason: d.refused, RetryAfter: g.retryAfter(d.refused)}
+		return nil, &NotRun{Reason: d.refused, RetryAfter: g.retryAfter(w, d.refused)}
 	}
 	return g.release(t, d), nil
 }
 
-// retryAfter returns when the backend server has room again, for a refusal with the given
-// reason; 0 if that is not known.
-func (g *Gate) retryAfter(refused Reason) time.Duration {
+// retryAfter returns when the backend server has room again for w, which is refused with the
+// given reason; 0 if that is not known.
+func (g *Gate) retryAfter(w *Waiter, refused Reason) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sched.retryAfter(time.Now(), refused)
+	return g.sched.retryAfter(time.Now(), w, refused)
 }
 
 // arrive passes w to the scheduler. It returns the decision on w or, if w is queued,
@@ -283,7 +283,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.sched.pacer.start(now, cold)
+	g.sched.setCold(now, cold)
 	g.deliver(g.sched.dispatch(now)...)
 	g.armPaceTimer(now)
 }
--- a/mesh/admission/message.go
+++ b/mesh/admission/message.go
@@ -109,8 +109,8 @@
 // reached the backend server.
 type NotRun struct {
 	Reason Reason
-	// RetryAfter is the time until the backend server is no longer cold; 0 if it is not,
-	// or if that is not the reason.
+	// RetryAfter is the time until the backend server is expected to have room; 0 if that
+	// is not known or not the reason.
 	RetryAfter time.Duration
 }
 
--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -16,8 +16,7 @@
 	Arrived time.Time
 	// ExpiresAt is when the request is refused if it has no slot by then.
 	ExpiresAt time.Time
-	// MissesTarget says that the request could no longer meet its latency target when it
-	// arrived.
+	// MissesTarget says that the request can no longer meet its latency target.
 	MissesTarget bool
 
 	class *class
@@ -96,6 +95,9 @@
 type Queue struct {
 	limit         int
 	overloadAfter time.Duration
+	// missesTarget reports whether a waiter that starts now would miss its latency target;
+	// nil for none.
+	missesTarget func(now time.Time, w *Waiter) bool
 
 	classes [numClasses]class
 	// size is the number of waiters in all classes.
@@ -136,13 +138,17 @@
 	if q.size == 0 && evicted == nil {
 		q.nonEmptySince = now
 	}
+	q.insert(w)
+	return evicted
+}
+
+func (q *Queue) insert(w *Waiter) {
 	q.arrivals++
 	w.seq = q.arrivals
 	w.class = &q.classes[q.classOf(w)]
 	w.elem = w.class.arrivals.PushBack(w)
 	heap.Push(&w.class.byExpiry, w)
 	q.size++
-	return evicted
 }
 
 // victim returns the waiter to evict from the full queue for w, or w.
@@ -173,25 +179,44 @@
 }
 
 // Pop removes and returns the next waiter to serve; nil if there is none. Call Expire
-// first, since Pop may return expired waiters.
+// first, since Pop may return expired waiters. Waiters with a priority that have come to
+// miss their latency target are served after those that can meet it.
 func (q *Queue) Pop(now time.Time) *Waiter {
+	i := q.nextClass(now)
+	if i < 0 {
+		return nil
+	}
+	c := &q.classes[i]
+	w := c.byExpiry[0]
+	switch {
+	case i == writeClass:
+		w = c.arrivals.Front().Value.(*Waiter)
+	case i == lookupClass && q.Overloaded(now):
+		w = c.arrivals.Back().Value.(*Waiter)
+	}
+	q.Remove(w)
+	c.recordServed(now, c.arrivals.Len() > 0)
+	return w
+}
+
+// nextClass returns the index of the class to serve next; -1 if no request waits.
+func (q *Queue) nextClass(now time.Time) int {
 	for i := range q.classes {
 		c := &q.classes[i]
-		if c.arrivals.Len() == 0 {
-			continue
+		for i >= firstPriorityClass && c.arrivals.Len() > 0 {
+			w := c.byExpiry[0]
+			if w.MissesTarget || q.missesTarget == nil || !q.missesTarget(now, w) {
+				break
+			}
+			q.Remove(w)
+			w.MissesTarget = true
+			q.insert(w)
 		}
-		w := c.byExpiry[0]
-		switch {
-		case i == writeClass:
-			w = c.arrivals.Front().Value.(*Waiter)
-		case i == lookupClass && q.Overloaded(now):
-			w = c.arrivals.Back().Value.(*Waiter)
+		if c.arrivals.Len() > 0 {
+			return i
 		}
-		q.Remove(w)
-		c.recordServed(now, c.arrivals.Len() > 0)
-		return w
 	}
-	return nil
+	return -1
 }
 
 // Expire removes and returns the expired waiters.
@@ -239,19 +264,30 @@
 }
 
 // WouldExpire reports whether a new waiter with a priority is likely to expire before it
-// gets a slot, as estimated from the interval of its class. If such a request is
-// refused at once, its caller has more time left for a retry.
-func (q *Queue) WouldExpire(now time.Time, w *Waiter) bool {
-	if w.Priority == 0 {
+// gets a slot. If such a request is refused at once, its caller has more time left for a
+// retry. drainInterval is the measured time between two free slots; 0 if unknown.
+func (q *Queue) WouldExpire(now time.Time, w *Waiter, drainInterval time.Duration) bool {
+	if w.Priority == 0 || q.classes[q.classOf(w)].arrivals.Len() < minWaiters {
 		return false
 	}
+	return now.Add(q.ExpectedWait(now, w, drainInterval)).After(w.ExpiresAt)
+}
+
+// ExpectedWait returns the time that a new waiter is expected to wait, from the interval of
+// its class while that is known, and at least from the waiters before it and the measured
+// time between two free slots. It is 0 if neither is known.
+func (q *Queue) ExpectedWait(now time.Time, w *Waiter, drainInterval time.Duration) time.Duration {
 	classIndex := q.classOf(w)
+	ahead := 0
+	for i := range q.classes[:classIndex+1] {
+		ahead += q.classes[i].arrivals.Len()
+	}
+	wait := time.Duration(ahead+1) * drainInterval
 	c := &q.classes[classIndex]
-	if c.lastServed.IsZero() || now.Sub(c.lastServed) > intervalTTL || c.arrivals.Len() < minWaiters {
-		return false
+	if c.lastServed.IsZero() || now.Sub(c.lastServed) > intervalTTL {
+		return wait
 	}
-	wait := time.Duration(c.arrivals.Len()+1) * max(c.interval, now.Sub(c.lastServed))
-	return now.Add(wait).After(w.ExpiresAt)
+	return max(wait, time.Duration(c.arrivals.Len()+1)*max(c.interval, now.Sub(c.lastServed)))
 }
 
 // expiryHeap implements heap.Interface, ordered by ExpiresAt, then by arrival.
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -31,6 +31,7 @@
 	// inFlight is the number of requests that hold a slot.
 	inFlight int
 	times    serviceTime
+	routes   distributions
 	pacer    pacer
 	unknown  unknownLoad
 	// coldLoad is the factor applied to the cold rate of the service.
@@ -55,14 +56,17 @@
 }
 
 func newScheduler(cfg Config) *scheduler {
-	return &scheduler{
+	s := &scheduler{
 		service:     cfg.Service,
 		provisional: cfg.Provisional,
 		limiter:     NewLimiter(cfg.Service.Slots),
 		queue:       NewQueue(cfg.Service.QueueLimit, cfg.OverloadAfter),
+		routes:      distributions{},
 		pacer:       pacer{cold: rateLimit{rate: cfg.Service.ColdRate * cfg.ColdLoad, burstTime: coldBurstTime}},
 		coldLoad:    cfg.ColdLoad,
 	}
+	s.queue.missesTarget = s.missesTarget
+	return s
 }
 
 // arrive admits, queues or refuses a new request. It returns all resulting decisions,
@@ -70,20 +74,23 @@
 func (s *scheduler) arrive(now time.Time, w *Waiter) []decision {
 	w.Arrived = now
 	w.ExpiresAt = s.expiry(now, w.Request)
-	w.MissesTarget = !w.Target.IsZero() && now.Add(s.limiter.ExpectedLatency(w.Route)).After(w.Target)
+	if d := s.routes.of(w.Route); !w.Target.IsZero() {
+		d.target = max(d.target, w.Target.Sub(now))
+	}
+	w.MissesTarget = s.missesTarget(now, w)
 	if reason := s.refusalReason(); reason != "" {
 		return []decision{{waiter: w, refused: reason}}
 	}
 	if s.provisional && now.Before(s.pacer.coldUntil) {
 		return []decision{{waiter: w, refused: ReasonUnavailable}}
 	}
-	if !w.Deadline.IsZero() && !now.Before(s.latestStart(w.Request)) {
+	if !w.Deadline.IsZero() && !now.Before(s.latestStart(now, w.Request)) {
 		return []decision{{waiter: w, refused: ReasonStale}}
 	}
 	if s.queue.Len() == 0 && s.inFlight < s.limit(now) && s.pacer.take(now) {
 		return []decision{s.admit(now, w)}
 	}
-	if s.queue.WouldExpire(now, w) {
+	if s.queue.WouldExpire(now, w, s.drainInterval(now)) {
 		return []decision{{waiter: w, refused: ReasonNoTurn}}
 	}
 	evicted := s.queue.Push(now, w)
@@ -102,16 +109,36 @@
 		maxWait = min(maxWait, t.MaxWait)
 	}
 	expiry := now.Add(maxWait)
-	if latest := s.latestStart(t); !t.Deadline.IsZero() && latest.Before(expiry) {
+	if latest := s.latestStart(now, t); !t.Deadline.IsZero() && latest.Before(expiry) {
 		return latest
 	}
 	return expiry
 }
 
-// latestStart returns the deadline minus half the expected latency. A request that
-// starts later will almost certainly miss its deadline.
-func (s *scheduler) latestStart(t Request) time.Time {
-	return t.Deadline.Add(-s.limiter.ExpectedLatency(t.Route) / 2)
+// latestStart returns the deadline minus the median service time. Of the requests that
+// start later, fewer than half would end before it. A route with too few requests is not
+// refused for that.
+func (s *scheduler) latestStart(now time.Time, t Request) time.Time {
+	return t.Deadline.Add(-s.scaled(now, s.routes.of(t.Route).median()))
+}
+
+// missesTarget reports whether a request that started now would probably miss its latency
+// target.
+func (s *scheduler) missesTarget(now time.Time, w *Waiter) bool {
+	return !w.Target.IsZero() && now.Add(s.scaled(now, s.routes.of(w.Route).medianOrPrior())).After(w.Target)
+}
+
+// scaled returns a usual service time as it is expected now, with the slowness or the
+// coldness of the backend server.
+func (s *scheduler) scaled(now time.Time, usual time.Duration) time.Duration {
+	return time.Duration(float64(usual) * s.times.slowness(now))
+}
+
+// drainInterval returns the measured time between two slots that become free while all
+// are in use; 0 if it is not known.
+func (s *scheduler) drainInterval(now time.Time) time.Duration {
+	recent, _ := s.serviceTimes(now)
+	return recent / time.Duration(max(s.limit(now), 1))
 }
 
 // refusalReason returns why new requests are refused at the moment; empty if they are
@@ -178,7 +205,10 @@
 func (s *scheduler) finish(now time.Time, sample Sample) []decision {
 	s.times.advance(now, s.inFlight)
 	if sample.Result == ResultOK {
-		s.times.ended()
+		s.times.ended(now)
+	}
+	if !s.times.isCold(sample.Started) {
+		s.routes.observe(sample)
 	}
 	s.inFlight--
 	s.limiter.Observe(now, sample)
@@ -228,24 +258,28 @@
 	return used + waiting
 }
 
-// retryAfter returns the time until the backend server is no longer cold, if its cold
-// rate is why a request is refused; otherwise 0.
-func (s *scheduler) retryAfter(now time.Time, refused Reason) time.Duration {
+// retryAfter returns when the backend server has room again for a request like w that is
+// refused for lack of room: the time in which the queue drains, or that until the server is
+// no longer cold, if its cold rate is why. It is 0 if that is not known.
+func (s *scheduler) retryAfter(now time.Time, w *Waiter, refused Reason) time.Duration {
 	switch refused {
 	case ReasonQueueFull, ReasonStale, ReasonNoTurn, ReasonUnavailable:
 	default:
 		return 0
 	}
-	if s.unavailable || !s.provisional && s.pacer.cold.rate == 0 {
+	if !s.unavailable && (s.provisional || s.pacer.cold.rate > 0) && now.Before(s.pacer.coldUntil) {
+		return s.pacer.coldUntil.Sub(now)
+	}
+	if refused == ReasonUnavailable {
 		return 0
 	}
-	return max(s.pacer.coldUntil.Sub(now), 0)
+	return s.queue.ExpectedWait(now, w, s.drainInterval(now))
 }
 
 // serviceTimes returns the recent and the usual mean service time; 0 while unknown.
 func (s *scheduler) serviceTimes(now time.Time) (recent, usual time.Duration) {
 	s.times.advance(now, s.inFlight)
-	return s.times.means()
+	return s.times.means(now)
 }
 
 // limit returns how many requests may run now: the concurrency limit without the slots
@@ -265,7 +299,14 @@
 	s.unavailable, s.drainingSince = false, time.Time{}
 	s.service.Slots = slots
 	s.limiter.SetFixed(slots)
-	s.unknown, s.times = unknownLoad{}, serviceTime{}
+	s.unknown = unknownLoad{}
+	s.times.start()
 	s.pacer.setStated(now, 0)
+	s.setCold(now, cold)
+}
+
+// setCold takes how much longer the backend server is cold.
+func (s *scheduler) setCold(now time.Time, cold time.Duration) {
 	s.pacer.start(now, cold)
+	s.times.coldUntil = s.pacer.coldUntil
 }
--- a/mesh/admission/servicetime.go
+++ b/mesh/admission/servicetime.go
@@ -18,6 +18,12 @@
 	// minServiceTimeRequests is the number of requests in the usual window from which a
 	// service time is known.
 	minServiceTimeRequests = 5.0
+	// coldRatioPrior is the assumed ratio of the service times of a cold server and of a
+	// warm one, and maxColdRatio the greatest that is learned.
+	coldRatioPrior, maxColdRatio = 2.0, 4.0
+	// coldRatioRequests is the number of requests after the cold time from which the ratio
+	// is learned.
+	coldRatioRequests = 50.0
 )
 
 // serviceTime measures the mean service time of the backend server over all requests,
@@ -27,11 +33,19 @@
 type serviceTime struct {
 	recent, usual decayedMean
 	at            time.Time
+	// cold is the mean over the cold time, which does not enter usual.
+	cold      decayedMean
+	coldUntil time.Time
+	// coldRatio is the learned ratio of cold and usual service times; 0 before the first.
+	coldRatio float64
 }
 
 // decayedMean is the time in slots and the number of ended requests, both decayed.
 type decayedMean struct{ seconds, ended float64 }
 
+// start forgets a former lifetime of the backend server but the ratio of its cold time.
+func (s *serviceTime) start() { *s = serviceTime{coldRatio: s.coldRatio} }
+
 // advance adds the time since the last call, in which inFlight requests ran.
 func (s *serviceTime) advance(now time.Time, inFlight int) {
 	elapsed := now.Sub(s.at)
@@ -39,9 +53,18 @@
 		s.at = now
 		return
 	}
+	wasCold := s.isCold(s.at)
 	s.at = now
 	s.recent.advance(elapsed, inFlight, recentServiceTimeConstant)
-	s.usual.advance(elapsed, inFlight, usualServiceTimeConstant)
+	if wasCold {
+		s.cold.seconds += float64(inFlight) * elapsed.Seconds()
+	} else {
+		s.usual.advance(elapsed, inFlight, usualServiceTimeConstant)
+	}
+	if wasCold && !s.isCold(now) && s.usual.ended < minServiceTimeRequests && s.cold.ended >= minServiceTimeRequests {
+		s.usual = decayedMean{seconds: s.cold.mean() / s.ratio() * minServiceTimeRequests, ended: minServiceTimeRequests}
+		s.recent = decayedMean{}
+	}
 }
 
 func (m *decayedMean) advance(elapsed time.Duration, inFlight int, timeConstant time.Duration) {
@@ -50,19 +73,62 @@
 	m.ended *= kept
 }
 
+func (m *decayedMean) mean() float64 { return m.seconds / m.ended }
+
 // ended counts a request that the backend server has answered without an error. One that
 // ended otherwise has only spent time in a slot.
-func (s *serviceTime) ended() {
+func (s *serviceTime) ended(now time.Time) {
 	s.recent.ended++
+	if s.isCold(now) {
+		s.cold.ended++
+		return
+	}
 	s.usual.ended++
+	if s.usual.ended > coldRatioRequests && s.cold.ended >= minServiceTimeRequests {
+		s.coldRatio = min(max(s.cold.mean()/s.usual.mean(), 1), maxColdRatio)
+		s.cold = decayedMean{}
+	}
 }
 
-// means returns the recent and the usual mean; 0 while they are not known.
-func (s *serviceTime) means() (recent, usual time.Duration) {
-	if s.usual.ended < minServiceTimeRequests {
+func (s *serviceTime) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+// ratio returns the assumed ratio of cold and usual service times.
+func (s *serviceTime) ratio() float64 {
+	if s.coldRatio == 0 {
+		return coldRatioPrior
+	}
+	return s.coldRatio
+}
+
+// means returns the recent and the usual mean; 0 while they are not known. During the cold
+// time both are the mean of the cold server, as it will stay so for longer than a report
+// counts.
+func (s *serviceTime) means(now time.Time) (recent, usual time.Duration) {
+	var r, u float64
+	switch {
+	case s.isCold(now) && s.cold.ended >= minServiceTimeRequests:
+		r = s.cold.mean()
+		u = r
+	case s.isCold(now) && s.usual.ended >= minServiceTimeRequests:
+		r = s.usual.mean() * s.ratio()
+		u = r
+	case s.isCold(now) || s.usual.ended < minServiceTimeRequests:
 		return 0, 0
+	default:
+		u = s.usual.mean()
+		r = (s.recent.seconds + recentPriorRequests*u) / (s.recent.ended + recentPriorRequests)
 	}
-	u := s.usual.seconds / s.usual.ended
-	r := (s.recent.seconds + recentPriorRequests*u) / (s.recent.ended + recentPriorRequests)
 	return time.Duration(r * float64(time.Second)), time.Duration(u * float64(time.Second))
 }
+
+// slowness returns the expected ratio of service times now to the usual ones of the server.
+func (s *serviceTime) slowness(now time.Time) float64 {
+	if s.isCold(now) {
+		return s.ratio()
+	}
+	recent, usual := s.means(now)
+	if usual == 0 {
+		return 1
+	}
+	return float64(recent) / float64(usual)
+}
--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -14,7 +14,6 @@
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/invariant"
-	"balsamtrail.org/mesh/note"
 )
 
 // refusalBody is the JSON body of every answer that the node itself makes.
@@ -42,7 +41,7 @@
 	// that one request takes at a fully loaded backend server.
 	busyRetryAfter = 60 * time.Millisecond
 	// retryAfterTargetPart is the part of the latency target after which a caller
-	// should retry. Even after twice that time, its next attempt can meet the target.
+	// should retry if no serving node could tell when it has room. Even after twice that time, its next attempt can meet the target.
 	retryAfterTargetPart = 0.3
 	// outageRetryAfter is used when the cause lasts longer, such as a missing
 	// configuration or no available backend server.
@@ -160,17 +159,20 @@
 func refuseCall(w http.ResponseWriter, c *call, a *attempt) {
 	invariant.Check(!c.mayHaveRun, invariant.TrueNotRun, "refused as not run after a try of unknown outcome",
 		"route", string(c.route.Name), "tried", c.attempts.Tried())
-	refuseWithRetryAfter(w, http.StatusServiceUnavailable, a.reason, max(minRetryAfter(c.route, errors.Is(a.err, errNoServer)), c.room.least))
+	refuseWithRetryAfter(w, http.StatusServiceUnavailable, a.reason, c.minRetryAfter(errors.Is(a.err, errNoServer)))
 }
 
 // minRetryAfter returns the minimum time after which the caller of a refused call
-// should retry.
-func minRetryAfter(r note.Route, noServer bool) time.Duration {
+// should retry: the time in which an attempted backend server has room again, if all of
+// them could tell.
+func (c *call) minRetryAfter(noServer bool) time.Duration {
 	switch {
 	case noServer:
-		return outageRetryAfter
-	case r.LatencyTarget > 0:
-		return time.Duration(retryAfterTargetPart * float64(r.LatencyTarget))
+		return max(outageRetryAfter, c.room.least)
+	case c.room.least > 0:
+		return max(c.room.least, busyRetryAfter)
+	case c.route.LatencyTarget > 0:
+		return time.Duration(retryAfterTargetPart * float64(c.route.LatencyTarget))
 	}
 	return busyRetryAfter
 }
