Give a starting node all it needs to route on its first connection

Change: the hello of a watch stream may ask for a welcome: the position that the leader confirms, the control host's record of the node, and the list of control hosts. Control hosts share confirmations: a question to the leader answers all requests that came before it began. Nodes ask each other for the minimum position only while no control host says that it is busy, or after 5 s.

--- a/mesh/control/confirm.go
+++ b/mesh/control/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,12 +51,65 @@
 	return nil
 }
 
-// confirm returns a position that includes everything accepted before the call.
+// confirm returns a position that includes everything accepted before the call. Calls at
+// the same time share a question to the leader: when a fleet starts, one for each node
+// would cost the leader a round of messages each.
 func (c *Control) confirm(ctx context.Context) (model.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	return c.confirmations.await(ctx, c.confirmNow)
+}
+
+func (c *Control) confirmNow() (model.Position, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	if err := c.catchUp(ctx); err != nil {
 		return model.Position{}, err
 	}
 	return c.machine.Position(), nil
 }
+
+// confirmation is one question to the leader. done is closed once the result is set.
+type confirmation struct {
+	done chan struct{}
+	pos  model.Position
+	err  error
+}
+
+// sharedConfirmation runs one confirmation at a time. A call that arrives while one runs
+// waits for the next, since the running one may have begun before something that was
+// accepted before the call. One mutex guards it; the zero value is ready for use.
+type sharedConfirmation struct {
+	mu            sync.Mutex
+	running, next *confirmation
+}
+
+// await returns the result of a confirmation that began after the call of await.
+func (s *sharedConfirmation) await(ctx context.Context, confirm func() (model.Position, error)) (model.Position, error) {
+	s.mu.Lock()
+	if s.next == nil {
+		s.next = &confirmation{done: make(chan struct{})}
+	}
+	c := s.next
+	if s.running == nil {
+		s.running, s.next = c, nil
+		go s.run(c, confirm)
+	}
+	s.mu.Unlock()
+	select {
+	case <-c.done:
+		return c.pos, c.err
+	case <-ctx.Done():
+		return model.Position{}, eris.Wrapf(ErrNoLeader, "not confirmed: %v", ctx.Err())
+	}
+}
+
+// run runs confirmations until no call waits.
+func (s *sharedConfirmation) run(c *confirmation, confirm func() (model.Position, error)) {
+	for c != nil {
+		c.pos, c.err = confirm()
+		close(c.done)
+		s.mu.Lock()
+		s.running, s.next = s.next, nil
+		c = s.running
+		s.mu.Unlock()
+	}
+}
--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -49,10 +49,11 @@
 	childPlan                func(peer.Identity) (bool, []distribute.Parent)
 	freshness                *distribute.Freshness
 
-	startOrder *startOrder
-	evidence   *evidence
-	leaderWork *leader
-	learned    learnedHosts
+	startOrder    *startOrder
+	confirmations sharedConfirmation
+	evidence      *evidence
+	leaderWork    *leader
+	learned       learnedHosts
 
 	// operatorHandler returns the handler that replaces the operator interface
 	// of package operator; nil if package operator serves it.
--- a/mesh/control/hosts.go
+++ b/mesh/control/hosts.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"balsamtrail.org/mesh/directory"
+	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/settings"
@@ -121,3 +122,13 @@
 	}
 	return l, changed
 }
+
+// hostsForNodes returns the list of directory in the form that a welcome carries.
+func (c *Control) hostsForNodes() ([]distribute.Parent, uint64) {
+	l, _ := c.directory()
+	var out []distribute.Parent
+	for _, h := range l.Hosts {
+		out = append(out, distribute.Parent{Host: h.Host, Role: peer.RoleControl, DataCentre: h.DataCentre, Address: h.Peer})
+	}
+	return out, l.Index
+}
--- a/mesh/control/serve.go
+++ b/mesh/control/serve.go
@@ -68,7 +68,7 @@
 func (c *Control) serveOptions(child peer.Identity) distribute.ServeOptions {
 	o := distribute.ServeOptions{
 		Subtree: c.nodeSubtree, Freshness: c.freshness, Admission: c.admission,
-		Planned: c.childPlan, Confirm: c.confirm, Log: c.log,
+		Planned: c.childPlan, Confirm: c.confirm, ControlHosts: c.hostsForNodes, Log: c.log,
 	}
 	if child.Role == peer.RoleControl {
 		o.Subtree = c.hostSubtree
--- a/mesh/control/startorder_test.go
+++ b/mesh/control/startorder_test.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"balsamtrail.org/mesh/model"
 )
 
 // Guards against nodes that delay the election at the start of a whole mesh, and
@@ -21,3 +25,33 @@
 		t.Error("nodes are kept out although a leader is known")
 	}
 }
+
+// Guards against a position that is confirmed by a question to the leader from before the
+// call, which could miss what was accepted in between; and, at the start of a fleet, against
+// one question for each node.
+func TestConfirmationsAreSharedAndBeginAfterTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s sharedConfirmation
+		questions := uint64(0)
+		ask := func() (model.Position, error) {
+			questions++
+			began := questions
+			time.Sleep(10 * time.Millisecond)
+			return model.Position{Index: began}, nil
+		}
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond / 10)
+				before := questions
+				if pos, err := s.await(t.Context(), ask); err != nil || pos.Index <= before {
+					t.Errorf("%v %v by question %d, asked after question %d", pos, err, pos.Index, before)
+				}
+			})
+		}
+		wg.Wait()
+		if questions != 2 {
+			t.Errorf("%d questions for calls during one question, want 2", questions)
+		}
+	})
+}
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -72,7 +72,11 @@
 	// Outdated, if set, receives the parent's source age while that is above
 	// outdatedLimit. It must have room for one value.
 	Outdated chan<- time.Duration
-	Log      *slog.Logger
+	// Join reports whether to request a welcome from a control host; nil for never.
+	Join func() bool
+	// OnWelcome is called with each welcome.
+	OnWelcome func(Welcome)
+	Log       *slog.Logger
 }
 
 // BusyError is returned when the parent refuses this child.
@@ -213,7 +217,7 @@
 
 // hello returns the frame that tells the parent what this child already has.
 func (r *childReader) hello(needSnapshot bool) *helloFrame {
-	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil}
+	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil, Join: r.o.Join != nil && r.o.Join()}
 	if r.a != nil {
 		h.Position = r.a.Store().Position()
 		h.Snapshot = r.assembly.resume()
@@ -261,6 +265,8 @@
 	switch {
 	case f.Heartbeat != nil:
 		return r.heartbeat(now, *f.Heartbeat)
+	case f.Welcome != nil:
+		r.welcome(*f.Welcome)
 	case f.Endpoints != nil:
 		r.endpoints(*f.Endpoints)
 	case f.Delta != nil && r.a != nil:
--- a/mesh/distribute/message.go
+++ b/mesh/distribute/message.go
@@ -32,6 +32,8 @@
 	maxReason = 256
 	// maxAlternatives is the number of alternative parents in a busy frame.
 	maxAlternatives = 8
+	// maxControlHosts is the number of control hosts in a welcome.
+	maxControlHosts = 64
 )
 
 // Refusal reports a version, or a route of a version, that is not in force on a
@@ -92,6 +94,9 @@
 	// SkipEndpoints requests configuration without endpoints; only an exchange
 	// sets it.
 	SkipEndpoints bool `cbor:"10,keyasint,omitempty"`
+	// Join requests a welcome; a node sets it until it knows the minimum position at
+	// which it may route. Parents of earlier releases and nodes send none.
+	Join bool `cbor:"11,keyasint,omitempty"`
 }
 
 // upFrame is a frame from the child to the parent. An empty one is a heartbeat.
@@ -147,6 +152,20 @@
 	Alternatives []Parent `cbor:"3,keyasint,omitempty"`
 }
 
+// welcomeFrame tells a starting node what else it needs to route, so that it need not
+// ask for each on a stream of its own.
+type welcomeFrame struct {
+	// Position and Confirmed are as in compareFrame.
+	Position  model.Position `cbor:"1,keyasint"`
+	Confirmed bool           `cbor:"2,keyasint,omitempty"`
+	// Own is the parent's record of the node.
+	Own *membership.Announcement `cbor:"3,keyasint,omitempty"`
+	// ControlHosts are the control hosts up to HostsIndex of the log; empty if the
+	// parent does not know them.
+	ControlHosts []Parent `cbor:"4,keyasint,omitempty"`
+	HostsIndex   uint64   `cbor:"5,keyasint,omitempty"`
+}
+
 // downFrame is a frame from the parent to the child. Exactly one field is set.
 type downFrame struct {
 	Heartbeat *heartbeatFrame `cbor:"1,keyasint,omitempty"`
@@ -156,7 +175,8 @@
 	Handoff   *handoffFrame   `cbor:"5,keyasint,omitempty"`
 	Busy      *busyFrame      `cbor:"6,keyasint,omitempty"`
 	// Done ends the answer to an exchange.
-	Done bool `cbor:"7,keyasint,omitempty"`
+	Done    bool          `cbor:"7,keyasint,omitempty"`
+	Welcome *welcomeFrame `cbor:"8,keyasint,omitempty"`
 }
 
 // sourceAge returns the source age in a heartbeat, 0 in other frames.
@@ -221,6 +241,16 @@
 	if h := f.Handoff; h != nil && h.After < 0 {
 		return eris.Wrapf(ErrBadFrame, "handoff after %s", h.After)
 	}
+	if w := f.Welcome; w != nil {
+		if len(w.ControlHosts) > maxControlHosts {
+			return eris.Wrapf(ErrBadFrame, "%d control hosts in a welcome", len(w.ControlHosts))
+		}
+		if w.Own != nil {
+			if err := w.Own.Check(); err != nil {
+				return eris.Wrapf(ErrBadFrame, "welcome: %v", err)
+			}
+		}
+	}
 	if b := f.Busy; b != nil && (b.RetryAfter < 0 || len(b.Alternatives) > maxAlternatives) {
 		return eris.Wrapf(ErrBadFrame, "retry after %s, %d alternatives", b.RetryAfter, len(b.Alternatives))
 	}
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -67,7 +68,10 @@
 	// Confirm returns a position that includes everything accepted before the
 	// call. It is nil on nodes.
 	Confirm func(ctx context.Context) (model.Position, error)
-	Log     *slog.Logger
+	// ControlHosts returns the control hosts and the log index up to which the list is
+	// complete. It is nil on nodes.
+	ControlHosts func() (hosts []Parent, index uint64)
+	Log          *slog.Logger
 }
 
 // childWriter is the writing side of one child stream. It is used by one goroutine.
@@ -87,6 +91,8 @@
 	pushes               *rate.Limiter
 	snapshotWaitStart    time.Time
 	lastUnplannedHandoff time.Time
+	// welcomes delivers the welcomes for a starting node; nil for other children.
+	welcomes <-chan welcomeFrame
 }
 
 func newChildWriter(st peer.Stream, s *Store, eps *membership.Table, o ServeOptions) *childWriter {
@@ -123,6 +129,12 @@
 	}()
 	w := newChildWriter(st, s, eps, o)
 	w.applyHello(hello)
+	var welcoming sync.WaitGroup
+	if hello.Join && o.Confirm != nil {
+		welcomes := make(chan welcomeFrame, 1)
+		w.welcomes = welcomes
+		welcoming.Go(func() { o.welcome(ctx, s, eps, child, welcomes) })
+	}
 	err = w.run(ctx, requests)
 	if err == nil {
 		_ = st.Close()
@@ -132,6 +144,7 @@
 		st.Abort()
 	}
 	<-reader
+	welcoming.Wait()
 	return err
 }
 
@@ -209,6 +222,8 @@
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
+		case f := <-w.welcomes:
+			err = send(w.st, downFrame{Welcome: &f})
 		case h := <-requests:
 			w.applyHello(h)
 			pending = true
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -48,8 +48,10 @@
 
 // controlHosts returns the control hosts in this node's order of preference: those of
 // the local data centre first, then by rendezvous hash, which spreads the nodes
-// evenly.
-func (n *Node) controlHosts() []distribute.Parent { return n.byPreference(n.directory.Hosts()) }
+// evenly. While a fleet starts, the one that this node connected to first comes before them.
+func (n *Node) controlHosts() []distribute.Parent {
+	return n.heldFirst(n.byPreference(n.directory.Hosts()))
+}
 
 func (n *Node) byPreference(hosts []directory.Host) []distribute.Parent {
 	var out []distribute.Parent
@@ -119,6 +121,7 @@
 			continue
 		}
 		busy = 0
+		n.joining.release(host.Host)
 		n.log.Info("control stream ended", "method", method, "peer", string(host.Host), "reason", err.Error())
 		if time.Since(started) > backoffResetAfter {
 			delays.Reset()
@@ -167,7 +170,7 @@
 		}
 		hosts := n.controlHosts()
 		i := slices.IndexFunc(hosts, func(h distribute.Parent) bool { return h.Host == connected.Host })
-		if len(hosts) == 0 || hosts[0].DataCentre != n.cfg.DataCentre || i >= 0 && hosts[i].DataCentre == n.cfg.DataCentre {
+		if len(hosts) == 0 || hosts[0].Host == connected.Host || hosts[0].DataCentre != n.cfg.DataCentre || i >= 0 && hosts[i].DataCentre == n.cfg.DataCentre {
 			continue
 		}
 		if n.isIsolated(hosts[0].Host) && !n.reachesLeader(ctx, hosts[0]) {
@@ -200,7 +203,7 @@
 // announce renews the lease of the backend server with a control host until the
 // backend server has left.
 func (n *Node) announce(ctx context.Context) error {
-	n.awaitDirectory(ctx)
+	n.awaitFirstHost(ctx)
 	return n.keepStream(ctx, membership.MethodAnnounce, func(ctx context.Context, st peer.Stream) error {
 		return membership.Announce(ctx, n.publisher, n.contact, st, membership.AnnounceOptions{
 			RenewInterval: n.cfg.Timeouts.LeaseRenew, LeaseDuration: n.cfg.Timeouts.EndpointLease,
@@ -220,7 +223,7 @@
 // reportEvidence receives the active moves from a control host and reports the
 // outcomes of calls to it.
 func (n *Node) reportEvidence(ctx context.Context) error {
-	n.awaitDirectory(ctx)
+	n.awaitRoutes(ctx)
 	return n.keepStream(ctx, rollout.MethodEvidence, n.evidenceStream)
 }
 
@@ -331,21 +334,35 @@
 // attach keeps a stream to a parent in the distribution tree, from which this node
 // receives versions of the configuration and endpoints.
 func (n *Node) attach(ctx context.Context) error {
-	n.awaitDirectory(ctx)
 	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
 		Self: n.cfg.Host, DataCentre: n.cfg.DataCentre,
 		Follow: distribute.FollowOptions{
 			Subtree: n.subtree, Freshness: n.freshness, Progress: &distribute.Progress{}, Log: n.log,
 			HeartbeatTimeout: n.cfg.Timeouts.ParentSilence,
+			Join:             func() bool { return n.floor.Load() == nil },
+			OnWelcome:        n.onWelcome,
 		},
 		Candidates: func() []distribute.Parent {
-			return n.tree().ParentsWithCandidates(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates)
+			return n.heldFirst(n.tree().ParentsWithCandidates(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts(), n.cfg.FanOut.Candidates))
 		},
 		Preferred: func() []distribute.Parent {
+			if n.joining.held(time.Now()) != "" {
+				return nil // stay with any parent while the fleet starts
+			}
 			return n.tree().Preferred(n.cfg.Host, n.cfg.DataCentre, n.knownNodes(), n.controlHosts())
 		},
 		Open: func(ctx context.Context, p distribute.Parent) (peer.Stream, error) {
-			return n.open(ctx, p, distribute.MethodWatch)
+			st, err := n.open(ctx, p, distribute.MethodWatch)
+			if p.Role != peer.RoleControl {
+				return st, err
+			}
+			switch {
+			case err == nil:
+				n.joining.connect(time.Now(), p.Host)
+			case !errors.Is(err, peer.ErrBusy):
+				n.joining.release(p.Host)
+			}
+			return st, err
 		},
 		Log: n.log,
 	})
--- a/mesh/node/floor.go
+++ b/mesh/node/floor.go
@@ -22,15 +22,21 @@
 )
 
 // learnFloor determines the floor, the minimum position at which this node may route.
-// It asks the control hosts, and peers if the control hosts' answers do not suffice.
+// The control host that admits this node to the distribution tree confirms it with its
+// welcome. Without one the node asks the control hosts, and peers if their answers do not suffice.
 // It then fetches versions and endpoints from a peer, because without control hosts
 // the node may know no parent in the distribution tree.
 func (n *Node) learnFloor(ctx context.Context) error {
-	n.awaitDirectory(ctx)
+	n.awaitWelcome(ctx)
 	for ctx.Err() == nil {
-		answers, floor, ok := n.askControlHosts(ctx)
-		var peers []distribute.Parent
+		answers := n.joining.floorAnswers()
+		floor, ok := distribute.Floor(answers, len(n.directory.Hosts()), 0)
+		busy := false
 		if !ok {
+			answers, floor, busy, ok = n.askControlHosts(ctx)
+		}
+		var peers []distribute.Parent
+		if !ok && (!busy || time.Since(n.started) >= busyJoinWait) {
 			peers = n.sampleFloorPeers()
 			more, _ := n.askPositions(ctx, peers)
 			answers = append(answers, more...)
@@ -44,9 +50,14 @@
 				n.registration.learnHistory(ownRecords(answers))
 			}
 			n.pullFromNewest(ctx, answers, peers)
+			n.awaitRoutable(ctx)
 			return nil
 		}
-		sleepContext(ctx, floorRetryDelay)
+		select {
+		case <-n.joining.get(&n.joining.welcomed).c:
+		case <-time.After(floorRetryDelay):
+		case <-ctx.Done():
+		}
 	}
 	return ctx.Err()
 }
@@ -65,8 +76,8 @@
 // askControlHosts first asks the preferred control host, whose confirmed answer
 // suffices, then enough others for a quorum, then the rest. If every node asked all
 // control hosts when a whole fleet starts at once, the handshakes would delay
-// everything else.
-func (n *Node) askControlHosts(ctx context.Context) (answers []distribute.FloorAnswer, floor model.Position, ok bool) {
+// everything else. busy reports whether one refused the connection for now.
+func (n *Node) askControlHosts(ctx context.Context) (answers []distribute.FloorAnswer, floor model.Position, busy, ok bool) {
 	hosts := n.controlHosts()
 	quorum := len(hosts)/2 + 1
 	from := 0
@@ -74,7 +85,8 @@
 		if to <= from || to > len(hosts) {
 			continue
 		}
-		more, busy := n.askPositions(ctx, hosts[from:to])
+		var more []distribute.FloorAnswer
+		more, busy = n.askPositions(ctx, hosts[from:to])
 		answers = append(answers, more...)
 		if busy {
 			break // it answers later; all others would be busy too
@@ -84,7 +96,7 @@
 			break
 		}
 	}
-	return answers, floor, ok
+	return answers, floor, busy, ok
 }
 
 // maxFloorPeers bounds the number of peers asked for the floor. At least half of the
--- a/mesh/node/isolation_test.go
+++ b/mesh/node/isolation_test.go
@@ -46,6 +46,7 @@
 			CallAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", Slots: 20, State: membership.StateServing}, time.Now())}
 	n.cfg.Host, n.cfg.DataCentre = n.publisher.Current().Host, "thun"
 	n.ep = listenPeer(t, ca, peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: n.cfg.Host}, func(*peer.Endpoint) {})
+	n.joining.get(&n.joining.routes).set()
 	return n, remote, opened
 }
 
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -49,7 +49,8 @@
 	cachedPeers []distribute.Parent
 	// floor is the minimum position at which the node may route, so that a restart
 	// does not take it back to an older configuration; nil until it is known.
-	floor atomic.Pointer[model.Position]
+	floor   atomic.Pointer[model.Position]
+	joining joining
 
 	tableUpdater *tableUpdater
 	picker       *routing.Picker
