Release slots when the server has sent, and bound the memory of bodies

A slot was held until the caller had taken the whole response, although the backend server had finished long before: downloads were the kind served worst. Request bodies had a fixed limit of 16 MiB, responses none.

The serving node now reads a response ahead of its caller in blocks, and releases the slot, with the latency until then, once the server has sent all of it. Without room a response is streamed with backpressure as before, and a request with a body is refused unread with 503 and Retry-After. A body needs memory for what is sent ahead of its place at a serving node (64 KiB, or all of a shorter one), so that it is never read beyond what is kept before it has a place. A request ends if its caller neither sends nor takes anything for timeouts.body_progress; before it has been passed on with 408, later with 400 and outcome unknown. The time in which a body is received now counts towards the caller's timeout, which began with the request.

Tests over sizes, framings, limits and truncation pass, also with the race detector: slot, memory, bytes and truncation.

--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -102,10 +102,10 @@
 	return string(b[:min(len(b), maxHeaderValueBytes)])
 }
 
-// sendAnswer streams an answer to the caller. If the body is truncated, or the caller has not
-// taken it when ctx ends, it aborts the connection, so that the caller cannot mistake the
+// sendAnswer streams an answer to the caller. If the body is truncated, or the caller takes
+// nothing for the progress timeout or has not taken all when ctx ends, it aborts the connection, so that the caller cannot mistake the
 // answer for a complete one.
-func sendAnswer(ctx context.Context, w http.ResponseWriter, resp *callmux.Response) {
+func sendAnswer(ctx context.Context, w http.ResponseWriter, resp *callmux.Response, progress *callerProgress) {
 	defer resp.Body.Close()
 	defer failWritesAfter(ctx, w)()
 	for name, values := range resp.Header {
@@ -115,7 +115,7 @@
 		w.Header()["Content-Type"] = nil // stops net/http from adding one
 	}
 	w.WriteHeader(resp.Status)
-	if _, err := io.Copy(w, resp.Body); err != nil {
+	if _, err := io.Copy(progress.writer(w), resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/mesh/node/answers_test.go
+++ b/mesh/node/answers_test.go
@@ -91,7 +91,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		sendAnswer(ctx, w, &callmux.Response{Status: http.StatusOK, Body: endingBody{cancel}})
+		sendAnswer(ctx, w, &callmux.Response{Status: http.StatusOK, Body: endingBody{cancel}}, nil)
 	}))
 	defer srv.Close()
 	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -28,6 +28,8 @@
 	header  http.Header
 	body    *callerBody
 	budget  *routing.Budget
+	// progress ends the request if its caller makes no progress with a body.
+	progress *callerProgress
 	// attempts records the attempts at sending the call; it is set when the call is
 	// dispatched.
 	attempts *routing.Attempts
@@ -92,10 +94,11 @@
 	return time.Until(c.latencyDeadline)
 }
 
-// callTimeout returns the smaller of the caller's timeout, if stated, and the route's.
-func callTimeout(r *http.Request, route note.Route) time.Duration {
+// callTimeout returns the smaller of the time that the caller still waits, if stated, and the
+// route's timeout. received is the time in which the body, or its start, was received.
+func callTimeout(r *http.Request, route note.Route, received time.Duration) time.Duration {
 	if timeout, ok := headerTimeout(r); ok {
-		return min(timeout, route.Timeout)
+		return min(timeout-received, route.Timeout)
 	}
 	return route.Timeout
 }
--- a/mesh/node/callerbody.go
+++ b/mesh/node/callerbody.go
@@ -10,8 +10,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
+	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/claim"
 )
 
@@ -19,6 +18,10 @@
 	// maxKeptBodyBytes is how much of a request body is kept for another attempt: one size
 	// says what is retried in both directions.
 	maxKeptBodyBytes = maxBufferedAnswerBytes
+	// minKeptBodyBytes is how much of a longer body is kept at least, or else the request is
+	// refused before its body is read. It covers what is sent to a serving node before the
+	// request has a place there, so that a request that is declined can be sent elsewhere.
+	minKeptBodyBytes = callmux.DefaultWindow
 	// bodyReserveBytes is the step in which the memory for kept bodies is reserved.
 	bodyReserveBytes = 16 << 10
 )
@@ -38,8 +41,8 @@
 type callerBody struct {
 	// length is the number of bytes that the caller stated; -1 if none.
 	length int64
-	// limiter bounds the bytes that all requests of the node keep.
-	limiter *semaphore.Weighted
+	// memory bounds the bytes of bodies that the node keeps.
+	memory *bodyMemory
 
 	// reading is held while rest is read. It also guards hash.
 	reading sync.Mutex
@@ -63,9 +66,9 @@
 
 // receiveBody reads the body of a request, or the start of a long one. A body above limit
 // is refused by its stated length, or else as soon as the limit is passed. withDigest is
-// set for a body whose digest is needed.
-func receiveBody(r *http.Request, limit int64, withDigest bool, limiter *semaphore.Weighted) (*callerBody, error) {
-	b := &callerBody{length: r.ContentLength, limiter: limiter, err: io.EOF}
+// set for a body whose digest is needed. Without memory the body is refused unread.
+func receiveBody(r *http.Request, limit int64, withDigest bool, memory *bodyMemory, progress *callerProgress) (*callerBody, error) {
+	b := &callerBody{length: r.ContentLength, memory: memory, err: io.EOF}
 	if withDigest {
 		b.hash = sha256.New()
 	}
@@ -75,25 +78,42 @@
 	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
 	}
-	b.rest, b.err = &limitedBody{r.Body, limit}, nil
-	if !b.reserve(bodyReserveBytes) {
+	b.rest, b.err = &limitedBody{progress.reader(r.Body), limit}, nil
+	if !b.reserve(b.minReserve()) {
 		return nil, errTooManyBodies
 	}
 	if err := b.receiveStart(); err != nil {
 		b.release()
 		return nil, err
 	}
+	b.releaseSurplus()
 	return b, nil
 }
 
+// minReserve returns the memory without which the body is not read.
+func (b *callerBody) minReserve() int64 {
+	if b.length < 0 {
+		return minKeptBodyBytes
+	}
+	return min(max(b.length, bodyReserveBytes), minKeptBodyBytes)
+}
+
+// releaseSurplus returns what a body that has ended will not need.
+func (b *callerBody) releaseSurplus() {
+	if surplus := b.reserved - int64(max(cap(b.kept), bodyReserveBytes)); errors.Is(b.err, io.EOF) && surplus > 0 {
+		b.memory.free(surplus)
+		b.reserved -= surplus
+	}
+}
+
 // receiveStart reads the body up to its end, to maxKeptBodyBytes, or until there is no memory
 // to keep more.
 func (b *callerBody) receiveStart() error {
 	if b.length > 0 {
 		b.kept = make([]byte, 0, min(b.length, bodyReserveBytes)) // grows by what has arrived
 	}
-	for b.err == nil && len(b.kept) < maxKeptBodyBytes && b.reserve(int64(len(b.kept))+bodyReserveBytes) {
-		room := min(b.reserved, maxKeptBodyBytes) - int64(len(b.kept))
+	for b.err == nil && len(b.kept) < maxKeptBodyBytes && (int64(len(b.kept)) < b.reserved || b.reserve(int64(len(b.kept))+bodyReserveBytes)) {
+		room := min(b.reserved-int64(len(b.kept)), maxKeptBodyBytes-int64(len(b.kept)), bodyReserveBytes)
 		n := len(b.kept)
 		b.kept = append(b.kept, make([]byte, room)...)
 		m, err := b.rest.Read(b.kept[n:])
@@ -105,6 +125,8 @@
 		return nil
 	case errors.Is(b.err, ErrBodyTooLarge):
 		return ErrBodyTooLarge
+	case errors.Is(b.err, errCallerStalled):
+		return errCallerStalled
 	}
 	return errBodyNotReceived
 }
@@ -131,7 +153,7 @@
 	if n <= b.reserved {
 		return true
 	}
-	if !b.limiter.TryAcquire(n - b.reserved) {
+	if !b.memory.take(n - b.reserved) {
 		return false
 	}
 	b.reserved = n
@@ -140,7 +162,7 @@
 
 // release returns the reserved memory.
 func (b *callerBody) release() {
-	b.limiter.Release(b.reserved)
+	b.memory.free(b.reserved)
 	b.reserved = 0
 }
 
@@ -176,6 +198,8 @@
 		return nil
 	case errors.Is(b.err, ErrBodyTooLarge):
 		return ErrBodyTooLarge
+	case errors.Is(b.err, errCallerStalled):
+		return errCallerStalled
 	}
 	return errBodyNotReceived
 }
--- a/mesh/node/callerbody_test.go
+++ b/mesh/node/callerbody_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/routing"
@@ -178,7 +176,7 @@
 	r := httptest.NewRequest(http.MethodPost, "/", node)
 	r.ContentLength = int64(len(sent))
 	go func() { _, _ = caller.Write(sent[:maxKeptBodyBytes/2]) }()
-	b, err := receiveBody(r, 1<<30, false, semaphore.NewWeighted(maxKeptBodyBytes/2)) // room to keep half
+	b, err := receiveBody(r, 1<<30, false, newBodyMemory(maxKeptBodyBytes/2), nil) // room to keep half
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -32,9 +32,12 @@
 	// service is the service of this node's backend server.
 	service   model.ServiceName
 	bodyLimit int64
-	// callLimiter bounds the number of requests in flight, bodyLimiter the total bytes
-	// of their bodies.
-	callLimiter, bodyLimiter *semaphore.Weighted
+	// callLimiter bounds the number of requests in flight.
+	callLimiter *semaphore.Weighted
+	// memory bounds the bytes of bodies that the node keeps.
+	memory *bodyMemory
+	// bodyProgress is how long a caller may make no progress with a body.
+	bodyProgress time.Duration
 	// elapsed estimates how long a caller has already been waiting for an answer.
 	elapsed *routing.ElapsedEstimator
 	// stopping is set when a planned stop begins. Responses then carry "Connection:
@@ -59,10 +62,6 @@
 	Release(ctx context.Context, g claim.Grant, reason string) error
 }
 
-// bodyMemoryBytes bounds the memory for request bodies, in bytes. It is a quarter of
-// the memory that a node may use.
-const bodyMemoryBytes = 16 << 20
-
 // Refusal reasons of the entry side. No byte of the request has left the node.
 const (
 	reasonStopping        = "node is stopping"
@@ -80,6 +79,7 @@
 
 // ServeHTTP matches a request to its route, reads its body and serves it.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	if !r.ProtoAtLeast(1, 1) {
 		defer resetOnAbort(w)
 	}
@@ -111,12 +111,13 @@
 		e.refuseUnrouted(w, r, status, reason)
 		return
 	}
+	progress := newCallerProgress(w, e.bodyProgress)
 	limits, keyed := e.limitsOf(table), route.Kind == model.KindWrite && !route.Unkeyed
 	if headBytes(r) > limits.HeaderBytes {
 		e.refuseUnrouted(w, r, http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error())
 		return
 	}
-	body, err := receiveBody(r, limits.BodyBytes, keyed, e.bodyLimiter)
+	body, err := receiveBody(r, limits.BodyBytes, keyed, e.memory, progress)
 	if err != nil {
 		e.refuseUnrouted(w, r, bodyStatus(err), err.Error())
 		return
@@ -127,12 +128,13 @@
 		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyBodies)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r, route))
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r, route, time.Since(arrived)))
 	defer cancel()
 	body.onFailure = cancel
 	c := newCall(r, route, body)
+	c.progress = progress
 	c.service = e.dispatcher.picker.PickService(route)
-	c.latencyDeadline = e.latencyDeadlineOf(r, route)
+	c.latencyDeadline = e.latencyDeadlineOf(r, route, arrived)
 	c.header.Set(HeaderCallerService, string(e.service))
 	e.serve(ctx, w, c)
 }
@@ -155,16 +157,15 @@
 // latencyDeadlineOf returns the time by which the caller should have its answer: the
 // route's latency target, counted from the caller's first attempt. It is zero if the
 // route has no target.
-func (e *entry) latencyDeadlineOf(r *http.Request, route note.Route) time.Time {
+func (e *entry) latencyDeadlineOf(r *http.Request, route note.Route, arrived time.Time) time.Time {
 	if route.LatencyTarget == 0 {
 		return time.Time{}
 	}
-	now := time.Now()
 	waited := time.Duration(0)
 	if timeout, ok := headerTimeout(r); ok {
-		waited = e.elapsed.Observe(now, route.Name, timeout)
+		waited = e.elapsed.Observe(arrived, route.Name, timeout)
 	}
-	return now.Add(route.LatencyTarget - waited)
+	return arrived.Add(route.LatencyTarget - waited)
 }
 
 // unroutable returns the status and the reason for a request without a route. Callers
@@ -195,11 +196,22 @@
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, errTooManyBodies):
 		return http.StatusServiceUnavailable
+	case errors.Is(err, errCallerStalled):
+		return http.StatusRequestTimeout
 	default:
 		return http.StatusBadRequest
 	}
 }
 
+// brokenBodyStatus returns the status for a request that may have run when its body ended.
+// Status 408 would say that it has not.
+func brokenBodyStatus(err error) int {
+	if errors.Is(err, errCallerStalled) {
+		return http.StatusBadRequest
+	}
+	return bodyStatus(err)
+}
+
 // errHeadTooLarge is returned for a request head above the limit of the configuration.
 var errHeadTooLarge = errors.New("request head too large")
 
@@ -244,13 +256,13 @@
 	}
 	switch {
 	case a.answered():
-		sendAnswer(ctx, w, a.resp)
+		sendAnswer(ctx, w, a.resp, c.progress)
 	case a.notRun() && c.body.failure() != nil:
 		refuseNotRun(w, bodyStatus(c.body.failure()), c.body.failure().Error())
 	case a.notRun():
 		refuseCall(w, c, a)
 	case c.body.failure() != nil:
-		refuseUnknown(w, bodyStatus(c.body.failure()), a)
+		refuseUnknown(w, brokenBodyStatus(c.body.failure()), a)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refuseUnknown(w, http.StatusGatewayTimeout, a)
 	default:
--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -89,7 +89,7 @@
 		elapsed: routing.NewElapsedEstimator(),
 		log:     log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20, logSampler: telemetry.NewRequestSampler(),
 		freshness:   &distribute.Freshness{Contact: func() time.Time { return time.Now().Add(-100 * time.Millisecond) }},
-		callLimiter: semaphore.NewWeighted(1000), bodyLimiter: semaphore.NewWeighted(bodyMemoryBytes),
+		callLimiter: semaphore.NewWeighted(1000), memory: newBodyMemory(16 << 20), bodyProgress: 5 * time.Second,
 	}
 }
 
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -64,6 +64,7 @@
 
 	gate         *admission.Gate
 	backend      *backend
+	bodyMemory   *bodyMemory
 	serving      *serving
 	callClient   *callmux.Client
 	callServer   *callmux.Server
@@ -159,6 +160,7 @@
 		acceptor: n.acceptor, endpoints: n.endpoints, picker: n.picker, gate: n.gate, routable: n.routable,
 	}
 	logSampler := telemetry.NewRequestSampler()
+	n.bodyMemory = newBodyMemory(n.cfg.Limits.BodyMemory)
 	n.serving = n.newServing(logSampler)
 	mux := callmux.Config{
 		Credentials: creds, DialTimeout: n.cfg.Timeouts.Connect, DrainLimit: n.cfg.Timeouts.Drain, Log: n.log,
@@ -179,7 +181,7 @@
 		log:     n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
 		logSampler: logSampler, freshness: n.freshness, service: n.cfg.Backend.Service,
 		callLimiter: semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
-		bodyLimiter: semaphore.NewWeighted(bodyMemoryBytes),
+		memory:      n.bodyMemory, bodyProgress: n.cfg.Timeouts.BodyProgress,
 	}
 }
 
@@ -193,8 +195,8 @@
 	s := &serving{
 		log: n.log, self: identityOf(n.cfg), gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
 		version:    func() model.ServiceVersion { return n.publisher.Current().Version },
-		logSampler: logSampler,
-		position:   n.position, onNewerPosition: n.recordNewerPeer,
+		logSampler: logSampler, memory: n.bodyMemory,
+		position: n.position, onNewerPosition: n.recordNewerPeer,
 	}
 	if n.registration != nil {
 		s.onUnreachable, s.onLeaving = n.registration.markUnreachable, n.registration.markLeaving
--- a/mesh/node/node_test.go
+++ b/mesh/node/node_test.go
@@ -133,7 +133,8 @@
 		"has not run":     {raw: "HTTP/1.1 429 No\r\nBalsamtrail-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", want: reasonShed},
 	} {
 		s := &serving{
-			log: slog.New(slog.DiscardHandler), logSampler: telemetry.NewRequestSampler(), service: "ledger", backend: rawServer(t, c.raw),
+			memory: newBodyMemory(16 << 20),
+			log:    slog.New(slog.DiscardHandler), logSampler: telemetry.NewRequestSampler(), service: "ledger", backend: rawServer(t, c.raw),
 			version:  func() model.ServiceVersion { return "v1" },
 			gate:     admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 2}}),
 			position: func() model.Position { return model.Position{} }, onNewerPosition: func(peer.Identity, model.Position) {},
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -62,6 +62,7 @@
 	t.Cleanup(n.backend.close)
 	n.cfg.Backend.Service, n.cfg.DataCentre = "ledger", "thun"
 	n.registration = newRegistrar(n, base.Host)
+	n.bodyMemory = newBodyMemory(16 << 20)
 	n.serving = n.newServing(telemetry.NewRequestSampler())
 	return n
 }
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -56,6 +55,8 @@
 	// does not register itself.
 	onLeaving func(lifetime)
 	notice    serverNotice
+	// memory bounds the bytes of bodies that the node keeps.
+	memory *bodyMemory
 	// answeredCalls counts the answers since the last load report.
 	answeredCalls atomic.Int64
 }
@@ -171,81 +172,36 @@
 		release(admission.Outcome{Result: admission.ResultRefused, Latency: latency})
 		return s.refuse(ctx, req, reasonShed, true)
 	}
-	if err := bufferAnswer(resp); err != nil {
+	buffer, err := bufferAnswer(resp, s.memory)
+	latency = time.Since(started)
+	if err != nil {
 		release(admission.Outcome{Result: resultOfFailure(ctx), Latency: latency})
 		return s.refuse(ctx, req, withCause(reasonTruncated, err), false)
 	}
-	return s.answer(resp, release, admission.Outcome{Result: resultOfStatus(resp.StatusCode), Latency: latency})
-}
-
-// maxBufferedAnswerBytes is the size up to which an answer is read completely before
-// any of it is passed on, so that the call can be retried if the answer is truncated.
-const maxBufferedAnswerBytes = 256 << 10
-
-// bufferAnswer reads an answer of up to maxBufferedAnswerBytes into memory, and the start of a
-// longer one. An answer without a length ends with its connection, whatever its size: a
-// regular close (FIN) completes it, a reset or the deadline does not.
-func bufferAnswer(resp *http.Response) error {
-	if resp.ContentLength > maxBufferedAnswerBytes {
-		return nil
-	}
-	start, size, err := readBlocks(resp.Body, resp.ContentLength)
-	if err != nil {
-		_ = resp.Body.Close()
-		return err
-	}
-	if size <= maxBufferedAnswerBytes {
-		_ = resp.Body.Close()
-		resp.Body, resp.ContentLength = io.NopCloser(&start), size
-		return nil
-	}
-	resp.Body = &prefixedBody{Reader: io.MultiReader(&start, resp.Body), Closer: resp.Body}
-	return nil
-}
-
-// answerBlockBytes is the size of the blocks in which an answer without a length is read.
-// Growing one slice would take a few times the memory of the answer until it is collected.
-const answerBlockBytes = 16 << 10
-
-// readBlocks reads an answer up to its end, or until more than maxBufferedAnswerBytes have
-// been read. length is negative if it is not known.
-func readBlocks(r io.Reader, length int64) (blocks net.Buffers, size int64, err error) {
-	blockSize := int64(answerBlockBytes)
-	if length >= 0 {
-		blockSize = length + 1 // the end shows only after the last byte
-	}
-	for size <= maxBufferedAnswerBytes {
-		block, err := readBlock(r, make([]byte, blockSize))
-		size += int64(len(block))
-		blocks = append(blocks, block)
-		if errors.Is(err, io.EOF) {
-			return blocks, size, nil
-		}
-		if err != nil {
-			return nil, size, err
-		}
-	}
-	return blocks, size, nil
+	o := admission.Outcome{Result: resultOfStatus(resp.StatusCode), Latency: latency}
+	return s.answer(resp, releaseWhenSent(ctx, buffer, started, release, o), o)
 }
 
-// readBlock fills the block, unless it returns an error. Unlike io.ReadFull, it keeps the
-// regular end of a body apart from an early one, for which net/http returns
-// io.ErrUnexpectedEOF.
-func readBlock(r io.Reader, block []byte) ([]byte, error) {
-	n := 0
-	for n < len(block) {
-		m, err := r.Read(block[n:])
-		if n += m; err != nil {
-			return block[:n], err
-		}
+// releaseWhenSent releases the slot of a request once the backend server has sent its whole
+// answer, with the time until then, and reads the rest of a long answer to that end. Without
+// a buffer, or if the answer is closed earlier, the returned function does it.
+func releaseWhenSent(ctx context.Context, b *answerBuffer, started time.Time, release func(admission.Outcome), o admission.Outcome) func(admission.Outcome) {
+	switch {
+	case b == nil:
+	case b.err != nil:
+		release(o)
+	default:
+		b.reading = true
+		go b.readAhead(func(err error, waited time.Duration) {
+			o.Latency = max(o.Latency, time.Since(started)-waited)
+			brokeOff := !errors.Is(err, io.EOF) && !errors.Is(err, errBodyClosed)
+			if brokeOff && (waited == 0 || ctx.Err() == nil) { // not a deadline that a slow caller caused
+				o.Result = resultOfFailure(ctx)
+			}
+			release(o)
+		})
 	}
-	return block, nil
-}
-
-// prefixedBody reads the buffered prefix of a body and then the rest.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
+	return release
 }
 
 // withCause appends the cause to a refusal reason. If err contains a serverconn.Error,
@@ -287,13 +243,23 @@
 	return answer
 }
 
-// slotBody is the body of an answer. It holds the request's slot until it is closed.
+// slotBody is the body of an answer. It holds the request's slot until the backend server
+// has sent all of it or it is closed.
 type slotBody struct {
 	io.ReadCloser
 	once    sync.Once
 	release func()
 }
 
+// Read reads the body and releases the slot at its end.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.once.Do(b.release)
+	}
+	return n, err
+}
+
 // Close closes the body and releases the slot.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
--- a/mesh/node/twonodes_test.go
+++ b/mesh/node/twonodes_test.go
@@ -40,7 +40,8 @@
 	}
 	backendAddress := acceptConnections(tb, serve)
 	s := &serving{
-		log: slog.New(slog.DiscardHandler), self: peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "h1"}, logSampler: telemetry.NewRequestSampler(), service: "ledger",
+		memory: newBodyMemory(16 << 20),
+		log:    slog.New(slog.DiscardHandler), self: peer.Identity{Role: peer.RoleNode, DataCentre: "thun", Host: "h1"}, logSampler: telemetry.NewRequestSampler(), service: "ledger",
 		backend:  newBackend(backendConfig{base: &url.URL{Scheme: "http", Host: backendAddress}, connections: 100, dialTimeout: time.Second}),
 		version:  func() model.ServiceVersion { return "v1" },
 		gate:     admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 100, QueueLimit: 100, QueueTimeout: time.Second}}),
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -68,7 +68,7 @@
 	answer.RequestDigest = requestDigest(c)
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
 	a.resp.Body = io.NopCloser(bytes.NewReader(prefix))
-	sendAnswer(ctx, w, a.resp)
+	sendAnswer(ctx, w, a.resp, c.progress)
 }
 
 // completeLargeWrite streams an answer whose body the record has no room for, and records
@@ -83,7 +83,7 @@
 		io.Reader
 		io.Closer
 	}{body, a.resp.Body}
-	sendAnswer(ctx, w, a.resp)
+	sendAnswer(ctx, w, a.resp, c.progress)
 	answer := claim.NewAnswerWithoutBody(status, headers, claim.Digest(digest.Sum(nil)))
 	answer.RequestDigest = requestDigest(c)
 	e.updateClaim(func(ctx context.Context) error { return e.claims.Complete(ctx, grant, answer) })
@@ -155,7 +155,7 @@
 			err = claim.ErrBodyMismatch
 		default:
 			w.Header().Set("Connection", "close")
-			refuse(w, bodyStatus(bodyErr), outcomeAnswered, "a write with this key has run; the body could not be compared: "+bodyErr.Error())
+			refuse(w, brokenBodyStatus(bodyErr), outcomeAnswered, "a write with this key has run; the body could not be compared: "+bodyErr.Error())
 			return
 		}
 	}
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -190,6 +190,10 @@
 	// HeaderRead is the timeout for reading the header of a caller's request; default
 	// 5s. A lower value frees the connections of slow callers sooner.
 	HeaderRead time.Duration `json:"header_read" validate:"min=100ms,max=1m"`
+	// BodyProgress is how long a caller may neither send nor take anything while a body
+	// is in transfer; default 5s. A lower value frees the memory and the connections of
+	// stalled callers sooner, a higher one suits callers on links that fail for a while.
+	BodyProgress time.Duration `json:"body_progress" validate:"min=100ms,max=10m"`
 }
 
 // FanOut holds the settings of a node's place in the distribution tree.
@@ -217,6 +221,11 @@
 	// BodyBytes is the largest size of a request body in bytes, if the configuration states
 	// none; default 4194304. A higher value allows larger uploads.
 	BodyBytes int64 `json:"body_bytes" validate:"min=1024,max=1073741824"`
+	// BodyMemory is the number of bytes that the node keeps of request bodies, and of
+	// responses that callers have not yet taken, together; default 16777216. Without room
+	// requests with a body are refused, and responses take their slot until their callers
+	// have them. A higher value frees slots sooner, but uses more memory.
+	BodyMemory int64 `json:"body_memory" validate:"min=1048576,max=1099511627776"`
 	// HeaderBytes is the largest size of a request header in bytes; default 65536, which is
 	// also the most that nodes pass on to each other. A lower value uses less memory per
 	// connection.
@@ -242,13 +251,13 @@
 		Timeouts: NodeTimeouts{
 			LeaseRenew: 500 * time.Millisecond, EndpointLease: 2 * time.Second, ParentSilence: 900 * time.Millisecond,
 			Repair: 2 * time.Second, Connect: 250 * time.Millisecond, Health: time.Second,
-			Drain: 15 * time.Second, HeaderRead: 5 * time.Second,
+			Drain: 15 * time.Second, HeaderRead: 5 * time.Second, BodyProgress: 5 * time.Second,
 			Leave: 1500 * time.Millisecond, ReturnRamp: 30 * time.Second,
 		},
 		FanOut:  FanOut{Children: 8, FirstLevel: distribute.DefaultFirstLevel, Candidates: 3, Snapshots: 2},
 		Retries: Retries{Part: routing.RetryRatio, Burst: routing.RetryBurst},
 		Hedging: Hedging{Limit: hedging.DefaultLimit, Burst: hedging.DefaultBurst, MaxLoad: hedging.DefaultMaxLoad},
-		Limits:  NodeLimits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Calls: 4096, Handshakes: defaultHandshakes},
+		Limits:  NodeLimits{BodyBytes: 4 << 20, BodyMemory: 16 << 20, HeaderBytes: 64 << 10, Calls: 4096, Handshakes: defaultHandshakes},
 	}
 }
 
