Pace large bodies between nodes and decline downloads of a full link

Wires mesh/link into the nodes, by limits.link_rate (on the platform the rate in the settings of the machine). A serving node declines a download as not run if its link could not carry the answer in time, and paces answers of more than 16 KiB; an entry node paces request bodies and the answers to its callers, and sends a download to the backend server of its own host while that has a free slot.

--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -12,6 +12,7 @@
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/claim"
 	"balsamtrail.org/mesh/hedging"
+	"balsamtrail.org/mesh/link"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
@@ -28,14 +29,16 @@
 // dispatcher chooses backend servers for calls, sends the calls, and retries or hedges
 // them.
 type dispatcher struct {
-	log             *slog.Logger
-	self            peer.Identity
-	picker          *routing.Picker
-	hedger          *hedging.Hedger
-	retries         *routing.Bucket
-	sender          callSender
-	local           *serving
-	recorder        *rollout.Recorder
+	log      *slog.Logger
+	self     peer.Identity
+	picker   *routing.Picker
+	hedger   *hedging.Hedger
+	retries  *routing.Bucket
+	sender   callSender
+	local    *serving
+	recorder *rollout.Recorder
+	// link is the outgoing link of this host; nil if its rate is not known.
+	link            *link.Link
 	notices         knownNotices
 	position        func() model.Position
 	onNewerPosition func(from peer.Identity, pos model.Position)
@@ -130,6 +133,10 @@
 	if err != nil {
 		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
+	if own, ok := d.chooseOwnServer(now, c, v); ok {
+		c.attempts.Started(own.Host)
+		return own, nil
+	}
 	server, err := d.picker.PickBackendServer(now, service, v, c.attempts.Tried())
 	if err != nil {
 		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
@@ -191,6 +198,7 @@
 	if server.Host == d.self.Host {
 		return d.local.handle(ctx, d.self, req)
 	}
+	d.paceRequest(ctx, req)
 	want := peer.Identity{Role: peer.RoleNode, DataCentre: server.DataCentre, Host: server.Host}
 	return d.sender.Do(ctx, server.CallAddress, want, req)
 }
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -256,6 +256,7 @@
 	}
 	switch {
 	case a.answered():
+		a.resp.Body = e.dispatcher.link.Pace(ctx, a.resp.Body, bodySize(a.resp.BodyLength))
 		sendAnswer(ctx, w, a.resp, c.progress)
 	case a.notRun() && c.body.failure() != nil:
 		refuseNotRun(w, bodyStatus(c.body.failure()), c.body.failure().Error())
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"balsamtrail.org/mesh/distribute"
 	"balsamtrail.org/mesh/hedging"
 	"balsamtrail.org/mesh/invariant"
+	"balsamtrail.org/mesh/link"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
@@ -63,6 +64,7 @@
 	registration *registrar
 
 	gate         *admission.Gate
+	link         *link.Link
 	backend      *backend
 	bodyMemory   *bodyMemory
 	serving      *serving
@@ -160,6 +162,7 @@
 		acceptor: n.acceptor, endpoints: n.endpoints, picker: n.picker, gate: n.gate, routable: n.routable,
 	}
 	logSampler := telemetry.NewRequestSampler()
+	n.link = link.New(float64(n.cfg.Limits.LinkRate))
 	n.bodyMemory = newBodyMemory(n.cfg.Limits.BodyMemory)
 	n.serving = n.newServing(logSampler)
 	mux := callmux.Config{
@@ -174,7 +177,7 @@
 	retries := routing.NewBucket(n.cfg.Retries.Part, n.cfg.Retries.Burst)
 	d := &dispatcher{
 		log: n.log, self: self, picker: n.picker, hedger: newHedger(n.cfg, retries), retries: retries,
-		sender: n.callClient, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, onNewerPosition: n.recordNewerPeer,
+		link: n.link, sender: n.callClient, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, onNewerPosition: n.recordNewerPeer,
 	}
 	n.entry = &entry{
 		elapsed: routing.NewElapsedEstimator(),
@@ -195,7 +198,7 @@
 	s := &serving{
 		log: n.log, self: identityOf(n.cfg), gate: n.gate, backend: n.backend, service: n.cfg.Backend.Service,
 		version:    func() model.ServiceVersion { return n.publisher.Current().Version },
-		logSampler: logSampler, memory: n.bodyMemory,
+		logSampler: logSampler, memory: n.bodyMemory, link: n.link,
 		position: n.position, onNewerPosition: n.recordNewerPeer,
 	}
 	if n.registration != nil {
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -15,6 +15,7 @@
 
 	"balsamtrail.org/mesh/admission"
 	"balsamtrail.org/mesh/callmux"
+	"balsamtrail.org/mesh/link"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
 	"balsamtrail.org/mesh/serverconn"
@@ -57,6 +58,8 @@
 	notice    serverNotice
 	// memory bounds the bytes of bodies that the node keeps.
 	memory *bodyMemory
+	// link is the outgoing link of this host; nil if its rate is not known.
+	link *link.Link
 	// answeredCalls counts the answers since the last load report.
 	answeredCalls atomic.Int64
 }
@@ -70,6 +73,9 @@
 		return s.decline(ctx, req, reasonWrongServer, 0), nil
 	}
 	s.observeCaller(req.Notice)
+	if retryAfter, refuses := s.linkRefuses(ctx, from, req); refuses {
+		return s.decline(ctx, req, reasonLinkFull, retryAfter), nil
+	}
 	deadline, _ := ctx.Deadline()
 	release, err := s.gate.Acquire(ctx, admission.Request{
 		Kind: req.Kind, Route: req.Route, Deadline: deadline, Priority: req.Priority, MaxWait: req.MaxWait,
@@ -79,7 +85,10 @@
 		reason, retryAfter := refusalReason(err)
 		return s.decline(ctx, req, reason, retryAfter), nil
 	}
-	return s.forward(ctx, req, from == s.self, release), nil
+	if from == s.self {
+		return s.forward(ctx, req, true, release), nil
+	}
+	return s.forwardOverLink(ctx, req, release), nil
 }
 
 // latencyDeadlineOf returns the time by which the caller should have its answer; zero
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -226,6 +226,11 @@
 	// requests with a body are refused, and responses take their slot until their callers
 	// have them. A higher value frees slots sooner, but uses more memory.
 	BodyMemory int64 `json:"body_memory" validate:"min=1048576,max=1099511627776"`
+	// LinkRate is the rate of the host's link in bytes per second. Large bodies to other
+	// nodes are paced below it, and downloads that it could not carry in time are refused;
+	// 0, the default, paces nothing. A value above the real rate lets large bodies delay
+	// control traffic and short answers, a lower one wastes room.
+	LinkRate int64 `json:"link_rate" validate:"min=0,max=1099511627776"`
 	// HeaderBytes is the largest size of a request header in bytes; default 65536, which is
 	// also the most that nodes pass on to each other. A lower value uses less memory per
 	// connection.
