Refuse a declined call at once when no other server has room

At load peaks serving nodes declined two attempts for each request, each a round trip and processor time on two hosts, though the entry node had reports of the last 100 ms by which the other servers were as full.

Another attempt of a call that a full server has just declined is refused as not run if at least three other servers have reported within 100 ms and all are full: they declined as well, or are as loaded as servers that decline. A first attempt is always made, since only the serving node knows whether a priority has room.

--- a/mesh/node/call.go
+++ b/mesh/node/call.go
@@ -129,6 +129,11 @@
 	return a.notRun() && (a.result != routing.ResultRefused)
 }
 
+// sent reports whether a backend server was chosen for the attempt.
+func (a *attempt) sent() bool {
+	return !errors.Is(a.err, errNoServer) && !errors.Is(a.err, routing.ErrNoRoom)
+}
+
 // answered reports whether the backend server answered.
 func (a *attempt) answered() bool { return a.err == nil }
 
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -56,7 +56,7 @@
 	var errorAnswer *attempt // answer that reports an error; returned if no later attempt is answered
 	for {
 		a := d.nextAttempt(ctx, c)
-		if !errors.Is(a.err, errNoServer) {
+		if a.sent() {
 			c.room.add(a.retryAfter())
 		}
 		if a.isFinal(c.route) || !mayRetry(ctx, c, a) {
@@ -82,7 +82,7 @@
 // mayRetry reports whether the call is tried again. If so, the retry has been taken
 // from the budgets.
 func mayRetry(ctx context.Context, c *call, a *attempt) bool {
-	if ctx.Err() != nil || errors.Is(a.err, errNoServer) || !c.body.canRepeat() {
+	if ctx.Err() != nil || !a.sent() || !c.body.canRepeat() {
 		return false
 	}
 	returnBudget(c, a)
@@ -100,6 +100,9 @@
 // nextAttempt makes one attempt, which is hedged if the route allows it.
 func (d *dispatcher) nextAttempt(ctx context.Context, c *call) *attempt {
 	server, err := d.choose(c)
+	if errors.Is(err, routing.ErrNoRoom) {
+		return &attempt{err: errors.Join(ErrNotRun, err), result: routing.ResultDeclined, reason: err.Error()}
+	}
 	if err != nil {
 		return noServerAttempt(err)
 	}
@@ -138,6 +141,9 @@
 		return own, nil
 	}
 	server, err := d.picker.PickBackendServer(now, service, v, c.attempts.Tried())
+	if errors.Is(err, routing.ErrNoRoom) {
+		return routing.Choice{}, err
+	}
 	if err != nil {
 		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -58,6 +58,9 @@
 	// averageLoad is the moving average of the utilization that the backend servers
 	// report; zero before the first report.
 	averageLoad float64
+	// declineLoad is the moving average of the utilization with which servers decline
+	// attempts; zero before the first.
+	declineLoad float64
 	local       group
 	remote      group
 }
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -36,6 +36,7 @@
 	if h.reportedAt.IsZero() {
 		h.usualLoad = o.Utilization
 	}
+	h.declined = o.Result == ResultDeclined
 	h.usualLoad += usualLoadWeight * (o.Utilization - h.usualLoad)
 }
 
--- a/mesh/routing/errors.go
+++ b/mesh/routing/errors.go
@@ -14,4 +14,7 @@
 	ErrNoVersion = errors.New("no version with a live backend server")
 	// ErrNoBackendServer is returned when no backend server of the version may be chosen.
 	ErrNoBackendServer = errors.New("no backend server available")
+	// ErrNoRoom is returned for another attempt of a call that has been declined for lack of
+	// room, while all other backend servers are as full.
+	ErrNoRoom = errors.New("no backend server has room")
 )
--- a/mesh/routing/host.go
+++ b/mesh/routing/host.go
@@ -66,6 +66,8 @@
 	recentServiceTime, usualServiceTime float64
 	// usualLoad is the moving average of the reported utilization.
 	usualLoad float64
+	// declined says that the last report came with a declined attempt.
+	declined bool
 	// cold is set if the backend server appeared after this node first used its
 	// service, or has restarted since.
 	cold bool
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -43,6 +43,9 @@
 	// MetricSkipped counts how often a version with a share was found without a live
 	// backend server.
 	MetricSkipped = "routing.versions_skipped"
+	// MetricNoRoom counts declined calls that were refused without another attempt, since
+	// no other backend server had room.
+	MetricNoRoom = "routing.no_room"
 )
 
 const (
@@ -174,6 +177,7 @@
 		state := &versionState{}
 		if o := old[version]; o != nil {
 			state.local.refusalRate, state.remote.refusalRate, state.successes, state.averageLoad = o.local.refusalRate, o.remote.refusalRate, o.successes, o.averageLoad
+			state.declineLoad = o.declineLoad
 		}
 		for _, a := range pool {
 			state.add(p.host(a, !firstBuild), a.DataCentre == p.cfg.DataCentre)
@@ -300,7 +304,8 @@
 
 // PickBackendServer chooses the backend server for an attempt and counts the attempt as
 // in flight there until Observe, which must be called exactly once. exclude lists the
-// hosts of earlier attempts of the same call.
+// hosts of earlier attempts of the same call. The error is ErrNoRoom if one of these has just
+// declined the call and no other server has room.
 func (p *Picker) PickBackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -312,6 +317,10 @@
 	if state == nil {
 		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
 	}
+	if len(exclude) > 0 && state.refusesAll(now, exclude) {
+		telemetry.Counter(MetricNoRoom).Inc(1)
+		return Choice{}, eris.Wrapf(ErrNoRoom, "%s %s: %d tried", service, version, len(exclude))
+	}
 	h, reason := p.pick(now, state, exclude)
 	if h == nil {
 		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
@@ -354,6 +363,9 @@
 	if o.Result != ResultFailed && o.Result != ResultCancelled {
 		state.observeLoad(o.Utilization)
 	}
+	if o.Result == ResultDeclined && o.Utilization >= 1 {
+		state.observeDecline(o.Utilization)
+	}
 	if !isOverloadRefusal(o) {
 		state.groupOf(h, p.cfg.DataCentre).observe(spillResult(h, o.Result))
 	}
