Give each priority with waiting requests a twentieth of the slots

Requests of a lower priority were served only when none of a higher one waited, and a full queue evicted the last of them, so that a priority could starve for as long as a load peak lasted.

Each priority gains a twentieth of a slot with each that is given while it has waiters, and the next slot once that is a whole one; its last waiter is not evicted by higher priorities. Running requests are never ended for new ones.

With four times the requests that a queue of 6 can hold, half of them of priority 1, priorities 2 and 5 got 95 to 105 of 2,000 slots each (target_test.go).

--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -69,6 +69,10 @@
 	numClasses = firstPriorityClass + 2*MaxPriority
 )
 
+// minPriorityShare is the share of the slots that each priority gets at least while it has
+// requests waiting.
+const minPriorityShare = 0.05
+
 // Constants of the estimate of waiting times.
 const (
 	// intervalWeight is the weight of the newest interval in the moving average of
@@ -89,7 +93,8 @@
 //   - then lookups, by expiry; under overload the newest first, since the oldest would
 //     be late anyway;
 //   - then requests with a priority, by priority; within one priority those that can
-//     still meet their latency target first, then by expiry.
+//     still meet their latency target first, then by expiry. Each priority with waiters
+//     gets at least minPriorityShare of the slots.
 //
 // It is not safe for concurrent use; Gate owns it.
 type Queue struct {
@@ -104,6 +109,9 @@
 	size int
 	// arrivals counts the waiters pushed so far.
 	arrivals uint64
+	// credits holds for each priority from 1 the part of the next slot that is due to it
+	// whatever else waits.
+	credits [MaxPriority]float64
 	// nonEmptySince is when a waiter was last pushed to the empty queue.
 	nonEmptySince time.Time
 }
@@ -168,12 +176,17 @@
 
 // lowerPriorityVictim returns the newest waiter of the last class after classIndex, or
 // w if there is none. The newest has waited least, so its caller has the most time
-// left for a retry.
+// left for a retry. A lower priority keeps its last waiter for the slots due to it.
 func (q *Queue) lowerPriorityVictim(w *Waiter, classIndex int) *Waiter {
 	for i := numClasses - 1; i > classIndex; i-- {
-		if newest := q.classes[i].arrivals.Back(); newest != nil {
-			return newest.Value.(*Waiter)
+		newest := q.classes[i].arrivals.Back()
+		if newest == nil {
+			continue
+		}
+		if p := priorityOfClass(i); p != priorityOfClass(classIndex) && q.waitersOf(p) == 1 {
+			continue
 		}
+		return newest.Value.(*Waiter)
 	}
 	return w
 }
@@ -201,22 +214,56 @@
 
 // nextClass returns the index of the class to serve next; -1 if no request waits.
 func (q *Queue) nextClass(now time.Time) int {
-	for i := range q.classes {
-		c := &q.classes[i]
-		for i >= firstPriorityClass && c.arrivals.Len() > 0 {
-			w := c.byExpiry[0]
-			if w.MissesTarget || q.missesTarget == nil || !q.missesTarget(now, w) {
-				break
-			}
-			q.Remove(w)
-			w.MissesTarget = true
-			q.insert(w)
-		}
-		if c.arrivals.Len() > 0 {
+	for i := range q.classes[:firstPriorityClass] {
+		if q.classes[i].arrivals.Len() > 0 {
 			return i
 		}
 	}
-	return -1
+	priority := 0
+	for p := 1; p <= MaxPriority; p++ {
+		if q.waitersOf(p) == 0 {
+			continue
+		}
+		credit := &q.credits[p-1]
+		*credit = min(*credit+minPriorityShare, 1)
+		if priority == 0 || *credit == 1 && q.credits[priority-1] < 1 {
+			priority = p
+		}
+	}
+	if priority == 0 {
+		return -1
+	}
+	q.credits[priority-1] = max(q.credits[priority-1]-1, 0)
+	return q.nextOfPriority(now, priority)
+}
+
+// classOfPriority returns the index of the first class of a priority.
+func classOfPriority(priority int) int { return firstPriorityClass + 2*(priority-1) }
+
+// priorityOfClass returns the priority of a class with one.
+func priorityOfClass(class int) int { return (class-firstPriorityClass)/2 + 1 }
+
+// waitersOf returns the number of waiters of a priority.
+func (q *Queue) waitersOf(priority int) int {
+	i := classOfPriority(priority)
+	return q.classes[i].arrivals.Len() + q.classes[i+1].arrivals.Len()
+}
+
+// nextOfPriority moves the waiters that have come to miss their latency target behind the
+// others of the priority, and returns the index of its class to serve next.
+func (q *Queue) nextOfPriority(now time.Time, priority int) int {
+	i := classOfPriority(priority)
+	c := &q.classes[i]
+	for c.arrivals.Len() > 0 && q.missesTarget != nil && q.missesTarget(now, c.byExpiry[0]) {
+		w := c.byExpiry[0]
+		q.Remove(w)
+		w.MissesTarget = true
+		q.insert(w)
+	}
+	if c.arrivals.Len() > 0 {
+		return i
+	}
+	return i + 1
 }
 
 // Expire removes and returns the expired waiters.
@@ -249,7 +296,7 @@
 func (q *Queue) classOf(w *Waiter) int {
 	switch {
 	case w.Priority > 0:
-		class := firstPriorityClass + 2*(int(min(w.Priority, MaxPriority))-1)
+		class := classOfPriority(int(min(w.Priority, MaxPriority)))
 		if w.MissesTarget {
 			class++
 		}
--- a/mesh/admission/target_test.go
+++ b/mesh/admission/target_test.go
@@ -84,3 +84,26 @@
 		t.Error("request refused because of an outdated interval")
 	}
 }
+
+// Guards against lower priorities that starve while higher ones use all slots, and against
+// more than their share for them.
+func TestLowerPrioritiesGetTheirShareOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQueue(6, time.Hour)
+	served := map[uint8]int{}
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for range 4 { // more than the queue holds, most of them of the highest priority
+			for _, p := range []uint8{5, 2, 1, 1} {
+				q.Push(now, &Waiter{Request: Request{Kind: model.KindLookup, Priority: p}, ExpiresAt: now.Add(200 * time.Millisecond)})
+			}
+		}
+		q.Expire(now)
+		served[q.Pop(now).Priority]++
+	}
+	for _, p := range []uint8{2, 5} {
+		if n := served[p]; n < 95 || n > 105 {
+			t.Errorf("priority %d got %d of 2000 slots, want 100", p, n)
+		}
+	}
+}
