Hedge calls of slow backend servers earlier

The service times of backend servers are known since they are in responses. A call is now due after the median instead of the 95th percentile if its server was at least twice as slow as usual when it was chosen or is when the median has passed, and a server that is slow gets no hedged attempt.

--- a/mesh/hedging/hedging.go
+++ b/mesh/hedging/hedging.go
@@ -77,23 +77,26 @@
 // each call, whatever the number of its attempts.
 func (h *Hedger) CountCall() { h.bucket.Deposit() }
 
-// Delay returns the time after which an unanswered attempt is hedged: the 95th percentile
-// of the latency of the route or, if the backend server is slow at the moment, the usual
-// latency. It returns false while too few latencies are known.
-func (h *Hedger) Delay(route model.RouteName, server ServiceTimes) (time.Duration, bool) {
+// Wait returns how much longer an attempt that has been unanswered for the given time is
+// waited for before it is hedged or Wait is asked again; 0 if it is due. An attempt is due
+// after the 95th percentile of the latency of the route or, if its backend server is known to
+// have been slow meanwhile, after the usual latency. known is false while too few latencies are known.
+func (h *Hedger) Wait(route model.RouteName, elapsed time.Duration, slow bool) (wait time.Duration, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.routes[route]
 	switch {
 	case l == nil || l.tail == 0:
 		return 0, false
-	case server.Slow():
-		return l.usual, true
+	case elapsed < l.usual:
+		return l.usual - elapsed, true // the state of the server is looked at then
+	case slow:
+		return 0, true
 	}
-	return l.tail, true
+	return max(l.tail-elapsed, 0), true
 }
 
-// Start decides whether a call is hedged now that Delay has passed without an answer. If
+// Start decides whether a call is hedged that is due. If
 // the result is empty, the attempt has been charged to the budgets.
 func (h *Hedger) Start(c Call) Skip {
 	if reason := h.unsuitable(c); reason != "" {
--- a/mesh/hedging/hedging_test.go
+++ b/mesh/hedging/hedging_test.go
@@ -1,6 +1,7 @@
 package hedging
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -119,6 +120,13 @@
 // by the runs of another one must get at most 20% more arrivals than it would without hedged
 // attempts and retries, with the budgets of the platform and every call due and failing.
 func TestArrivalsOfNestedCallsStayWithinTheRetryBudget(t *testing.T) {
+	// Between processes of the platform no retry budget travels with a call.
+	for _, travels := range []bool{true, false} {
+		t.Run(fmt.Sprintf("budget travels %t", travels), func(t *testing.T) { testArrivals(t, travels) })
+	}
+}
+
+func testArrivals(t *testing.T, budgetTravels bool) {
 	const nodes, calls, part, burst = 80, 10_000, 0.09, 3
 	type node struct {
 		hedger  *Hedger
@@ -150,6 +158,9 @@
 		nested := 0
 		for range calls {
 			for _, budget := range runs(1) {
+				if !budgetTravels {
+					budget = 1
+				}
 				nested += len(runs(budget))
 			}
 		}
@@ -160,23 +171,30 @@
 	}
 }
 
-// Guards against a delay before a usual response can have arrived, and against one that
-// does not react to a slow backend server.
-func TestDelay(t *testing.T) {
+// Guards against an attempt that is due before a usual response can have arrived, and
+// against one that does not react to a backend server that is slow by then.
+func TestWait(t *testing.T) {
 	h, _ := newTestHedger(0.05, 10)
-	if _, known := h.Delay(testRoute, ServiceTimes{}); known {
-		t.Error("a delay without latencies")
+	if _, known := h.Wait(testRoute, 0, false); known {
+		t.Error("a time without latencies")
 	}
 	for i := range 1000 {
 		h.Observe(testRoute, time.Duration(1+i%100)*time.Millisecond)
 	}
-	usual := 50 * time.Millisecond
-	for recent, want := range map[time.Duration]time.Duration{0: 96, 2*usual - 1: 96, 2 * usual: 51, 100 * usual: 51} {
-		if got, known := h.Delay(testRoute, ServiceTimes{Recent: recent, ServiceUsual: usual}); !known || got != want*time.Millisecond {
-			t.Errorf("recent service time %s: delay %s, want %d ms", recent, got, want)
+	for _, c := range []struct {
+		elapsed time.Duration
+		slow    bool
+		want    time.Duration
+	}{{0, false, 51}, {0, true, 51}, {51, false, 45}, {51, true, 0}, {60, true, 0}, {60, false, 36}, {96, false, 0}, {200, false, 0}} {
+		if got, known := h.Wait(testRoute, c.elapsed*time.Millisecond, c.slow); !known || got != c.want*time.Millisecond {
+			t.Errorf("%+v: %s", c, got)
 		}
 	}
-	if h.Suits(0.3, ServiceTimes{Recent: 2 * usual, ServiceUsual: usual}) || h.Suits(0.9, ServiceTimes{}) || !h.Suits(0.3, ServiceTimes{}) {
+	if (ServiceTimes{Recent: 99, ServiceUsual: 50}).Slow() || (ServiceTimes{Recent: 100}).Slow() {
+		t.Error("slow below twice the usual time, or without knowing it")
+	}
+	slow := ServiceTimes{Recent: 100, ServiceUsual: 50}
+	if h.Suits(0.3, slow) || h.Suits(0.9, ServiceTimes{}) || !h.Suits(0.3, ServiceTimes{}) {
 		t.Error("a slow or loaded backend server suits, or an idle one does not")
 	}
 }
@@ -214,7 +232,11 @@
 		retries.Deposit()
 		first, second := random.IntN(servers), random.IntN(servers)
 		latency := takes(now, first)
-		delay, known := h.Delay(testRoute, times(now, first))
+		delay, known := h.Wait(testRoute, 0, false)
+		if known {
+			wait, _ := h.Wait(testRoute, delay, times(now, first).Slow() || times(now+delay, first).Slow())
+			delay += wait
+		}
 		if known && latency > delay && h.Suits(0, times(now+delay, second)) && h.Start(suitable) == "" {
 			latency = min(latency, delay+takes(now+delay, second))
 		}
--- a/mesh/node/hedge.go
+++ b/mesh/node/hedge.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"balsamtrail.org/mesh/hedging"
-	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/routing"
 	"balsamtrail.org/mesh/telemetry"
 )
@@ -15,29 +14,40 @@
 	return d.hedger.Applies(c.route) && c.attempts.MayHedge() && c.body.isWhole()
 }
 
-// serviceTimes returns what is known about the service time of a backend server.
-func (d *dispatcher) serviceTimes(model.HostID) hedging.ServiceTimes {
-	return hedging.ServiceTimes{} // the picker does not know any yet
+// isSlow reports whether a backend server is known to be slow at the moment.
+func (d *dispatcher) isSlow(now time.Time, server routing.Choice) bool {
+	return hedgingTimes(d.picker.ExpectedService(now, server.Service, server.Version, server.Host)).Slow()
+}
+
+func hedgingTimes(s routing.ServiceTimes) hedging.ServiceTimes {
+	return hedging.ServiceTimes{Recent: s.Recent, ServiceUsual: s.Mean}
 }
 
 // sendHedged sends the first attempt of a call and, if it is not answered in the usual
 // time, a second one to another backend server. It returns the first successful answer and
 // cancels the other attempt. If there is none it waits for both.
 func (d *dispatcher) sendHedged(ctx context.Context, c *call, server routing.Choice) *attempt {
-	delay, known := d.hedger.Delay(c.route.Name, d.serviceTimes(server.Host))
+	wait, known := d.hedger.Wait(c.route.Name, 0, false)
 	if !known {
 		a := d.send(ctx, c, server)
 		d.observeFirst(c, a)
 		return a
 	}
+	slow := d.isSlow(time.Now(), server)
 	results := make(chan *concurrentAttempt, 2)
 	first := d.startAttempt(ctx, c, server, c.budget.Lend(), results)
-	timer := time.NewTimer(delay)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-results:
-		return d.finishFirst(c, first)
-	case <-timer.C:
+	for wait > 0 {
+		select {
+		case <-results:
+			return d.finishFirst(c, first)
+		case <-timer.C:
+		}
+		now := time.Now()
+		slow = slow || d.isSlow(now, server)
+		wait, _ = d.hedger.Wait(c.route.Name, now.Sub(first.started), slow)
+		timer.Reset(wait)
 	}
 	second := d.startHedge(ctx, c, first, results)
 	if second == nil {
@@ -97,7 +107,7 @@
 	if skip := d.hedger.Start(in); skip != "" {
 		return routing.Choice{}, skip
 	}
-	suits := func(load float64, id model.HostID) bool { return d.hedger.Suits(load, d.serviceTimes(id)) }
+	suits := func(load float64, times routing.ServiceTimes) bool { return d.hedger.Suits(load, hedgingTimes(times)) }
 	server, err := d.picker.PickHedgeServer(now, first.server.Service, first.server.Version, c.attempts.Tried(), suits)
 	if err != nil {
 		d.hedger.Refund()
--- a/mesh/node/hedge_test.go
+++ b/mesh/node/hedge_test.go
@@ -130,6 +130,46 @@
 	}
 }
 
+// Guards against a call that waits for the 95th percentile although its backend server has
+// become slow, and against a hedged attempt that goes to another slow one.
+func TestSlowServerIsHedgedEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var e *entry
+		report := func(host string, recent time.Duration) {
+			e.dispatcher.picker.Observe(time.Now(), model.HostID(host), routing.Outcome{
+				Result: routing.ResultOK, Limit: 20, RecentServiceTime: recent, UsualServiceTime: hedgeDelay,
+			})
+		}
+		var asked []string
+		e, _ = hedgingEntry(scriptedSender(func(ctx context.Context, address string, _ *callmux.Request) (*callmux.Response, error) {
+			asked = append(asked, address)
+			if len(asked) > 1 {
+				return answer(""), nil
+			}
+			for _, host := range []string{"h1", "h2", "h3"} {
+				if host == address || host == "h1" && address != "h1" || host == "h2" && address == "h1" {
+					report(host, 5*hedgeDelay) // the chosen server and one more become slow
+				}
+			}
+			<-ctx.Done()
+			return nil, callmux.ErrOutcomeUnknown
+		}), map[model.HostID]string{"h1": "h1", "h2": "h2", "h3": "h3"})
+		for range 20 {
+			e.dispatcher.hedger.Observe("hedged", 9*hedgeDelay)
+		}
+		for _, host := range []string{"h1", "h2", "h3"} {
+			report(host, hedgeDelay)
+		}
+		started := time.Now()
+		if w := hedgedLookup(e); w.Code != http.StatusOK || time.Since(started) != hedgeDelay {
+			t.Errorf("status %d after %s", w.Code, time.Since(started))
+		}
+		if want := map[string]string{"h1": "h3", "h2": "h3", "h3": "h2"}[asked[0]]; len(asked) != 2 || asked[1] != want {
+			t.Errorf("asked %v", asked)
+		}
+	})
+}
+
 func hedgedLookup(e *entry) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/hedged/7", nil))
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -147,7 +147,12 @@
 	if h == nil || s == nil || s.versions[version] == nil {
 		return ServiceTimes{}
 	}
-	mean := s.versions[version].meanServiceTime()
+	return s.versions[version].expectedService(now, h)
+}
+
+// expectedService returns the service times of a backend server of the version.
+func (v *versionState) expectedService(now time.Time, h *host) ServiceTimes {
+	mean := v.meanServiceTime()
 	recent, usual := h.serviceTimes(mean)
 	weight := h.reportWeight(now)
 	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/mesh/routing/hedgeserver.go
+++ b/mesh/routing/hedgeserver.go
@@ -35,8 +35,9 @@
 
 // PickHedgeServer chooses the backend server for a hedged attempt. It differs from
 // PickBackendServer in that it returns an error if every server that it draws is ejected
-// or does not suit; suits gets the load of a server as a fraction of its limit.
-func (p *Picker) PickHedgeServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID, suits func(load float64, id model.HostID) bool) (Choice, error) {
+// or does not suit; suits gets the load of a server as a fraction of its limit
+// and its service times.
+func (p *Picker) PickHedgeServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID, suits func(load float64, times ServiceTimes) bool) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v, err := p.stateOf(service)
@@ -53,7 +54,7 @@
 		if h == nil || h.ejected(now) {
 			break
 		}
-		if suits(h.load(now, state.averageLoad), h.Host) {
+		if suits(h.load(now, state.averageLoad), state.expectedService(now, h)) {
 			p.checkInvariants(h, service)
 			h.inFlight++
 			return Choice{Announcement: h.Announcement, Reason: "hedged attempt", ColdTime: v.builtFrom.coldTime}, nil
