Let nodes of a starting fleet connect without waiting beside idle hosts

Cause: a control host served 4 handshakes at a time, and a node with 0.16 of a core may be stopped for most of 100 ms within its part of one, so that control hosts waited for nodes. A refused node was delayed twice: by the endpoint, and by the backoff of its parent selection, which grew to seconds.

A refused handshake no longer lets the backoff of the parent selection grow; the next candidate is tried meanwhile.

--- a/mesh/distribute/attach.go
+++ b/mesh/distribute/attach.go
@@ -31,8 +31,9 @@
 	// failurePenalty is how long a candidate is skipped after a failure.
 	failurePenalty = 2 * time.Second
 	// busyPenalty is how long a candidate is skipped that refused the handshake for
-	// now.
-	busyPenalty = 300 * time.Millisecond
+	// now. It is short since the endpoint delays the next handshake with that
+	// candidate itself; the others are tried meanwhile.
+	busyPenalty = 50 * time.Millisecond
 	// stalePenalty is how long a stale parent is skipped. It is longer than
 	// failurePenalty, so that a node tries all its other candidates before it
 	// returns to a stale parent.
@@ -148,7 +149,8 @@
 }
 
 // failed records why a parent was lost and returns the backoff before the next
-// attempt.
+// attempt. The backoff does not grow with refused handshakes: in the start of a fleet
+// the endpoint's own delays would add to it, and nodes would wait beside idle hosts.
 func (s *parentSelector) failed(now time.Time, p Parent, lifetime time.Duration, err error) time.Duration {
 	penalty := failurePenalty
 	var busy *BusyError
@@ -175,6 +177,9 @@
 		s.staleTimeout = initialStaleTimeout
 	}
 	s.skipUntil[candidateOf(p)] = now.Add(penalty)
+	if errors.Is(err, peer.ErrBusy) {
+		return jitter(initialBackoff)
+	}
 	return s.retryBackoff.NextBackOff()
 }
 
