--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -145,6 +145,10 @@
 }
 
 func (c *Control) openLog(group uint32, sm replog.StateMachine) (*replog.Log, error) {
+	var quietSnapshotBytes int64
+	if group == configGroup { // the entries of claims are small, and their state is large
+		quietSnapshotBytes = c.cfg.Limits.QuietSnapshotBytes
+	}
 	var mayVote func(replog.Member, replog.Members) bool
 	if c.cfg.AutoJoin { // otherwise operators choose the voters
 		mayVote = c.mayVote
@@ -153,7 +157,7 @@
 		Cluster: c.cfg.Cluster, Group: group, Self: c.cfg.Host,
 		Dir: filepath.Join(c.cfg.DataDir, "group-"+strconv.Itoa(int(group))), Voters: c.initialVoters(), FirstStart: c.cfg.FirstStart,
 		ElectionTimeout: c.cfg.Timeouts.Election, Heartbeat: c.cfg.Timeouts.Heartbeat,
-		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries), MayVote: mayVote,
+		SnapshotEntries: uint64(c.cfg.Limits.SnapshotEntries), QuietSnapshotBytes: quietSnapshotBytes, MayVote: mayVote,
 		Log: c.log.With("group", group),
 	}, sm, c.transport)
 	if err != nil {
--- a/mesh/note/bench_test.go
+++ b/mesh/note/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"balsamtrail.org/mesh/model"
 )
@@ -87,3 +88,70 @@
 		}
 	}
 }
+
+// declaration returns the log entry of a declaration of 900 routes, as large ones of the
+// platform are.
+func declaration(b *testing.B, version uint64) []byte {
+	d := Declare{Version: version, Base: version - 1, Document: make([]byte, 150<<10)}
+	for i := range 2 {
+		d.Services = append(d.Services, service(model.ServiceName(fmt.Sprintf("service-%d", i))))
+	}
+	for i := range 900 {
+		r := route(model.RouteName(fmt.Sprintf("route-%d", i)), "service-0")
+		r.Host, r.PathPrefix = fmt.Sprintf("h-%d.example", i%7), fmt.Sprintf("/p-%d/", i)
+		if i == 0 {
+			r.Timeout += time.Duration(version) * time.Millisecond
+		}
+		d.Routes = append(d.Routes, r)
+		copy(d.Document[i*150:], fmt.Sprintf(`"route-%d":{"host":%q,"pathPrefix":%q,"routeType":"idempotent","timeoutMs":1200,"service":"service-0"}`, i, r.Host, r.PathPrefix))
+	}
+	raw, err := EncodeCommand(Command{Operator: "front-end", Time: time.Unix(1, 0).UTC(), Declare: &d})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return raw
+}
+
+// BenchmarkReplayDeclarations measures one log entry with a whole configuration. A control
+// host that starts replays those after its last snapshot before it can serve.
+func BenchmarkReplayDeclarations(b *testing.B) {
+	var entries [][]byte
+	for i := range uint64(11) {
+		entries = append(entries, declaration(b, i+1))
+	}
+	for b.Loop() {
+		s := NewState()
+		for i, raw := range entries {
+			c, err := DecodeCommand(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if r := s.Apply(c, model.Position{Epoch: 1, Index: uint64(i + 1)}); r.Code != CodeOK {
+				b.Fatal(r.Message)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(entries)), "µs/entry")
+}
+
+// BenchmarkSnapshotDeclared measures encoding and restoring the state of a control host
+// after many declarations.
+func BenchmarkSnapshotDeclared(b *testing.B) {
+	s := NewState()
+	for i := range uint64(40) {
+		c, err := DecodeCommand(declaration(b, i+1))
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Apply(c, model.Position{Epoch: 1, Index: i + 1})
+	}
+	for b.Loop() {
+		raw, err := s.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := NewState().Restore(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/mesh/replog/config.go
+++ b/mesh/replog/config.go
@@ -51,6 +51,11 @@
 	// snapshot is due when either SnapshotEntries or SnapshotBytes is reached. Up
 	// to a quarter of SnapshotBytes is kept in memory after compaction.
 	SnapshotBytes int64
+	// QuietSnapshotBytes is the size of the entries, in bytes, after which a snapshot is
+	// also due once no entry has been committed for a while; 0 for never. With a small
+	// size a host replays little when it starts; each snapshot costs as much as the
+	// state is large.
+	QuietSnapshotBytes int64
 	// KeepEntries is the maximum number of entries before a snapshot that are kept
 	// in memory for slow followers. More entries cost memory, fewer make snapshot
 	// transfers frequent.
@@ -96,6 +101,10 @@
 	// snapshotChunkBytes is the maximum size of a chunk of a snapshot transfer, in
 	// bytes.
 	snapshotChunkBytes = 512 << 10
+	// quietSnapshotDelay is how long no entry must have been committed before a snapshot
+	// for QuietSnapshotBytes. It is checked at heartbeats, and longer by a random part
+	// on each host, so that not all of a quorum write at the same time.
+	quietSnapshotDelay = 200 * time.Millisecond
 	// maxUncommittedEntries is the number of uncommitted entries above which no
 	// proposals are taken until the group catches up.
 	maxUncommittedEntries = 16_384
--- a/mesh/replog/log.go
+++ b/mesh/replog/log.go
@@ -54,6 +54,10 @@
 	// bytesSinceSnapshot is the size in bytes of the committed entries since the
 	// last snapshot was started.
 	bytesSinceSnapshot int64
+	// lastCommitted is when entries were last passed to the state machine, and
+	// quietDelay is quietSnapshotDelay of this host.
+	lastCommitted time.Time
+	quietDelay    time.Duration
 	// unsyncedProposalBytes is the size of the proposals received since the last
 	// synced write, in bytes. applyBacklog is the number of tasks queued for the
 	// applier when the current batch began.
@@ -169,7 +173,7 @@
 		inbox: make(chan Message, inboxCapacity), proposals: make(chan proposal, proposalCapacity),
 		reads: make(chan chan<- outcome, readCapacity), adminRequests: make(chan adminRequest),
 		stop: make(chan struct{}), stopped: make(chan struct{}), changed: make(chan struct{}),
-		pendingReads: map[uint64]chan<- outcome{},
+		pendingReads: map[uint64]chan<- outcome{}, quietDelay: quietSnapshotDelay + rand.N(quietSnapshotDelay),
 	}
 	core := NewCore(CoreConfig{
 		Cluster: cfg.Cluster, Group: cfg.Group, Self: cfg.Self, Disk: id.Disk,
--- a/mesh/replog/run.go
+++ b/mesh/replog/run.go
@@ -171,6 +171,7 @@
 		l.bytesSinceSnapshot += int64(e.size())
 	}
 	if r.Snapshot != nil || len(r.Committed) > 0 {
+		l.lastCommitted = time.Now()
 		l.applier.push(task{restore: r.Snapshot, entries: r.Committed})
 	}
 	for _, res := range r.Reads {
@@ -228,7 +229,7 @@
 // since the last one.
 func (l *Log) snapshotIfDue() {
 	core := l.engine.core
-	due := core.applied >= core.snapshot.Index+l.cfg.SnapshotEntries || l.bytesSinceSnapshot >= l.cfg.SnapshotBytes
+	due := core.applied >= core.snapshot.Index+l.cfg.SnapshotEntries || l.bytesSinceSnapshot >= l.cfg.SnapshotBytes || l.quietSnapshotDue()
 	if l.snapshotting || !due || core.applied < l.snapshotRetryIndex || core.SendingSnapshot() {
 		return
 	}
@@ -238,6 +239,13 @@
 	}})
 }
 
+// quietSnapshotDue reports whether to use a pause between commits for a snapshot, so that a
+// restart replays little: an entry may be a whole configuration, which takes a host with an
+// eighth of a core tens of milliseconds.
+func (l *Log) quietSnapshotDue() bool {
+	return l.cfg.QuietSnapshotBytes > 0 && l.bytesSinceSnapshot >= l.cfg.QuietSnapshotBytes && time.Since(l.lastCommitted) >= l.quietDelay
+}
+
 // compactAfterSnapshot compacts the log after a snapshot was written. If writing
 // it failed, the next attempt is delayed.
 func (l *Log) compactAfterSnapshot(s snapshotDone) {
--- a/mesh/settings/control.go
+++ b/mesh/settings/control.go
@@ -145,6 +145,11 @@
 	// default 10000. A higher value makes restarts slower, a lower one causes more
 	// disk writes.
 	SnapshotEntries int `json:"snapshot_entries" validate:"min=10,max=1000000"`
+	// QuietSnapshotBytes is the size of the log entries with configuration after which a
+	// snapshot is also written in the next pause between changes; default 0, which
+	// writes none then. A value of a few KiB makes restarts faster where entries are
+	// whole configurations; each snapshot costs as much as the state is large.
+	QuietSnapshotBytes int64 `json:"quiet_snapshot_bytes" validate:"min=0,max=67108864"`
 }
 
 // DefaultControl returns settings with the defaults of all fields that have one.
