Elect a leader as soon as a quorum that has just started is connected

Cause: a host that had heard of no leader since its start asked for votes only after a quarter to half of the election timeout (300 to 600 ms on the platform), and again after as long if a quorum was not up yet.

Change: until it has voted, was refused, or three election timeouts have passed, such a host asks for pre-votes every 50 to 100 ms. A host that knows a live leader refuses as before and ends the asking; pre-votes raise no term. Of two hosts that ask at the same time and have the same log, the one with the greater ID gives way, so that they do not split a quorum of which each vote is needed.

--- a/mesh/replog/core.go
+++ b/mesh/replog/core.go
@@ -96,6 +96,10 @@
 	// noLeaderSinceStart is set until this host hears from a leader for the first
 	// time after its start.
 	noLeaderSinceStart bool
+	// probing is set until this host has voted or learned that it cannot win, and at the
+	// latest until probeUntil; see startupProbeDivisor.
+	probing    bool
+	probeUntil time.Time
 	// lastLeaderContact is the time of the last message from the leader of the
 	// current term.
 	lastLeaderContact time.Time
@@ -172,13 +176,17 @@
 	}
 	c.noLeaderSinceStart = true
 	c.majorityForms = now.Add(foundingElectionTimeouts * cfg.ElectionTimeout)
+	c.probing, c.probeUntil = c.Members().Formed(), now.Add(startupProbeTimeouts*cfg.ElectionTimeout)
 	c.resetElectionDeadline()
 	return c
 }
 
 func (c *Core) resetElectionDeadline() {
 	d := c.cfg.ElectionTimeout + time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout)))
-	if c.noLeaderSinceStart {
+	switch {
+	case c.noLeaderSinceStart && c.probing && c.now.Before(c.probeUntil):
+		d /= startupProbeDivisor
+	case c.noLeaderSinceStart:
 		d /= startupElectionDivisor
 	}
 	c.electionDeadline = c.now.Add(d)
@@ -190,6 +198,16 @@
 // until one of them campaigns.
 const startupElectionDivisor = 4
 
+// startupProbeDivisor shortens it further for the first elections of a host that has
+// started: it asks for pre-votes again and again, so that a group whose hosts start
+// together has a leader as soon as a quorum is connected. A host that knows a live leader
+// refuses, and pre-votes change no term. A greater divisor costs more messages.
+const startupProbeDivisor = 24
+
+// startupProbeTimeouts bounds the probing after a start, in election timeouts, so that a
+// host that reaches no quorum does not send messages every few milliseconds for good.
+const startupProbeTimeouts = 3
+
 // Tick handles the timers that have expired at now.
 func (c *Core) Tick(now time.Time) {
 	c.now = now
--- a/mesh/replog/election.go
+++ b/mesh/replog/election.go
@@ -7,6 +7,10 @@
 	c.role, c.leader = role, ""
 	kind, term := MsgPreVote, c.term+1
 	if role == Candidate {
+		if c.probing {
+			c.probing = false
+			c.resetElectionDeadline() // the votes take longer than the interval of probes
+		}
 		kind = MsgVote
 		c.term++
 		c.vote = c.cfg.Self
@@ -37,14 +41,27 @@
 	r.Reject = !grant
 	if grant && pre {
 		r.Term = m.Term
+		c.yieldProbe(m)
 	}
 	if grant && !pre {
+		c.probing = false
 		c.vote, c.role, c.votes = m.From, Follower, nil
 		c.resetElectionDeadline()
 	}
 	c.reply(m, r)
 }
 
+// yieldProbe lets the sender of a pre-vote win while hosts that have started together all
+// ask for pre-votes. Of two that ask at the same time the one with the lower ID goes on,
+// because two candidates could split the votes of a quorum.
+func (c *Core) yieldProbe(m Message) {
+	if !c.probing || c.role == PreCandidate && m.From > c.cfg.Self && m.Index == c.log.last() && m.LogTerm == c.log.lastTerm() {
+		return
+	}
+	c.role, c.votes = Follower, nil
+	c.resetElectionDeadline()
+}
+
 func (c *Core) stepVoteReply(m Message) {
 	switch {
 	case m.Kind == MsgPreVoteReply && c.role != PreCandidate,
@@ -54,6 +71,12 @@
 		m.Kind == MsgVoteReply && m.Term != c.term:
 		return // reply to an earlier campaign
 	}
+	if m.Reject && c.probing {
+		// The sender knows a leader or more entries.
+		c.probing, c.role, c.votes = false, Follower, nil
+		c.resetElectionDeadline()
+		return
+	}
 	c.votes[m.From] = voteReply{granted: !m.Reject, disk: m.FromDisk}
 	c.countVotes()
 }
--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	mu       sync.Mutex
 	logs     map[model.HostID]*Log
 	isolated map[model.HostID]bool
+	// delay bounds the random delay of a message.
+	delay time.Duration
 }
 
 func newNetwork(t testing.TB) *network {
@@ -66,8 +69,13 @@
 func (n *network) Send(to model.HostID, m Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if l := n.logs[to]; l != nil && !n.isolated[to] && !n.isolated[m.From] {
+	l := n.logs[to]
+	switch {
+	case l == nil || n.isolated[to] || n.isolated[m.From]:
+	case n.delay == 0:
 		l.Deliver(m)
+	default:
+		time.AfterFunc(n.delay/2+rand.N(n.delay/2), func() { l.Deliver(m) })
 	}
 }
 
@@ -461,3 +469,40 @@
 		}
 	})
 }
+
+// Guards against a group that waits out an election timeout although a quorum of its hosts
+// is connected after a loss of all power, and against candidates that split the votes of
+// hosts of which each is needed. The last host of the quorum starts at any time after the others.
+func TestQuorumElectsAtOnceAfterALossOfAllPower(t *testing.T) {
+	six := []model.HostID{"a", "b", "c", "d", "e", "f"}
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.delay = 30 * time.Millisecond // of hosts that get an eighth of a core
+		cfg := Config{ElectionTimeout: 1200 * time.Millisecond, Heartbeat: 200 * time.Millisecond}
+		disks, _, logs := n.openGroup(t, cfg, six...)
+		propose(t, waitLeader(t, logs...), "before")
+		slow := 0
+		for round := range 40 {
+			n.closeAll(t)
+			cfg.Voters = nil
+			var up []*Log
+			start := func(h model.HostID) {
+				cfg.Self, cfg.Dir, cfg.FS = h, simDir, disks[h]
+				up = append(up, n.open(t, cfg, &listMachine{}))
+			}
+			for i := range 3 {
+				start(six[(round+i)%len(six)])
+			}
+			time.Sleep(300*time.Millisecond + time.Duration(round)*7*time.Millisecond)
+			began := time.Now()
+			start(six[(round+3)%len(six)])
+			waitLeader(t, up...)
+			if time.Since(began) > 350*time.Millisecond {
+				slow++
+			}
+		}
+		if slow > 2 {
+			t.Errorf("%d of 40 elections took over 350ms", slow)
+		}
+	})
+}
