Send heads of calls before large bodies

Heads and body frames left a connection between nodes in order of arrival, up to 64 KiB of bodies in one write and 64 KiB more in the queue. On a link of 12 Mbit/s with three downloads and three uploads of 540 KB a lookup took up to 92 ms (in virtual time).

The queue now keeps body frames apart. Each write has the heads first and then at most 16 KiB of body frames, and at least one frame, so that bodies go on. A body never overtakes the head of its call, nor a cancel frame the body frames before it. The buffer of the kernel is not part of the test.

--- a/mesh/callmux/queue.go
+++ b/mesh/callmux/queue.go
@@ -6,13 +6,17 @@
 )
 
 // dataQueueLimit bounds the bytes of body frames queued on a connection. Further
-// body frames wait outside the queue, so at most this many body bytes are ahead of
-// a newly queued head.
+// body frames wait outside the queue.
 const dataQueueLimit = 64 << 10
 
-// maxBatch is the number of bytes after which the writer stops adding frames to
-// one write; the last frame may exceed it.
-const maxBatch = 64 << 10
+const (
+	// maxBatch bounds the bytes of heads in one write, if there is more than one.
+	maxBatch = 64 << 10
+	// maxBatchData bounds the bytes of body frames in one write, if there is more than
+	// one. A head that is queued during a write waits for it: with 64 KiB of bodies,
+	// lookups took up to 92 ms on a link of 12 Mbit/s.
+	maxBatchData = maxData
+)
 
 // queuedFrame is a frame in the queue and the call it belongs to. call is nil for
 // control frames, refusals and cancel frames.
@@ -21,8 +25,10 @@
 	call *call
 }
 
-// sendQueue holds the frames that wait for the writer. Control frames are sent
-// first: heartbeats and flow-control credit must not wait behind bodies.
+// sendQueue holds the frames that wait for the writer. Control frames are sent first,
+// then heads, with the small bodies in their frames: they must not wait behind large
+// bodies. Each write may also take some body frames, so that bodies are never held up
+// for good.
 type sendQueue struct {
 	// limit bounds the bytes in frames when a head is queued; see Config.QueueLimit.
 	limit int
@@ -32,9 +38,10 @@
 	// mu guards the fields below, call.sent and call.discarded.
 	mu      sync.Mutex
 	control []queuedFrame
-	// frames holds heads and bodies in the order in which they are sent.
-	frames []queuedFrame
-	// size is the number of bytes in frames; dataSize counts body frames only.
+	// heads holds heads, data body frames; each in the order in which they are sent. A
+	// cancel frame is in data if body frames of its call are, else in heads.
+	heads, data []queuedFrame
+	// size is the number of bytes in heads and data; dataSize counts body frames only.
 	size     int
 	dataSize int
 	closed   bool
@@ -76,7 +83,12 @@
 	if enforceLimit && q.size+f.size() > q.limit {
 		return ErrBusy
 	}
-	q.append(queuedFrame{f, c})
+	follows := func(o queuedFrame) bool { return o.frame.call == f.call }
+	if f.kind == frameCancel && slices.ContainsFunc(q.data, follows) {
+		q.append(&q.data, queuedFrame{f, c})
+		return nil
+	}
+	q.append(&q.heads, queuedFrame{f, c})
 	return nil
 }
 
@@ -95,13 +107,13 @@
 		return q.space, nil
 	}
 	q.dataSize += f.size()
-	q.append(queuedFrame{f, c})
+	q.append(&q.data, queuedFrame{f, c})
 	return nil, nil
 }
 
-func (q *sendQueue) append(f queuedFrame) {
+func (q *sendQueue) append(list *[]queuedFrame, f queuedFrame) {
 	q.size += f.size()
-	q.frames = append(q.frames, f)
+	*list = append(*list, f)
 	q.signalReady()
 }
 
@@ -112,8 +124,9 @@
 	}
 }
 
-// take removes frames from the queue and appends their encoding to b, up to about
-// maxBatch bytes. The calls of these frames count as sent from then on.
+// take removes frames from the queue and appends their encoding to b: heads up to
+// maxBatch bytes and bodies up to maxBatchData. The calls of these frames count as
+// sent from then on.
 func (q *sendQueue) take(b []byte) []byte {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -124,9 +137,24 @@
 		b = appendFrame(b, f.frame)
 	}
 	q.control = q.control[:0]
-	n := 0
-	for n < len(q.frames) && len(b) < maxBatch {
-		f := q.frames[n]
+	b = q.takeFrom(&q.heads, b, maxBatch, func(queuedFrame) bool { return true })
+	// A body must not overtake the head of its call.
+	b = q.takeFrom(&q.data, b, maxBatchData, func(f queuedFrame) bool {
+		return len(q.heads) == 0 || f.call != nil && f.call.sent
+	})
+	q.signalSpace()
+	return b
+}
+
+// takeFrom removes frames from a list while allowed, and appends their encoding to b: as
+// many as fit into limit bytes, and at least one.
+func (q *sendQueue) takeFrom(list *[]queuedFrame, b []byte, limit int, allowed func(queuedFrame) bool) []byte {
+	n, start := 0, len(b)
+	for n < len(*list) && allowed((*list)[n]) {
+		f := (*list)[n]
+		if n > 0 && len(b)-start+f.size() > limit {
+			break
+		}
 		b = appendFrame(b, f.frame)
 		q.releaseSize(f)
 		if f.call != nil {
@@ -134,8 +162,7 @@
 		}
 		n++
 	}
-	q.frames = slices.Delete(q.frames, 0, n)
-	q.signalSpace()
+	*list = slices.Delete(*list, 0, n)
 	return b
 }
 
@@ -161,13 +188,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c.discarded = true
-	q.frames = slices.DeleteFunc(q.frames, func(f queuedFrame) bool {
+	ofCall := func(f queuedFrame) bool {
 		if f.call != c {
 			return false
 		}
 		q.releaseSize(f)
 		return true
-	})
+	}
+	q.heads, q.data = slices.DeleteFunc(q.heads, ofCall), slices.DeleteFunc(q.data, ofCall)
 	q.signalSpace()
 	return c.sent
 }
