Keep the state of traffic splits across changes of weights

The state of a split was reset whenever a weight changed, with a random offset of up to 100 calls, which is no random phase for other sums of weights. Keeping the counters of the round robin instead would favour the same parts on all nodes right after a change.

Each node now moves a phase on by the golden ratio with each call, and the phase points at a part by the present weights. An assertion checks that the chosen part has a weight.

--- a/mesh/invariant/invariant.go
+++ b/mesh/invariant/invariant.go
@@ -44,6 +44,9 @@
 	LeavingServer Name = "leaving-server"
 	// GracefulStop requires that a graceful shutdown interrupts no request.
 	GracefulStop Name = "graceful-stop"
+	// SplitWeight requires that the part of a traffic split that a call goes to has a
+	// weight.
+	SplitWeight Name = "split-weight"
 	// AcceptedNeverReverts requires that accepted changes are never lost or replaced:
 	// terms, commit indexes and configuration versions never decrease.
 	AcceptedNeverReverts Name = "accepted-never-reverts"
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -69,9 +69,8 @@
 	table    *Table
 	services map[model.ServiceName]*serviceState
 	hosts    map[model.HostID]*host
-	// splits distributes the calls of routes with a split. An entry is replaced when
-	// the destinations or weights of its route change.
-	splits map[model.RouteName]*split
+	// splits distributes the calls of routes with a split.
+	splits map[model.RouteName]*splitPhase
 	// returnedAt holds the time of the last return to service of each data centre that
 	// has been out.
 	returnedAt map[model.DataCentre]time.Time
@@ -106,7 +105,7 @@
 		rand:       rand.New(rand.NewPCG(cfg.Seed, 1)),
 		services:   map[model.ServiceName]*serviceState{},
 		hosts:      map[model.HostID]*host{},
-		splits:     map[model.RouteName]*split{},
+		splits:     map[model.RouteName]*splitPhase{},
 		returnedAt: map[model.DataCentre]time.Time{},
 	}
 }
--- a/mesh/routing/split_test.go
+++ b/mesh/routing/split_test.go
@@ -57,6 +57,56 @@
 		Expect(got).NotTo(HaveKey(model.ServiceName("u")))
 	})
 
+	// Guards against parts that get more or less than their share over the fleet: with few
+	// calls at each of many nodes, right after a change of weights or of parts, and after
+	// restarts.
+	It("divides the calls of 100 nodes by weight, also across changes and restarts", func() {
+		nodes := make([]*Picker, 100)
+		restart := func(i int, seed uint64) {
+			nodes[i] = NewPicker(PickerConfig{DataCentre: "thun", Seed: seed})
+			nodes[i].SetTable(start, NewTable(cfg, nil))
+		}
+		for i := range nodes {
+			restart(i, uint64(i+1))
+		}
+		weights := [][]note.Destination{
+			{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}},
+			{{Service: "s", Weight: 10}, {Service: "t", Weight: 90}},
+			{{Service: "t", Weight: 50}, {Service: "s", Weight: 50}},
+			{{Service: "s", Weight: 0}, {Service: "t", Weight: 1}},
+			{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}, {Service: "u", Weight: 2}},
+			{{Service: "u", Weight: 999}, {Service: "s", Weight: 1}},
+		}
+		for round := range 60 {
+			split := weights[round%len(weights)]
+			total := 0.0
+			for _, d := range split {
+				total += float64(d.Weight)
+			}
+			calls := 1 + round%4 // at each node, before the next change
+			got := map[model.ServiceName]float64{}
+			for i, p := range nodes {
+				if round%5 == 4 && i%3 == 0 {
+					restart(i, uint64(1000*round+i))
+					p = nodes[i]
+				}
+				for range calls {
+					got[p.PickService(note.Route{Name: "split", Service: split[0].Service, Split: split})]++
+				}
+			}
+			for _, d := range split {
+				share := got[d.Service] / float64(calls*len(nodes))
+				Expect(share).To(BeNumerically("~", float64(d.Weight)/total, 0.1), "round %d, %s", round, d.Service)
+			}
+		}
+	})
+
+	// Guards against an assertion that does not fire: a split without weights is not valid.
+	It("checks the invariant split-weight", func() {
+		p := newTestPicker(cfg, nil)
+		Expect(func() { p.PickService(note.Route{Name: "split", Split: make([]note.Destination, 2)}) }).To(PanicWith(ContainSubstring("split-weight")))
+	})
+
 	// Guards against failed calls of a service that has no shares in the configuration
 	// yet.
 	It("divides calls by announced backend servers if a service has no shares", func() {
