Take no answer as complete that ended with a reset during its upload

Cause: the system reports a reset to one call only. If the goroutine that writes a long request was told of it, the following read returned a regular end, which completes an answer without a length.

Change: the writer holds a mutex during each write to the socket and records its error. At the end of such an answer, while the request is not completely written, the write deadline is set to the past and a recorded error makes the answer a broken one. An orderly end during an upload still completes it.

--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,11 @@
 	// atomic because another goroutine writes long requests.
 	sent     atomic.Int64
 	received int64
+	// writing is held during each write to the socket and guards writeErr.
+	writing sync.Mutex
+	// writeErr is the first error of the socket that a write was told of, other than a
+	// deadline.
+	writeErr error
 	// headLeft is the number of bytes that may still be read for the head of the answer;
 	// negative while a body is read.
 	headLeft int64
@@ -97,11 +103,30 @@
 type countingWriter struct{ cn *conn }
 
 func (w countingWriter) Write(p []byte) (int, error) {
-	n, err := w.cn.raw.Write(p)
-	w.cn.sent.Add(int64(n))
+	cn := w.cn
+	cn.writing.Lock()
+	defer cn.writing.Unlock()
+	n, err := cn.raw.Write(p)
+	cn.sent.Add(int64(n))
+	if err != nil && cn.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		cn.writeErr = err
+	}
 	return n, err
 }
 
+// endOfConnection returns io.EOF if the end that was read is an orderly one. A reset is
+// reported to one system call only: after a write was told of it, reads return a regular
+// end. No further byte of the request is written.
+func (cn *conn) endOfConnection() error {
+	_ = cn.raw.SetWriteDeadline(time.Unix(1, 0)) // ends a write that waits
+	cn.writing.Lock()
+	defer cn.writing.Unlock()
+	if cn.writeErr != nil {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 // isReusable reports whether an idle connection is open and has received no bytes.
 // Bytes that arrive while it is idle belong to no request.
 func (cn *conn) isReusable() bool {
@@ -145,7 +170,8 @@
 		return nil, cn.fail(ctx, err)
 	}
 	empty := resp.Body == http.NoBody
-	resp.Body = &body{ReadCloser: resp.Body, cn: cn, resp: resp, empty: empty, stop: stop, written: written}
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	resp.Body = &body{ReadCloser: resp.Body, cn: cn, resp: resp, empty: empty, untilClose: untilClose, stop: stop, written: written}
 	return resp, nil
 }
 
@@ -256,17 +282,22 @@
 // returns to the pool; if it is closed earlier, so is the connection.
 type body struct {
 	io.ReadCloser
-	cn      *conn
-	resp    *http.Response
-	empty   bool
-	stop    func() bool
-	written <-chan struct{}
-	once    sync.Once
+	cn    *conn
+	resp  *http.Response
+	empty bool
+	// untilClose is set if the end of the connection delimits the body.
+	untilClose bool
+	stop       func() bool
+	written    <-chan struct{}
+	once       sync.Once
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.untilClose && !b.allWritten() {
+		err = b.cn.endOfConnection()
+	}
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
 	}
--- a/mesh/serverconn/faulty_test.go
+++ b/mesh/serverconn/faulty_test.go
@@ -14,7 +14,7 @@
 )
 
 // faultyServer runs serve for each connection and returns a client of it.
-func faultyServer(t *testing.T, serve func(net.Conn, *bufio.Reader)) *Client {
+func faultyServer(t testing.TB, serve func(net.Conn, *bufio.Reader)) *Client {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
