Read answers of backend servers strictly

Cause: net/http reads answers leniently. It drops a field without a name and keeps names with spaces, which its own server then leaves out, so that "X Bad: 1" vanished and "Content-Length : 2" did not frame the body.

Change: serverconn has its own reader of heads, chunks and trailers by RFC 9112; what it refuses is listed at ErrInvalid. An invalid answer is a failed attempt, closes its connection, is counted in serverconn.invalid_answers and logged with its reason. Nodes check field names, values and statuses of the heads that they get from other nodes, and the operator client takes no status below 200 as a success. A probe with an invalid answer still shows that the server is reachable, as before. The raw peer of TestProtocolViolations now sends status 200: status 0 is malformed itself, and the test is about the second head.

--- a/mesh/callmux/client.go
+++ b/mesh/callmux/client.go
@@ -179,9 +179,12 @@
 func newResponse(cn *connection, cl *call, f frame) (*Response, error) {
 	resp := &Response{}
 	body, err := decodeHead(f, resp)
+	if err == nil {
+		err = resp.check()
+	}
 	if err != nil {
 		telemetry.Counter(MetricMalformed).Inc(1)
-		cn.cfg.Log.Warn("response cannot be decoded", "peer", cn.peer.String(), "call", f.call, "reason", err.Error())
+		cn.cfg.Log.Warn("malformed response", "peer", cn.peer.String(), "call", f.call, "reason", err.Error())
 		cn.cancelCall(cl, "malformed response head")
 		return nil, outcomeUnknown(err)
 	}
--- a/mesh/callmux/connection_test.go
+++ b/mesh/callmux/connection_test.go
@@ -260,7 +260,7 @@
 			{kind: frameData, payload: fullFrame}, {kind: frameData, payload: fullFrame}},
 		"credit beyond its bound": {{kind: frameWindow, payload: window}},
 		"short credit":            {{kind: frameWindow, payload: window[:2]}},
-		"second response head":    {{kind: frameResponse, payload: mustEncodeHead(t, &Response{})}, {kind: frameResponse}},
+		"second response head":    {{kind: frameResponse, payload: mustEncodeHead(t, &Response{Status: 200})}, {kind: frameResponse}},
 		"second hello":            {{kind: frameHello}},
 		"unknown kind":            {{kind: 99}},
 		"wrong total of a body":   {{kind: frameData, end: true, payload: make([]byte, totalLengthSize+1)}},
--- a/mesh/callmux/heads_test.go
+++ b/mesh/callmux/heads_test.go
@@ -1,6 +1,7 @@
 package callmux
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,7 +24,8 @@
 			t.Fatal(err)
 		}
 		p := rawPeer{clientEnd, cn.r}
-		for call, head := range [][]byte{{0, 0, 0, 1, 0xff}, {0, 0, 0, 9}, {0}, mustEncodeHead(t, map[int]int{6: 7})} {
+		for call, head := range [][]byte{{0, 0, 0, 1, 0xff}, {0, 0, 0, 9}, {0}, mustEncodeHead(t, map[int]int{6: 7}),
+			mustEncodeHead(t, &Request{Header: map[string][]string{"X Bad": {"1"}}}), mustEncodeHead(t, &Request{Header: map[string][]string{"X": {"a\r\nY: b"}}})} {
 			p.send(frame{kind: frameRequest, call: uint32(2*call + 1), payload: head})
 			p.send(frame{kind: frameData, call: uint32(2*call + 1), payload: []byte("body")})
 			var resp Response
@@ -39,6 +41,32 @@
 	})
 }
 
+// Guards against a response that HTTP cannot carry and that the entry node passes on without
+// some of its fields, or panics over.
+func TestMalformedResponseEndsItsCallOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, p := rawServer(t)
+		defer c.Close()
+		for _, r := range []Response{
+			{Status: http.StatusOK, Header: map[string][]string{"X Bad": {"1"}}}, {Status: http.StatusOK, Header: map[string][]string{"": {"1"}}},
+			{Status: http.StatusOK, Header: map[string][]string{"X": {"a\x00"}}}, {}, {Status: 99}, {Status: 101}, {Status: 1000},
+		} {
+			done := make(chan error)
+			go func() { _, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{}); done <- err }()
+			p.send(frame{kind: frameResponse, end: true, call: p.next(t).call, payload: mustEncodeHead(t, &r)})
+			if err := <-done; !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("%+v: %v", r, err)
+			}
+		}
+		go func() {
+			p.send(frame{kind: frameResponse, end: true, call: p.next(t).call, payload: mustEncodeHead(t, &Response{Status: http.StatusOK})})
+		}()
+		if _, err := c.Do(t.Context(), "n2", peer.Identity{}, &Request{}); err != nil {
+			t.Errorf("call after them: %v", err)
+		}
+	})
+}
+
 // Guards against heads that HTTP allows and that the receiver cannot decode: values that
 // are not UTF-8, more fields or values than a bound of the codec, and the largest head.
 func TestEveryHeadOfHTTPCanBeDecoded(t *testing.T) {
--- a/mesh/callmux/message.go
+++ b/mesh/callmux/message.go
@@ -4,6 +4,9 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
+
 	"balsamtrail.org/mesh/model"
 )
 
@@ -70,6 +73,36 @@
 	Body io.ReadCloser `cbor:"-"`
 }
 
+// Statuses that a response between nodes may have; informational ones are not passed on.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// check returns ErrProtocol for a response that HTTP cannot carry: net/http drops fields whose
+// names are invalid, and panics if it has to send a status below 100.
+func (r *Response) check() error {
+	if r.Refusal == nil && (r.Status < minStatus || r.Status > maxStatus) {
+		return eris.Wrapf(ErrProtocol, "status %d", r.Status)
+	}
+	return checkFields(r.Header)
+}
+
+// checkFields returns ErrProtocol if a field has a name or value that HTTP does not allow.
+func checkFields(header map[string][]string) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrProtocol, "field name %.40q", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return eris.Wrapf(ErrProtocol, "value of field %.40q", name)
+			}
+		}
+	}
+	return nil
+}
+
 // ServerNotice is what a backend server has said about itself in its answers. Nodes that
 // have passed on such an answer return the notice with their requests, so that it outlives
 // a restart of the serving node.
--- a/mesh/callmux/server.go
+++ b/mesh/callmux/server.go
@@ -203,11 +203,14 @@
 }
 
 // acceptCall starts the handler for a call, or refuses the call as not run. A head that
-// cannot be decoded ends its call only, because the frame is intact and the other calls
+// cannot be decoded, or that HTTP cannot carry, ends its call only, because the frame is intact and the other calls
 // on the connection are not affected.
 func (s *Server) acceptCall(cn *connection, f frame, h Handler) error {
 	req := &Request{}
 	body, malformed := decodeHead(f, req)
+	if malformed == nil {
+		malformed = checkFields(req.Header)
+	}
 	if malformed != nil {
 		telemetry.Counter(MetricMalformed).Inc(1)
 		s.cfg.Log.Warn("call refused", "peer", cn.peer.String(), "call", f.call, "reason", malformed.Error())
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -70,6 +71,8 @@
 	// echoHeader is the header in which the backend server echoes the request ID;
 	// HeaderRequestID if empty.
 	echoHeader string
+	// log gets a line for invalid answers; nil for none.
+	log *slog.Logger
 	// adapter translates requests and answers for the platform; nil for no
 	// translation.
 	adapter func(http.RoundTripper) http.RoundTripper
@@ -97,7 +100,7 @@
 		cfg.echoHeader = HeaderRequestID
 	}
 	b := &backend{base: cfg.base, conns: serverconn.New(serverconn.Config{
-		Address: cfg.base.Host, Connections: cfg.connections, DialTimeout: cfg.dialTimeout, EchoHeader: cfg.echoHeader,
+		Address: cfg.base.Host, Connections: cfg.connections, DialTimeout: cfg.dialTimeout, EchoHeader: cfg.echoHeader, Log: cfg.log,
 	})}
 	b.transport = b.conns
 	if cfg.adapter != nil {
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -13,6 +14,7 @@
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/serverconn"
 	"balsamtrail.org/mesh/telemetry"
 )
 
@@ -181,8 +183,8 @@
 // server counts as unreachable.
 const unreachableProbes = 2
 
-// probe reports whether the backend server accepts a connection and answers with any
-// status.
+// probe reports whether the backend server accepts a connection and answers, in whatever way:
+// only the outcomes of requests say whether its answers are good.
 func (n *Node) probe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timeouts.Health)
 	defer cancel()
@@ -196,7 +198,7 @@
 	}
 	resp, err := n.backend.transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return errors.Is(err, serverconn.ErrInvalid)
 	}
 	_ = resp.Body.Close()
 	return true
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -105,7 +105,7 @@
 	}
 	n.backend = newBackend(backendConfig{
 		base: base, connections: cfg.Backend.Connections, dialTimeout: cfg.Timeouts.Connect, adapter: n.adapter.Backend,
-		echoHeader: n.adapter.BackendEchoHeader,
+		echoHeader: n.adapter.BackendEchoHeader, log: n.log,
 	})
 	n.buildControlPlane()
 	if err := n.loadCache(); err != nil {
--- a/mesh/operator/server_test.go
+++ b/mesh/operator/server_test.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"bufio"
 	"context"
 	"crypto/x509"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -238,4 +240,26 @@
 		Eventually(answered).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
 		Eventually(served).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
 	})
+
+	It("takes no status below 200 as a success", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n{}")
+				_ = c.Close()
+			}
+		}()
+		c, err := NewClient(ClientConfig{Servers: []string{"http://" + l.Addr().String()}, TotalTimeout: 100 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = c.Withdraw(context.Background(), "op", 1, 1)
+		Expect(err).To(MatchError(ErrOutcomeUnknown))
+	})
 })
--- a/mesh/operator/transport.go
+++ b/mesh/operator/transport.go
@@ -253,6 +253,9 @@
 // responseError returns nil for a success, an attemptError for an error that is
 // worth retrying, and the error body for any other error.
 func responseError(status int, data []byte) error {
+	if status < http.StatusOK { // net/http reads any three digits
+		return &attemptError{err: eris.Errorf("invalid answer: status %03d", status), sent: true}
+	}
 	if status < http.StatusMultipleChoices {
 		return nil
 	}
--- a/mesh/serverconn/client.go
+++ b/mesh/serverconn/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -47,6 +48,8 @@
 	MetricStale = "serverconn.stale"
 	// MetricForeignAnswers counts answers to another request, which are discarded.
 	MetricForeignAnswers = "serverconn.foreign_answers"
+	// MetricInvalidAnswers counts answers that wrap ErrInvalid.
+	MetricInvalidAnswers = "serverconn.invalid_answers"
 )
 
 // Config configures a Client.
@@ -66,6 +69,9 @@
 	// it echoes none. An answer that echoes another value is discarded. Once the server
 	// has echoed a value, an answer without one is taken only on a new connection.
 	EchoHeader string
+	// Log gets a line for invalid answers, of which only some are logged when they are
+	// many; nil for none.
+	Log *slog.Logger
 }
 
 // Error describes a request that has no answer.
@@ -106,6 +112,8 @@
 type Client struct {
 	cfg    Config
 	dialer net.Dialer
+	// logSampler decides which invalid answers get a log line.
+	logSampler *telemetry.RequestSampler
 	// echoes is set once an answer has echoed the ID of its request.
 	echoes atomic.Bool
 
@@ -121,7 +129,23 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
-	return &Client{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 5 * time.Second}}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Client{
+		cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 5 * time.Second}, logSampler: telemetry.NewRequestSampler(),
+	}
+}
+
+// reportInvalid counts and logs an invalid answer; it ignores other errors.
+func (c *Client) reportInvalid(requestID string, err error) {
+	if !errors.Is(err, ErrInvalid) {
+		return
+	}
+	telemetry.Counter(MetricInvalidAnswers).Inc(1)
+	if c.logSampler.AllowFailed() {
+		c.cfg.Log.Warn("invalid answer of the backend server", "request", requestID, "server", c.cfg.Address, "reason", err.Error())
+	}
 }
 
 // allowResendKey is the context key that AllowResend sets.
--- a/mesh/serverconn/conn.go
+++ b/mesh/serverconn/conn.go
@@ -46,6 +46,8 @@
 	raw    net.Conn
 	r      *bufio.Reader
 	w      *bufio.Writer
+	// answers reads from r.
+	answers answerReader
 	// sent and received count the bytes of the current request and its answer. sent is
 	// atomic because another goroutine writes long requests.
 	sent     atomic.Int64
@@ -73,6 +75,7 @@
 func newConn(c *Client, raw net.Conn) *conn {
 	cn := &conn{client: c, raw: raw, headLeft: -1, idleTimeout: c.cfg.IdleTimeout}
 	cn.r, cn.w = bufio.NewReaderSize(countingReader{cn}, bufferBytes), bufio.NewWriterSize(countingWriter{cn}, bufferBytes)
+	cn.answers = answerReader{r: cn.r, beforeTrailers: func() { cn.headLeft = maxHeadBytes }}
 	return cn
 }
 
@@ -95,9 +98,8 @@
 }
 
 var (
-	errHeadTooLong        = errors.New("head of the answer is too long")
+	errHeadTooLong        = invalid("head of more than %d bytes", maxHeadBytes)
 	errForeignBodyTooLong = errors.New("answer to another request is too long")
-	errStatus             = errors.New("status of the answer is below 100")
 )
 
 type countingWriter struct{ cn *conn }
@@ -164,14 +166,13 @@
 		stop()
 		return nil, cn.fail(ctx, err)
 	}
-	resp, err := cn.read(req)
+	resp, rest, err := cn.read(req)
 	if err != nil {
 		stop()
 		return nil, cn.fail(ctx, err)
 	}
-	empty := resp.Body == http.NoBody
-	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	resp.Body = &body{ReadCloser: resp.Body, cn: cn, resp: resp, empty: empty, untilClose: untilClose, stop: stop, written: written}
+	resp.Request = req
+	resp.Body = &body{answerBody: rest, cn: cn, resp: resp, empty: rest.framing == framedByLength && rest.left == 0, stop: stop, written: written}
 	return resp, nil
 }
 
@@ -194,17 +195,14 @@
 }
 
 // read reads answers, and skips informational ones and those to other requests, until
-// one belongs to the request.
-func (cn *conn) read(req *http.Request) (*http.Response, error) {
+// one belongs to the request. It returns it with its body, which has not been read.
+func (cn *conn) read(req *http.Request) (*http.Response, answerBody, error) {
 	for range maxForeignAnswers {
 		cn.headLeft = maxHeadBytes
-		resp, err := http.ReadResponse(cn.r, req)
+		resp, rest, err := cn.answers.next(req.Method)
 		cn.headLeft = -1
 		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusContinue {
-			return nil, errStatus // net/http reads any three digits, and panics if it has to send these
+			return nil, rest, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -215,21 +213,28 @@
 			if resp.StatusCode >= http.StatusBadRequest {
 				cn.failedID = cn.requestID
 			}
-			return resp, nil
+			return resp, rest, nil
 		case unidentified:
-			return nil, errUnidentified
+			return nil, rest, errUnidentified
 		}
 		telemetry.Counter(MetricForeignAnswers).Inc(1)
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes+1)); err != nil {
-			return nil, err
-		} else if n > maxForeignBodyBytes {
-			return nil, errForeignBodyTooLong
+		if err := discard(&rest); err != nil {
+			return nil, rest, err
 		}
 		if resp.Close {
 			break
 		}
 	}
-	return nil, errors.New("answers to other requests only")
+	return nil, answerBody{}, errors.New("answers to other requests only")
+}
+
+// discard reads the body of an answer to another request.
+func discard(b *answerBody) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(b, maxForeignBodyBytes+1))
+	if err == nil && n > maxForeignBodyBytes {
+		return errForeignBodyTooLong
+	}
+	return err
 }
 
 // answerOwner says to which request an answer belongs.
@@ -267,6 +272,7 @@
 // fail closes the connection and returns the error for the request.
 func (cn *conn) fail(ctx context.Context, cause error) error {
 	sent, received := cn.sent.Load(), cn.received
+	cn.client.reportInvalid(cn.requestID, cause)
 	cn.client.putBack(cn, false)
 	e := &Error{Kind: ErrLost, Sent: sent, Received: received, Cause: cause}
 	switch {
@@ -281,41 +287,48 @@
 // body is the body of an answer. When it has been read to the end, the connection
 // returns to the pool; if it is closed earlier, so is the connection.
 type body struct {
-	io.ReadCloser
-	cn    *conn
-	resp  *http.Response
-	empty bool
-	// untilClose is set if the end of the connection delimits the body.
-	untilClose bool
-	stop       func() bool
-	written    <-chan struct{}
-	once       sync.Once
+	answerBody
+	cn      *conn
+	resp    *http.Response
+	empty   bool
+	stop    func() bool
+	written <-chan struct{}
+	once    sync.Once
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.untilClose && !b.allWritten() {
+	n, err := b.answerBody.Read(p)
+	if errors.Is(err, io.EOF) && b.framing == framedByClose && !b.allWritten() {
 		err = b.cn.endOfConnection()
+		b.err = err
 	}
 	if err != nil {
-		b.finish(errors.Is(err, io.EOF))
+		b.finish(err)
 	}
 	return n, err
 }
 
 // Close implements io.Closer.
 func (b *body) Close() error {
-	b.finish(b.empty)
+	if b.empty {
+		b.finish(io.EOF)
+	} else {
+		b.finish(errBodyClosed)
+	}
 	return nil
 }
 
-// finish releases the connection. It is kept if the answer is complete and the
+// errBodyClosed ends a body that was closed before its end.
+var errBodyClosed = errors.New("answer closed before its end")
+
+// finish releases the connection. It is kept if the answer ended with io.EOF and the
 // connection's state is certain.
-func (b *body) finish(complete bool) {
+func (b *body) finish(end error) {
 	b.once.Do(func() {
 		cn := b.cn
-		keep := b.stop() && complete && !b.resp.Close && cn.r.Buffered() == 0 && b.allWritten()
+		cn.client.reportInvalid(cn.requestID, end)
+		keep := b.stop() && errors.Is(end, io.EOF) && !b.resp.Close && cn.r.Buffered() == 0 && b.allWritten()
 		if keep {
 			cn.idleTimeout = idleTimeout(b.resp.Header.Get("Keep-Alive"), cn.client.cfg.IdleTimeout)
 		}
