--- a/mesh/note/declare.go
+++ b/mesh/note/declare.go
@@ -152,37 +152,43 @@
 	case len(d.Document) > maxDocumentBytes:
 		return invalid("", "%d bytes, at most %d", len(d.Document), maxDocumentBytes)
 	}
-	services, routes := map[model.ServiceName]bool{}, map[model.RouteName]bool{}
-	for i, s := range d.Services {
-		if services[s.Name] {
-			return invalid(indexPath("services", i), "%q is named twice", s.Name)
+	return nil
+}
+
+// Validate checks what does not depend on the current configuration, so that a front end can
+// refuse a declaration before it is submitted. The error names the field.
+func (d *Declare) Validate() error {
+	_, err := d.config()
+	return err
+}
+
+// config returns the declared configuration if it is valid.
+func (d *Declare) config() (Config, error) {
+	c := NewConfig()
+	c.Limits = d.Limits
+	for i, svc := range d.Services {
+		if _, ok := c.Services[svc.Name]; ok {
+			return c, invalid(indexPath("services", i), "%q is named twice", svc.Name)
 		}
-		services[s.Name] = true
+		c.Services[svc.Name] = svc
 	}
 	for i, r := range d.Routes {
-		if routes[r.Name] {
-			return invalid(indexPath("routes", i), "%q is named twice", r.Name)
+		if _, ok := c.Routes[r.Name]; ok {
+			return c, invalid(indexPath("routes", i), "%q is named twice", r.Name)
 		}
-		routes[r.Name] = true
+		c.Routes[r.Name] = r
 	}
-	return nil
+	if err := Validate(c); err != nil {
+		return c, err
+	}
+	return c, validateDistinctRoutes(c, d.Routes)
 }
 
 // noteForDeclaration returns the note that turns the current services and routes
 // into the declared ones; changes is false if there is no difference.
 func (s *State) noteForDeclaration(d *Declare) (n Note, changes bool, err error) {
-	want := NewConfig()
-	want.Limits = d.Limits
-	for _, svc := range d.Services {
-		want.Services[svc.Name] = svc
-	}
-	for _, r := range d.Routes {
-		want.Routes[r.Name] = r
-	}
-	if err := Validate(want); err != nil {
-		return Note{}, false, err
-	}
-	if err := validateDistinctRoutes(want, d.Routes); err != nil {
+	want, err := d.config()
+	if err != nil {
 		return Note{}, false, err
 	}
 	diff := Diff(Config{Services: s.config.Services, Routes: s.config.Routes, Limits: s.config.Limits}, want)
--- a/mesh/note/validate.go
+++ b/mesh/note/validate.go
@@ -8,8 +8,19 @@
 	"balsamtrail.org/mesh/model"
 )
 
-// MaxRetries is the upper limit of Route.MaxRetries.
-const MaxRetries = 5
+// Limits of fields to which a front end may bound what its operators state.
+const (
+	// MaxRetries is the upper limit of Route.MaxRetries.
+	MaxRetries = 5
+	// MaxConnections is the upper limit of Service.Connections.
+	MaxConnections = 10_000
+	// MaxTimeout is the upper limit of timeouts, cold times and latency targets.
+	MaxTimeout = 10 * time.Minute
+	// MaxWeight is the maximum weight of one service in a split.
+	MaxWeight = 1_000_000
+	// MaxColdRate is the upper limit of Service.ColdRate in requests per second.
+	MaxColdRate = 1e6
+)
 
 // Limits of the fields of a configuration.
 const (
@@ -17,20 +28,12 @@
 	maxNameLength = 64
 	// maxSlots is the maximum number of concurrent requests on one backend server.
 	maxSlots = 10_000
-	// maxConnections is the maximum number of connections to one backend server.
-	maxConnections = 10_000
 	// maxQueueLimit is the maximum number of requests that wait for one backend server.
 	maxQueueLimit = 100_000
-	// maxTimeout is the upper limit of timeouts, cold times and latency targets.
-	maxTimeout = 10 * time.Minute
 	// maxSplitParts is the maximum number of services in a split.
 	maxSplitParts = 64
-	// maxWeight is the maximum weight of one service in a split.
-	maxWeight = 1_000_000
 	// maxHostLength is the maximum length of a virtual host in bytes.
 	maxHostLength = 253
-	// maxColdRate is the upper limit of Service.ColdRate in requests per second.
-	maxColdRate = 1e6
 	// maxRoutes is the maximum number of routes in a configuration.
 	maxRoutes = 50_000
 	// maxServices is the maximum number of services in a configuration.
@@ -163,18 +166,18 @@
 		return invalid(field+".name", "%q is not a name", s.Name)
 	case s.Slots < 1 || s.Slots > maxSlots:
 		return invalid(field+".slots", "%d, want 1 to %d", s.Slots, maxSlots)
-	case s.Connections < 1 || s.Connections > maxConnections:
-		return invalid(field+".connections", "%d, want 1 to %d", s.Connections, maxConnections)
+	case s.Connections < 1 || s.Connections > MaxConnections:
+		return invalid(field+".connections", "%d, want 1 to %d", s.Connections, MaxConnections)
 	case s.QueueLimit < 0 || s.QueueLimit > maxQueueLimit:
 		return invalid(field+".queue_limit", "%d, want 0 to %d", s.QueueLimit, maxQueueLimit)
-	case s.QueueTimeout < 0 || s.QueueTimeout > maxTimeout:
-		return invalid(field+".queue_timeout", "%s, want 0 to %s", s.QueueTimeout, maxTimeout)
+	case s.QueueTimeout < 0 || s.QueueTimeout > MaxTimeout:
+		return invalid(field+".queue_timeout", "%s, want 0 to %s", s.QueueTimeout, MaxTimeout)
 	case s.HealthPath != "" && (!strings.HasPrefix(s.HealthPath, "/") || len(s.HealthPath) > maxPathLength):
 		return invalid(field+".health_path", "%q, want a path of at most %d bytes that starts with /", s.HealthPath, maxPathLength)
-	case s.ColdTime < 0 || s.ColdTime > maxTimeout:
-		return invalid(field+".cold_time", "%s, want 0 to %s", s.ColdTime, maxTimeout)
-	case !(s.ColdRate >= 0 && s.ColdRate <= maxColdRate):
-		return invalid(field+".cold_rate", "%g, want 0 to %g", s.ColdRate, maxColdRate)
+	case s.ColdTime < 0 || s.ColdTime > MaxTimeout:
+		return invalid(field+".cold_time", "%s, want 0 to %s", s.ColdTime, MaxTimeout)
+	case !(s.ColdRate >= 0 && s.ColdRate <= MaxColdRate):
+		return invalid(field+".cold_rate", "%g, want 0 to %g", s.ColdRate, MaxColdRate)
 	}
 	return nil
 }
@@ -183,6 +186,9 @@
 	field, r := keyPath("routes", string(name)), c.Routes[name]
 	for _, d := range r.Destinations() {
 		if _, ok := c.Services[d.Service]; !ok {
+			if len(r.Split) > 0 {
+				return invalid(field+".split", "unknown service %q", d.Service)
+			}
 			return invalid(field+".service", "unknown service %q", d.Service)
 		}
 	}
@@ -197,16 +203,16 @@
 		return invalid(field+".path_prefix", "%q, want a path of at most %d bytes that starts with /", r.PathPrefix, maxPathLength)
 	case !r.Kind.Valid():
 		return invalid(field+".kind", "%d is not a kind", r.Kind)
-	case r.Timeout <= 0 || r.Timeout > maxTimeout:
-		return invalid(field+".timeout", "%s, want more than 0 and at most %s", r.Timeout, maxTimeout)
+	case r.Timeout <= 0 || r.Timeout > MaxTimeout:
+		return invalid(field+".timeout", "%s, want more than 0 and at most %s", r.Timeout, MaxTimeout)
 	case r.MaxRetries < 0 || r.MaxRetries > MaxRetries:
 		return invalid(field+".max_retries", "%d, want 0 to %d", r.MaxRetries, MaxRetries)
 	case r.Hedge && r.Kind != model.KindLookup:
 		return invalid(field+".hedge", "only lookups may be hedged")
 	case len(r.Host) > maxHostLength || r.Host != strings.ToLower(r.Host):
 		return invalid(field+".host", "%q, want lower case and at most %d bytes", r.Host, maxHostLength)
-	case r.LatencyTarget < 0 || r.LatencyTarget > maxTimeout:
-		return invalid(field+".latency_target", "%s, want 0 to %s", r.LatencyTarget, maxTimeout)
+	case r.LatencyTarget < 0 || r.LatencyTarget > MaxTimeout:
+		return invalid(field+".latency_target", "%s, want 0 to %s", r.LatencyTarget, MaxTimeout)
 	case r.Unkeyed && r.Kind.Idempotent():
 		return invalid(field+".unkeyed", "a %s has no idempotency key", r.Kind)
 	case r.RetryErrors && !r.Kind.Idempotent():
@@ -239,8 +245,8 @@
 		if seen[d.Service] {
 			return invalid(indexPath(field+".split", i)+".service", "%q is named twice", d.Service)
 		}
-		if d.Weight > maxWeight {
-			return invalid(indexPath(field+".split", i)+".weight", "%d, at most %d", d.Weight, maxWeight)
+		if d.Weight > MaxWeight {
+			return invalid(indexPath(field+".split", i)+".weight", "%d, at most %d", d.Weight, MaxWeight)
 		}
 		seen[d.Service] = true
 		total += uint64(d.Weight)
