Accept a fourth figure in the load header of backend servers

A backend server may state how long work takes on its machine at the moment, 100 being usual, as in 5,2,6,250. A header with four figures was ignored as malformed. ServerLoad.Slowness holds the figure, 0 without one; a figure that is not from 1 to 10,000 makes the header invalid. The platform passes the header on unchanged.

Tests of admission and platform pass.

--- a/mesh/admission/serverload.go
+++ b/mesh/admission/serverload.go
@@ -13,6 +13,9 @@
 	Running, Waiting int
 	// Slots is the number of requests that it runs at a time.
 	Slots int
+	// Slowness is how long work takes on its machine at the moment, 100 being usual; 0 if
+	// it is not stated.
+	Slowness int
 }
 
 // errServerLoad is returned for a stated load that is malformed or impossible.
@@ -22,13 +25,17 @@
 // server can hold, so that a greater number is an error.
 const maxStatedRequests = 100_000
 
-// ParseServerLoad parses a load of the form "running,waiting,slots".
+// maxSlowness bounds the stated slowness.
+const maxSlowness = 10_000
+
+// ParseServerLoad parses a load of the form "running,waiting,slots", which may be followed
+// by ",slowness".
 func ParseServerLoad(text string) (ServerLoad, error) {
 	fields := strings.Split(text, ",")
-	if len(fields) != 3 {
+	if len(fields) != 3 && len(fields) != 4 {
 		return ServerLoad{}, errServerLoad
 	}
-	var n [3]int
+	var n [4]int
 	for i, f := range fields {
 		v, err := strconv.Atoi(strings.TrimSpace(f))
 		if err != nil || v < 0 || v > maxStatedRequests {
@@ -36,10 +43,13 @@
 		}
 		n[i] = v
 	}
-	l := ServerLoad{Running: n[0], Waiting: n[1], Slots: n[2]}
+	l := ServerLoad{Running: n[0], Waiting: n[1], Slots: n[2], Slowness: n[3]}
 	if l.Slots == 0 || l.Running > l.Slots {
 		return ServerLoad{}, errServerLoad
 	}
+	if len(fields) == 4 && (l.Slowness < 1 || l.Slowness > maxSlowness) {
+		return ServerLoad{}, errServerLoad
+	}
 	return l, nil
 }
 
--- a/mesh/node/backend.go
+++ b/mesh/node/backend.go
@@ -47,7 +47,8 @@
 	// answers say so.
 	HeaderRateLimit = "Balsamtrail-Rate-Limit"
 	// HeaderServerLoad states in an answer of a backend server its running requests, its
-	// waiting requests and its slots, separated by commas.
+	// waiting requests and its slots, separated by commas; then, if it states it, how long
+	// work takes on its machine at the moment, 100 being usual.
 	HeaderServerLoad = "Balsamtrail-Server-Load"
 	// HeaderLeaving says in an answer of a backend server that has registered itself
 	// that it leaves and wants no new requests; any value.
