Find a peer soon that starts after the process that dials it

Cause: QUIC repeats an unanswered first packet after 200, 600 and 1,400 ms, and all streams share one dial of up to 2 s. Nodes that are up 0.3 s before the control hosts, and control hosts that are up before others, found them up to 0.8 s late.

Change: a dial begins its handshake anew after 300, 480 and 768 ms without an answer.

--- a/mesh/peer/handshake_test.go
+++ b/mesh/peer/handshake_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -67,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Listen, cfg.Credentials = "127.0.0.1:0", creds
+	cfg.Listen, cfg.Credentials = cmp.Or(cfg.Listen, "127.0.0.1:0"), creds
 	e, err := Listen(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -198,11 +198,7 @@
 	if err != nil {
 		return nil, Identity{}, eris.Wrapf(ErrUnreachable, "%s: %v", o.addr, err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	defer cancel()
-	e.dialled.begun.Inc(1)
-	protocols := offeredProtocols(e.cfg.Credentials.Identity().Role)
-	conn, err := tr.Dial(ctx, udp, e.cfg.Credentials.ClientTLS(o.want, protocols...), e.quicConfig())
+	conn, err := e.handshake(tr, udp, o.want)
 	e.recordDial(o.addr, err)
 	if err != nil {
 		return nil, Identity{}, dialError(o.addr, err)
@@ -215,6 +211,32 @@
 	return conn, id, nil
 }
 
+const (
+	// firstDialAttempt bounds the first handshake of a dial, and dialAttemptFactor is the
+	// growth of the bound. QUIC repeats an unanswered first packet after 200, 600 and
+	// 1,400 ms, so that a peer that starts meanwhile would be found late. A shorter bound
+	// repeats handshakes with a peer that is only slow.
+	firstDialAttempt  = 300 * time.Millisecond
+	dialAttemptFactor = 1.6
+)
+
+// handshake makes a connection within handshakeTimeout. It begins anew while the peer does
+// not answer.
+func (e *Endpoint) handshake(tr *quic.Transport, addr *net.UDPAddr, want Identity) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	protocols := offeredProtocols(e.cfg.Credentials.Identity().Role)
+	for bound := firstDialAttempt; ; bound = time.Duration(float64(bound) * dialAttemptFactor) {
+		attempt, end := context.WithTimeout(ctx, bound)
+		e.dialled.begun.Inc(1)
+		conn, err := tr.Dial(attempt, addr, e.cfg.Credentials.ClientTLS(want, protocols...), e.quicConfig())
+		end()
+		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return conn, err
+		}
+	}
+}
+
 // unregister removes an ended connection or failed dial attempt.
 func (e *Endpoint) unregister(o *outbound) {
 	e.mu.Lock()
