Count requests whose callers have left until their server can have ended them

A request that was cancelled or timed out released its slot while the backend server went on with it, so that the server's own queue filled with work for nobody, and one that does not respond when it is full got requests in vain. Only a server that states its load was protected from that.

While a server states no load, such a request keeps its slot up to the 90th percentile of its route or a mean service time from now, one after the other if there are more than slots. The mean is also known of a server that ends hardly any request, from its time in slots.

--- a/mesh/admission/distribution.go
+++ b/mesh/admission/distribution.go
@@ -57,12 +57,13 @@
 	}
 }
 
-// median returns the median, interpolated in its bucket; 0 while there are too few requests.
-func (d *distribution) median() time.Duration {
+// quantile returns the quantile q, interpolated in its bucket; 0 while there are too few
+// requests.
+func (d *distribution) quantile(q float64) time.Duration {
 	if d.total < minDistributionCount {
 		return 0
 	}
-	left := float64(d.total) / 2
+	left := q * float64(d.total)
 	for i, n := range d.counts {
 		if n := float64(n); left > n {
 			left -= n
@@ -74,6 +75,8 @@
 	return time.Duration(float64(firstBucket) * math.Pow(bucketRatio, numBuckets-1))
 }
 
+func (d *distribution) median() time.Duration { return d.quantile(0.5) }
+
 // distributions holds the distribution of each route. The empty name holds the one shared
 // by the routes above maxRoutes.
 type distributions map[model.RouteName]*distribution
--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -206,7 +206,7 @@
 			if o.Latency == 0 {
 				o.Latency = now.Sub(started)
 			}
-			g.finish(now, Sample{Route: t.Route, Started: started, InFlight: d.inFlight, Result: o.Result, Latency: o.Latency})
+			g.finish(now, Sample{Route: t.Route, Started: started, InFlight: d.inFlight, Result: o.Result, Latency: o.Latency, Abandoned: o.Abandoned})
 		})
 	}
 }
@@ -218,6 +218,9 @@
 	before := g.sched.limiter.Limit()
 	g.deliver(g.sched.finish(now, s)...)
 	g.armPaceTimer(now)
+	if last := g.sched.abandoned.last(); s.Abandoned && last.After(now) {
+		time.AfterFunc(last.Sub(now), func() { g.dispatch(time.Now()) })
+	}
 	after := g.sched.limiter.Limit()
 	g.limitGauge.Update(int64(after))
 	if after < before {
--- a/mesh/admission/limiter.go
+++ b/mesh/admission/limiter.go
@@ -16,6 +16,8 @@
 	InFlight int
 	Result   Result
 	Latency  time.Duration
+	// Abandoned says that the backend server may still run the request.
+	Abandoned bool
 }
 
 // Constants of the limiter.
--- a/mesh/admission/message.go
+++ b/mesh/admission/message.go
@@ -59,6 +59,9 @@
 	// Latency is the time from the start of the request to the header of the answer; 0
 	// selects the time for which the slot was held.
 	Latency time.Duration
+	// Abandoned says that the request was sent and its context has ended before an answer,
+	// so that the backend server may still run it.
+	Abandoned bool
 }
 
 // Reason says why a request was refused.
--- a/mesh/admission/play_test.go
+++ b/mesh/admission/play_test.go
@@ -32,8 +32,10 @@
 	// cold is for how long all servers, which have just started, take twice their time.
 	cold          time.Duration
 	target, limit time.Duration
-	load          float64 // of the capacity
-	length        time.Duration
+	// silent servers state no load and never respond to a request that finds them full.
+	silent bool
+	load   float64 // of the capacity
+	length time.Duration
 	// loadOnly leaves the service times out of the responses, like an older release, so
 	// that the entry nodes choose by load only.
 	loadOnly bool
@@ -56,14 +58,17 @@
 	requests, inTarget, refused, failed, declined int
 	// mostArrivals is the greatest number of requests that reached one server in 100 ms.
 	mostArrivals int
-	latencies    []time.Duration
+	// mostInFlight is the greatest number of requests at one server, and dropped counts
+	// those that found it full.
+	mostInFlight, dropped int
+	latencies             []time.Duration
 }
 
 func (r *playResult) String() string {
 	slices.Sort(r.latencies)
 	share := func(n int) float64 { return 100 * float64(n) / float64(r.requests) }
-	return fmt.Sprintf("p50 %4d ms, p99 %4d ms, in target %5.1f%%, refused %4.1f%%, failed %4.1f%%, declined attempts %5.1f%%, at most %d arrivals in 100 ms",
-		r.quantile(0.5).Milliseconds(), r.quantile(0.99).Milliseconds(), share(r.inTarget), share(r.refused), share(r.failed), share(r.declined), r.mostArrivals)
+	return fmt.Sprintf("p50 %4d ms, p99 %4d ms, in target %5.1f%%, refused %4.1f%%, failed %4.1f%%, declined attempts %5.1f%%, at most %d arrivals in 100 ms and %d in flight, %d dropped",
+		r.quantile(0.5).Milliseconds(), r.quantile(0.99).Milliseconds(), share(r.inTarget), share(r.refused), share(r.failed), share(r.declined), r.mostArrivals, r.mostInFlight, r.dropped)
 }
 
 func (r *playResult) quantile(q float64) time.Duration {
@@ -281,10 +286,13 @@
 			continue
 		}
 		a.slot, a.started = true, s.p.now
+		s.p.result.mostInFlight = max(s.p.result.mostInFlight, s.running+len(s.queue)+1)
 		if s.running < s.p.slots {
 			s.start(a)
 		} else if len(s.queue) < playServerQueue {
 			s.queue = append(s.queue, a)
+		} else if s.p.silent {
+			s.p.result.dropped++
 		} else {
 			s.release(a, ResultRefused)
 			s.respond(a, routing.ResultRefused)
@@ -298,7 +306,9 @@
 	s.running++
 	s.p.after(s.serviceTime(a.call.work), func() {
 		s.running--
-		s.sched.observeLoad(s.p.now, ServerLoad{Running: s.running + 1, Waiting: len(s.queue), Slots: s.p.slots})
+		if !s.p.silent {
+			s.sched.observeLoad(s.p.now, ServerLoad{Running: s.running + 1, Waiting: len(s.queue), Slots: s.p.slots})
+		}
 		for len(s.queue) > 0 && s.running < s.p.slots {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
@@ -313,7 +323,7 @@
 
 func (s *playServer) release(a *playAttempt, r Result) {
 	a.slot = false
-	s.apply(s.sched.finish(s.p.now, Sample{Route: "r", Started: a.started, Result: r, Latency: s.p.now.Sub(a.started)}), nil)
+	s.apply(s.sched.finish(s.p.now, Sample{Route: "r", Started: a.started, Result: r, Latency: s.p.now.Sub(a.started), Abandoned: r == ResultTimeout}), nil)
 }
 
 // respond sends a response to the entry node.
@@ -376,6 +386,13 @@
 	return p
 }
 
+// silentClinic is the clinic with servers five times as slow that never respond when full.
+func silentClinic(load float64) play {
+	p := clinic(load)
+	p.silent, p.work, p.sigma = true, 5*p.work, 0.4
+	return p
+}
+
 // smallSite is an earlier deployment: few servers of about the same speed.
 func smallSite(load float64) play {
 	return play{
@@ -389,7 +406,7 @@
 // docs/design/load-balancing.md compares.
 func TestPlay(t *testing.T) {
 	for _, load := range []float64{0.4, 0.7, 0.95, 1.2} {
-		for name, p := range map[string]play{"clinic": clinic(load), "small site": smallSite(load), "cold": afterPowerLoss(load)} {
+		for name, p := range map[string]play{"clinic": clinic(load), "small site": smallSite(load), "cold": afterPowerLoss(load), "silent": silentClinic(load)} {
 			t.Run(fmt.Sprintf("%s %.0f%%", name, 100*load), func(t *testing.T) {
 				t.Parallel()
 				byLoad := p
@@ -403,6 +420,9 @@
 				if name == "clinic" && load < 1 && (r.inTarget < before.inTarget || r.declined > before.declined/2) {
 					t.Error("want more in target and at most half of the declined attempts")
 				}
+				if r.mostInFlight > 2*p.slots || r.dropped > 0 {
+					t.Error("more requests in flight at a server than it has slots, beside those it can still end")
+				}
 				if name == "clinic" && load < 1 && r.mostArrivals > p.slots+12 { // slots and queue
 					t.Errorf("%d requests reached one server in 100 ms", r.mostArrivals)
 				}
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -34,6 +34,9 @@
 	routes   distributions
 	pacer    pacer
 	unknown  unknownLoad
+	// abandoned holds requests that have released their slots. It counts while the backend
+	// server does not state its load.
+	abandoned abandoned
 	// coldLoad is the factor applied to the cold rate of the service.
 	coldLoad float64
 	// provisional says that service holds assumed limits until the configuration arrives.
@@ -211,10 +214,33 @@
 		s.routes.observe(sample)
 	}
 	s.inFlight--
+	if end := s.abandonedEnd(now, sample); sample.Abandoned && end.After(now) {
+		s.abandoned.add(end)
+	}
 	s.limiter.Observe(now, sample)
 	return s.dispatch(now)
 }
 
+// abandonedEnd returns when the backend server is expected to have ended an abandoned
+// request: at a high quantile of the service time of its route, and at least a mean service
+// time from now, since the distribution knows nothing beyond the deadlines of the requests.
+// It is now if nothing is known.
+func (s *scheduler) abandonedEnd(now time.Time, sample Sample) time.Time {
+	recent, _ := s.serviceTimes(now)
+	end := now.Add(min(recent, maxAbandonedTime))
+	if q := sample.Started.Add(s.scaled(now, s.routes.of(sample.Route).quantile(abandonedQuantile))); q.After(end) {
+		end = q
+	}
+	// More requests than slots end one after the other.
+	if n := s.abandoned.requests(now); n > 0 && n+s.inFlight >= s.limiter.Limit() {
+		after := s.abandoned.ends[n-1].Add(recent / time.Duration(s.limiter.Limit()))
+		if after.After(end) {
+			return after
+		}
+	}
+	return end
+}
+
 // drain refuses new requests from now on.
 func (s *scheduler) drain(now time.Time) {
 	if s.drainingSince.IsZero() {
@@ -283,11 +309,15 @@
 }
 
 // limit returns how many requests may run now: the concurrency limit without the slots
-// that requests take which the gate does not know. It is at least 1, so that answers
-// tell when they have ended.
+// that requests take which the gate does not know or whose callers have left. It is at
+// least 1, so that answers tell when they have ended.
 func (s *scheduler) limit(now time.Time) int {
+	taken := s.unknown.requests(now)
+	if !s.unknown.stated(now) {
+		taken = s.abandoned.requests(now)
+	}
 	limit := s.limiter.Limit()
-	return min(limit, max(limit-s.unknown.requests(now), 1))
+	return min(limit, max(limit-taken, 1))
 }
 
 // observeLoad takes a load that the backend server states.
@@ -299,7 +329,7 @@
 	s.unavailable, s.drainingSince = false, time.Time{}
 	s.service.Slots = slots
 	s.limiter.SetFixed(slots)
-	s.unknown = unknownLoad{}
+	s.unknown, s.abandoned = unknownLoad{}, abandoned{}
 	s.times.start()
 	s.pacer.setStated(now, 0)
 	s.setCold(now, cold)
--- a/mesh/admission/serverload.go
+++ b/mesh/admission/serverload.go
@@ -85,9 +85,12 @@
 	u.last = now
 }
 
+// stated reports whether the backend server states its load.
+func (u *unknownLoad) stated(now time.Time) bool { return now.Sub(u.last) <= maxLoadAge }
+
 // requests returns the number of unknown requests, 0 if it is not known to last.
 func (u *unknownLoad) requests(now time.Time) int {
-	if now.Sub(u.last) > maxLoadAge {
+	if !u.stated(now) {
 		return 0
 	}
 	return min(u.least, u.previous)
--- a/mesh/admission/servicetime.go
+++ b/mesh/admission/servicetime.go
@@ -18,6 +18,9 @@
 	// minServiceTimeRequests is the number of requests in the usual window from which a
 	// service time is known.
 	minServiceTimeRequests = 5.0
+	// minServiceTimeSeconds is the time in slots, in seconds, from which it is known of a
+	// server that ends hardly any request.
+	minServiceTimeSeconds = 10.0
 	// coldRatioPrior is the assumed ratio of the service times of a cold server and of a
 	// warm one, and maxColdRatio the greatest that is learned.
 	coldRatioPrior, maxColdRatio = 2.0, 4.0
@@ -61,7 +64,7 @@
 	} else {
 		s.usual.advance(elapsed, inFlight, usualServiceTimeConstant)
 	}
-	if wasCold && !s.isCold(now) && s.usual.ended < minServiceTimeRequests && s.cold.ended >= minServiceTimeRequests {
+	if wasCold && !s.isCold(now) && !s.usual.known() && s.cold.known() {
 		s.usual = decayedMean{seconds: s.cold.mean() / s.ratio() * minServiceTimeRequests, ended: minServiceTimeRequests}
 		s.recent = decayedMean{}
 	}
@@ -73,7 +76,12 @@
 	m.ended *= kept
 }
 
-func (m *decayedMean) mean() float64 { return m.seconds / m.ended }
+// mean returns the mean service time in seconds.
+func (m *decayedMean) mean() float64 { return m.seconds / max(m.ended, 1) }
+
+func (m *decayedMean) known() bool {
+	return m.ended >= minServiceTimeRequests || m.seconds >= minServiceTimeSeconds
+}
 
 // ended counts a request that the backend server has answered without an error. One that
 // ended otherwise has only spent time in a slot.
@@ -106,13 +114,13 @@
 func (s *serviceTime) means(now time.Time) (recent, usual time.Duration) {
 	var r, u float64
 	switch {
-	case s.isCold(now) && s.cold.ended >= minServiceTimeRequests:
+	case s.isCold(now) && s.cold.known():
 		r = s.cold.mean()
 		u = r
-	case s.isCold(now) && s.usual.ended >= minServiceTimeRequests:
+	case s.isCold(now) && s.usual.known():
 		r = s.usual.mean() * s.ratio()
 		u = r
-	case s.isCold(now) || s.usual.ended < minServiceTimeRequests:
+	case s.isCold(now) || !s.usual.known():
 		return 0, 0
 	default:
 		u = s.usual.mean()
--- a/mesh/admission/servicetime_test.go
+++ b/mesh/admission/servicetime_test.go
@@ -101,3 +101,35 @@
 		t.Errorf("retry after %s, want %s for five requests of 100 ms at one slot", got, want)
 	}
 }
+
+// Guards against a full server that gets further requests because callers have left, while
+// it still works on theirs, and against slots that are never given back.
+func TestAbandonedRequestsKeepTheirSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newScheduler(Config{Service: ledger, OverloadAfter: DefaultOverloadAfter, ColdLoad: 1})
+	s.start(now, 4, 0)
+	know(s, "r", 100*time.Millisecond)
+	for range 4 {
+		s.arrive(now, &Waiter{Request: Request{Route: "r", Priority: 3}})
+	}
+	now = now.Add(20 * time.Millisecond)
+	for range 3 {
+		s.finish(now, Sample{Route: "r", Started: now.Add(-20 * time.Millisecond), Result: ResultCancelled, Abandoned: true})
+	}
+	if got := s.limit(now); got != 1 {
+		t.Errorf("limit %d while the server works for callers that have left, want 1", got)
+	}
+	if got := s.limit(now.Add(100 * time.Millisecond)); got != 4 {
+		t.Errorf("limit %d once it has ended, want 4", got)
+	}
+	now = now.Add(10 * time.Millisecond)
+	for range 10 { // the server says itself that it runs nothing else
+		now = now.Add(100 * time.Millisecond)
+		s.finish(now, Sample{Route: "r", Started: now, Result: ResultCancelled, Abandoned: true})
+		s.inFlight++
+		s.observeLoad(now, ServerLoad{Running: 1, Slots: 4})
+	}
+	if got := s.limit(now); got != 4 {
+		t.Errorf("limit %d although the server states one running request, want 4", got)
+	}
+}
--- a/mesh/node/serving.go
+++ b/mesh/node/serving.go
@@ -171,7 +171,7 @@
 		release(admission.Outcome{Result: admission.ResultCancelled, Latency: latency})
 		return s.refuse(ctx, req, withCause(reasonNoAnswer, err), false)
 	case err != nil:
-		release(admission.Outcome{Result: resultOfFailure(ctx), Latency: latency})
+		release(admission.Outcome{Result: resultOfFailure(ctx), Latency: latency, Abandoned: ctx.Err() != nil})
 		return s.refuse(ctx, req, withCause(reasonNoAnswer, err), false)
 	case resp.Header.Get(HeaderNotRun) != "" && resp.StatusCode >= http.StatusBadRequest:
 		_ = resp.Body.Close()
