Explain where a node would send a request

Operators could only send a request and look for its log line, which is sampled, to learn which route, version and backend server a node chooses.

balsamtrail explain asks a node at GET /explain of its administration address. Budgets, delays and the estimate of a caller's wait have read-only forms. mesh/explain holds query, messages, client and table.

--- a/examples/walkthrough.sh
+++ b/examples/walkthrough.sh
@@ -117,6 +117,7 @@
 eventually 10 '"confirmed":true' api /v1/status
 expect "503 Service Unavailable" fetch http://127.0.0.1:8010/cabinets/7
 expect "Balsamtrail-Not-Run" fetch http://127.0.0.1:8010/cabinets/7
+expect "refused: 503 no configuration in force yet" bt explain --node 127.0.0.1:8014 --path /cabinets/7
 
 say "publish a note with curl, again with the same operation id, and a stale one"
 id=$(operation)
@@ -144,6 +145,14 @@
 expect "413 Request Entity Too Large" fetch http://127.0.0.1:8010/restocks -H "Idempotency-Key: $(key)" \
 	-H "Content-Length: 99999999" --data crate
 
+say "explain a routed and a refused request"
+expect "v1, share 100%, gets 100%" bt explain --node 127.0.0.1:8014 --path /cabinets/7 --timeout 800ms
+expect '"routed": true' bt explain --node 127.0.0.1:8014 --path /cabinets/7 --json
+expect "refused: 400 path with dot segments" bt explain --node 127.0.0.1:8014 --path /restocks/../cabinets/7
+expect "refused: 405" bt explain --node 127.0.0.1:8014 --path /cabinets/7 --method PUT
+code 2 bt explain --node 127.0.0.1:8014 --path cabinets
+[ -z "${WALKTHROUGH_KEEP:-}" ] || { bt explain --node 127.0.0.1:8014 --path /cabinets/7 --timeout 800ms; bt explain --node 127.0.0.1:8014 --path /restocks/../cabinets/7; } >explain.txt
+
 say "replace three ledgers by version v2 and move all traffic to it"
 for i in 3 5 7; do
 	stop "ledger-$i"
--- a/mesh/cmd/balsamtrail/cli.go
+++ b/mesh/cmd/balsamtrail/cli.go
@@ -41,6 +41,7 @@
 	ControlHost controlHostCmd `cmd:"" help:"Add, remove and list control hosts."`
 	Nodes       nodesCmd       `cmd:"" help:"List nodes and their backend servers."`
 	Audit       auditCmd       `cmd:"" help:"List audit records: who changed what and when."`
+	Explain     explainCmd     `cmd:"" help:"Show where a node would send a request and why."`
 	Check       checkCmd       `cmd:"" help:"Check notes and settings without a server."`
 	DevCA       devCACmd       `cmd:"" name:"dev-ca" help:"Create certificates for development."`
 	Version     versionCmd     `cmd:"" help:"Print the version."`
--- a/mesh/cmd/balsamtrail/main.go
+++ b/mesh/cmd/balsamtrail/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"balsamtrail.org/mesh/explain"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/operator"
 )
@@ -91,7 +92,7 @@
 		return exitUsage
 	case errors.Is(err, operator.ErrConflict):
 		return exitConflict
-	case errors.Is(err, operator.ErrUnreachable), errors.Is(err, operator.ErrUnavailable),
+	case errors.Is(err, explain.ErrNode), errors.Is(err, operator.ErrUnreachable), errors.Is(err, operator.ErrUnavailable),
 		errors.Is(err, operator.ErrOverloaded), errors.Is(err, operator.ErrOutcomeUnknown):
 		return exitUnreachable
 	default:
--- a/mesh/cmd/balsamtrail/main_test.go
+++ b/mesh/cmd/balsamtrail/main_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"balsamtrail.org/mesh/explain"
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
@@ -197,6 +202,46 @@
 		Expect(out.String()).To(MatchRegexp(`bad.json +control +.*hots: unknown key`))
 	})
 
+	// Guards against input that is not reported by the flag it came from, and against
+	// --timeout being taken as stated by the caller when it is only the default.
+	It("explains a request and names the flag of invalid input", func() {
+		var asked url.Values
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked = r.URL.Query()
+			_ = json.NewEncoder(w).Encode(explain.Explanation{Node: "n1", Outcome: explain.Outcome{Routed: true}})
+		}))
+		DeferCleanup(node.Close)
+		address := node.Listener.Addr().String()
+		explainTool := func(args ...string) int {
+			out.Reset()
+			errs.Reset()
+			return run(context.Background(), append([]string{"explain"}, args...), &out, &errs)
+		}
+		Expect(explainTool("--node", address, "--path", "/x?a=b")).To(Equal(exitOK), errs.String())
+		Expect(asked).To(Equal(url.Values{"method": {"GET"}, "host": {""}, "path": {"/x?a=b"}}))
+		Expect(out.String()).To(MatchRegexp(`outcome +routed`))
+		Expect(explainTool("--node", address, "--path", "/x", "--timeout", "800ms", "--json")).To(Equal(exitOK), errs.String())
+		Expect(asked.Get("timeout")).To(Equal("800ms"))
+		Expect(out.String()).To(ContainSubstring(`"node": "n1"`))
+		for _, c := range []struct {
+			args []string
+			flag string
+			code int
+		}{
+			{[]string{"--path", "/x"}, "--node", exitUsage},
+			{[]string{"--node", address}, "--path", exitUsage},
+			{[]string{"--node", "n1", "--path", "/x"}, "--node", exitUsage},
+			{[]string{"--node", "127.0.0.1:1", "--path", "/x"}, "--node", exitUnreachable},
+			{[]string{"--node", address, "--path", "x"}, "--path", exitUsage},
+			{[]string{"--node", address, "--path", "/x", "--method", "G@T"}, "--method", exitUsage},
+			{[]string{"--node", address, "--path", "/x", "--host", "a/b"}, "--host", exitUsage},
+			{[]string{"--node", address, "--path", "/x", "--timeout", "0s"}, "--timeout", exitUsage},
+		} {
+			Expect(explainTool(c.args...)).To(Equal(c.code), c.flag)
+			Expect(errs.String()).To(ContainSubstring(c.flag))
+		}
+	})
+
 	It("gives an example in the help of every command", func() {
 		parser, err := kong.New(&cli{})
 		Expect(err).NotTo(HaveOccurred())
--- a/mesh/hedging/hedging.go
+++ b/mesh/hedging/hedging.go
@@ -112,6 +112,19 @@
 	return ""
 }
 
+// WouldSkip returns what Start would return, and charges nothing.
+func (h *Hedger) WouldSkip(c Call) Skip {
+	switch reason := h.unsuitable(c); {
+	case reason != "":
+		return reason
+	case h.bucket.Tokens() < 1:
+		return SkipLimit
+	case h.cfg.Retries.Tokens() < 1+h.cfg.Retries.Burst()/2:
+		return SkipRetryBudget
+	}
+	return ""
+}
+
 // unsuitable returns why a call is not hedged, whatever the budgets; empty if it may be.
 func (h *Hedger) unsuitable(c Call) Skip {
 	switch {
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -123,24 +123,15 @@
 // choose selects the version and the backend server for the next attempt.
 func (d *dispatcher) choose(c *call) (routing.Choice, error) {
 	now := time.Now()
-	service := c.service
-	v, err := d.picker.PickVersion(service)
-	if err == nil && d.recorder.Stopped(now, service, v) {
-		// The outcomes on this node alone are strong evidence against the version, so
-		// it is blocked here at once. updateBlockedVersions lifts the block when that
-		// ends.
-		if err = d.picker.Block(service, v, true); err == nil {
-			v, err = d.picker.PickVersion(service)
-		}
-	}
+	v, err := d.chooseVersion(now, d.picker, c.service)
 	if err != nil {
 		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
-	if own, ok := d.chooseOwnServer(now, c, v); ok {
+	if own, ok := d.chooseOwnServer(now, d.picker, c.route.Kind, c.service, v, c.attempts.Tried()); ok {
 		c.attempts.Started(own.Host)
 		return own, nil
 	}
-	server, err := d.picker.PickBackendServer(now, service, v, c.attempts.Tried())
+	server, err := d.picker.PickBackendServer(now, c.service, v, c.attempts.Tried())
 	if errors.Is(err, routing.ErrNoRoom) {
 		return routing.Choice{}, err
 	}
@@ -151,6 +142,21 @@
 	return server, nil
 }
 
+// chooseVersion selects the version for an attempt with a picker: that of this node, or a
+// snapshot of it.
+func (d *dispatcher) chooseVersion(now time.Time, p *routing.Picker, service model.ServiceName) (model.ServiceVersion, error) {
+	v, err := p.PickVersion(service)
+	if err != nil || !d.recorder.Stopped(now, service, v) {
+		return v, err
+	}
+	// The outcomes on this node alone are strong evidence against the version, so it is
+	// blocked here at once. updateBlockedVersions lifts the block when that ends.
+	if err := p.Block(service, v, true); err != nil {
+		return v, err
+	}
+	return p.PickVersion(service)
+}
+
 // send sends the call once to the given backend server and records the outcome.
 func (d *dispatcher) send(ctx context.Context, c *call, server routing.Choice) *attempt {
 	a := d.exchange(ctx, c, server, c.budget.Lend())
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -34,6 +34,8 @@
 	bodyLimit int64
 	// callLimiter bounds the number of requests in flight.
 	callLimiter *semaphore.Weighted
+	// inProgress is the number of requests that hold a place of callLimiter.
+	inProgress atomic.Int64
 	// memory bounds the bytes of bodies that the node keeps.
 	memory *bodyMemory
 	// bodyProgress is how long a caller may make no progress with a body.
@@ -90,42 +92,35 @@
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if e.closed.Load() {
-		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonStopping)
-		return
-	}
-	table := e.table()
-	if table == nil {
-		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonNoConfig)
+	table, refused := e.tableInForce()
+	if refused != nil {
+		e.refuseUnrouted(w, r, *refused)
 		return
 	}
 	if !e.callLimiter.TryAcquire(1) {
 		telemetry.Counter("entry.refused").Inc(1)
-		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyCalls)
+		e.refuseUnrouted(w, r, refusedTooManyCalls)
 		return
 	}
 	defer e.callLimiter.Release(1)
-	route, err := matchRequest(table, r)
-	if err != nil {
-		status, reason := e.unroutable(err)
-		e.refuseUnrouted(w, r, status, reason)
+	e.inProgress.Add(1)
+	defer e.inProgress.Add(-1)
+	route, refused := e.routeOf(table, r)
+	if refused != nil {
+		e.refuseUnrouted(w, r, *refused)
 		return
 	}
 	progress := newCallerProgress(w, e.bodyProgress)
-	limits, keyed := e.limitsOf(table), route.Kind == model.KindWrite && !route.Unkeyed
-	if headBytes(r) > limits.HeaderBytes {
-		e.refuseUnrouted(w, r, http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error())
-		return
-	}
+	limits, keyed := e.limitsOf(table), isKeyed(route)
 	body, err := receiveBody(r, limits.BodyBytes, keyed, e.memory, progress)
 	if err != nil {
-		e.refuseUnrouted(w, r, bodyStatus(err), err.Error())
+		e.refuseUnrouted(w, r, unroutedRefusal{bodyStatus(err), err.Error()})
 		return
 	}
 	defer body.close(w)
 	if keyed && !body.isWhole() && len(body.bytes()) < maxKeptBodyBytes {
 		// The digest of the claim would depend on the memory that was left.
-		e.refuseUnrouted(w, r, http.StatusServiceUnavailable, reasonTooManyBodies)
+		e.refuseUnrouted(w, r, unroutedRefusal{http.StatusServiceUnavailable, reasonTooManyBodies})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r, route, time.Since(arrived)))
@@ -139,17 +134,58 @@
 	e.serve(ctx, w, c)
 }
 
+// unroutedRefusal is the refusal of a request that has no route.
+type unroutedRefusal struct {
+	status int
+	reason string
+}
+
+// refusedTooManyCalls is the refusal while limits.calls requests are in progress.
+var refusedTooManyCalls = unroutedRefusal{http.StatusServiceUnavailable, reasonTooManyCalls}
+
+// minRetryAfter returns the minimum time after which the caller should retry.
+func (u unroutedRefusal) minRetryAfter() time.Duration {
+	if u.reason == reasonNoConfig {
+		return startRetryAfter
+	}
+	return outageRetryAfter
+}
+
+// tableInForce returns the routing table, or why the node routes no requests.
+func (e *entry) tableInForce() (*routing.Table, *unroutedRefusal) {
+	if e.closed.Load() {
+		return nil, &unroutedRefusal{http.StatusServiceUnavailable, reasonStopping}
+	}
+	table := e.table()
+	if table == nil {
+		return nil, &unroutedRefusal{http.StatusServiceUnavailable, reasonNoConfig}
+	}
+	return table, nil
+}
+
+// routeOf returns the route of a request, or why the request is refused by its head.
+func (e *entry) routeOf(table *routing.Table, r *http.Request) (note.Route, *unroutedRefusal) {
+	route, err := matchRequest(table, r)
+	if err != nil {
+		status, reason := e.unroutable(err)
+		return route, &unroutedRefusal{status, reason}
+	}
+	if headBytes(r) > e.limitsOf(table).HeaderBytes {
+		return route, &unroutedRefusal{http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error()}
+	}
+	return route, nil
+}
+
+// isKeyed reports whether requests of a route need an idempotency key.
+func isKeyed(r note.Route) bool { return r.Kind == model.KindWrite && !r.Unkeyed }
+
 // refuseUnrouted refuses a request before it has a route, and logs the position and the age of
 // the configuration that decided it.
-func (e *entry) refuseUnrouted(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	retryAfter := outageRetryAfter
-	if reason == reasonNoConfig {
-		retryAfter = startRetryAfter
-	}
-	refuseWithRetryAfter(w, status, reason, retryAfter)
+func (e *entry) refuseUnrouted(w http.ResponseWriter, r *http.Request, u unroutedRefusal) {
+	refuseWithRetryAfter(w, u.status, u.reason, u.minRetryAfter())
 	if e.logSampler.AllowNotable() {
 		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
-			"status", status, "reason", reason, "position", e.dispatcher.position().String(),
+			"status", u.status, "reason", u.reason, "position", e.dispatcher.position().String(),
 			"source_age_ms", e.freshness.Age(time.Now()).Milliseconds())
 	}
 }
@@ -240,7 +276,7 @@
 	// http.ErrAbortHandler, which net/http expects; aborted then stays true.
 	aborted := true
 	defer func() { e.record(c, a, time.Since(started), aborted) }()
-	if c.route.Kind == model.KindWrite && !c.route.Unkeyed {
+	if isKeyed(c.route) {
 		a = e.serveWrite(ctx, w, c)
 	} else {
 		a = e.dispatcher.dispatch(ctx, c)
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -11,6 +11,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 
+	"balsamtrail.org/mesh/explain"
 	"balsamtrail.org/mesh/invariant"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/peer"
@@ -69,12 +70,15 @@
 // stop closes the listener and waits for running requests.
 func (s *httpServer) stop(ctx context.Context) { _ = s.srv.Stop(ctx) }
 
-// adminHandler serves metrics, health, status, drain and profiles.
+// adminHandler serves metrics, health, status, explanations, drain and profiles.
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", telemetry.MetricsHandler())
 	mux.HandleFunc("GET /healthz", n.serveHealth)
 	mux.HandleFunc("GET /status", n.serveStatus)
+	mux.Handle("GET "+explain.Path, &explainer{
+		entry: n.entry, node: n.cfg.Host, dataCentre: n.cfg.DataCentre, requestLimit: int64(n.cfg.Limits.Calls), announcements: n.endpoints.Service,
+	})
 	mux.HandleFunc("POST /drain", n.serveDrain)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/mesh/node/link.go
+++ b/mesh/node/link.go
@@ -72,10 +72,11 @@
 	req.Body = d.link.Pace(ctx, io.NopCloser(req.Body), -1)
 }
 
-// chooseOwnServer chooses the backend server on this host for a download, if it has room.
-func (d *dispatcher) chooseOwnServer(now time.Time, c *call, version model.ServiceVersion) (routing.Choice, bool) {
-	if d.link == nil || c.route.Kind != model.KindDownload || d.local.service != c.service || d.local.gate.Utilization() >= ownServerLoad {
+// chooseOwnServer chooses the backend server on this host for a download, if it has room,
+// with the picker of this node or a snapshot of it.
+func (d *dispatcher) chooseOwnServer(now time.Time, p *routing.Picker, kind model.Kind, service model.ServiceName, version model.ServiceVersion, tried []model.HostID) (routing.Choice, bool) {
+	if d.link == nil || kind != model.KindDownload || d.local.service != service || d.local.gate.Utilization() >= ownServerLoad {
 		return routing.Choice{}, false
 	}
-	return d.picker.PickHost(now, c.service, version, d.self.Host, c.attempts.Tried())
+	return p.PickHost(now, service, version, d.self.Host, tried)
 }
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -155,6 +155,5 @@
 	mean := v.meanServiceTime()
 	recent, usual := h.serviceTimes(mean)
 	weight := h.reportWeight(now)
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	return ServiceTimes{Recent: seconds(weight*recent + (1-weight)*usual), Usual: seconds(usual), Mean: seconds(mean)}
 }
--- a/mesh/routing/elapsed.go
+++ b/mesh/routing/elapsed.go
@@ -60,6 +60,20 @@
 	return max(g.current, g.previous) - timeout
 }
 
+// Estimate returns what Observe would return, and records nothing.
+func (e *ElapsedEstimator) Estimate(now time.Time, route model.RouteName, timeout time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.routes[route]
+	switch {
+	case g == nil:
+		return 0
+	case now.Sub(g.since) > elapsedWindow: // a new window would begin
+		return max(g.current, timeout) - timeout
+	}
+	return max(g.current, g.previous, timeout) - timeout
+}
+
 // removeIdleRoutes drops routes whose current window began more than two window lengths
 // ago, such as routes that were removed from the configuration.
 func (e *ElapsedEstimator) removeIdleRoutes(now time.Time) {
