State a Retry-After from a node's own start

Cause: a node without a configuration told callers to retry after 1 to 2 s, also when it was about to route. A caller of the platform waits at most a third of its remaining time, and retries once.

Change: before the node is connected to a control host it states the rest of a usual start of 1 s, at least 400 ms; once it is connected 150 ms; in a start that takes longer than usual half as long again, at most 1 s. Each is spread up to twice its value, as before. Reason and counters stay.

Measured: TestRetryAfterOfAStartingNode.

--- a/mesh/node/answer.go
+++ b/mesh/node/answer.go
@@ -46,9 +46,16 @@
 	// outageRetryAfter is used when the cause lasts longer, such as a missing
 	// configuration or no available backend server.
 	outageRetryAfter = 300 * time.Millisecond
-	// startRetryAfter is used while the node has no configuration. A mesh that starts or
-	// returns needs about that long, and its backend servers are cold for a while after.
-	startRetryAfter = time.Second
+	// usualStart is about how long a node needs to route when the whole mesh starts, most
+	// of which it waits for control hosts that start too. A caller that comes back sooner
+	// is refused again.
+	usualStart = time.Second
+	// connectedRetryAfter is used while a node without a configuration is connected to a
+	// control host, and disconnectedRetryAfter is the least while it is not.
+	connectedRetryAfter    = 150 * time.Millisecond
+	disconnectedRetryAfter = 400 * time.Millisecond
+	// maxStartRetryAfter is the upper limit in a start that takes longer than usual.
+	maxStartRetryAfter = time.Second
 	// maxRetryAfterSpread bounds the random part of the time. Callers that were refused
 	// while all backend servers were cold come back within it.
 	maxRetryAfterSpread = time.Second
@@ -60,6 +67,20 @@
 	return least + rand.N(min(least, maxRetryAfterSpread))
 }
 
+// startRetryAfter returns the least time after which callers should retry at a node that
+// has no configuration yet, from how long ago it started and whether it is connected to a
+// control host. In a start that takes longer than usual it is half as long again.
+func startRetryAfter(elapsed time.Duration, connected bool) time.Duration {
+	switch {
+	case elapsed >= usualStart:
+		return min(max(elapsed/2, disconnectedRetryAfter), maxStartRetryAfter)
+	case connected:
+		return connectedRetryAfter
+	default:
+		return max(usualStart-elapsed, disconnectedRetryAfter)
+	}
+}
+
 // refuseNotRun refuses a request that is known not to have run.
 func refuseNotRun(w http.ResponseWriter, status int, reason string) {
 	refuseWithRetryAfter(w, status, reason, outageRetryAfter)
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -28,6 +28,9 @@
 	// table returns the routing table in force; nil while the node may not route.
 	table  func() *routing.Table
 	claims claimer
+	// startRetryAfter returns the least time after which callers should retry while there
+	// is no table.
+	startRetryAfter func() time.Duration
 
 	// service is the service of this node's backend server.
 	service   model.ServiceName
@@ -144,9 +147,9 @@
 var refusedTooManyCalls = unroutedRefusal{http.StatusServiceUnavailable, reasonTooManyCalls}
 
 // minRetryAfter returns the minimum time after which the caller should retry.
-func (u unroutedRefusal) minRetryAfter() time.Duration {
+func (e *entry) minRetryAfter(u unroutedRefusal) time.Duration {
 	if u.reason == reasonNoConfig {
-		return startRetryAfter
+		return e.startRetryAfter()
 	}
 	return outageRetryAfter
 }
@@ -182,7 +185,7 @@
 // refuseUnrouted refuses a request before it has a route, and logs the position and the age of
 // the configuration that decided it.
 func (e *entry) refuseUnrouted(w http.ResponseWriter, r *http.Request, u unroutedRefusal) {
-	refuseWithRetryAfter(w, u.status, u.reason, u.minRetryAfter())
+	refuseWithRetryAfter(w, u.status, u.reason, e.minRetryAfter(u))
 	if e.logSampler.AllowNotable() {
 		e.log.Info("request not routed", "request", r.Header.Get(HeaderRequestID), "host", r.Host, "path", r.URL.Path,
 			"status", u.status, "reason", u.reason, "position", e.dispatcher.position().String(),
--- a/mesh/node/explain.go
+++ b/mesh/node/explain.go
@@ -70,7 +70,7 @@
 		route, refused = x.entry.routeOf(table, r)
 	}
 	if refused != nil {
-		out.Outcome.Refusal = refusalOf(refused.status, refused.reason, refused.minRetryAfter())
+		out.Outcome.Refusal = refusalOf(refused.status, refused.reason, x.entry.minRetryAfter(*refused))
 		return out, nil
 	}
 	out.Route = x.route(now, r, route)
--- a/mesh/node/joining.go
+++ b/mesh/node/joining.go
@@ -168,6 +168,17 @@
 	return slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return n.ep.Busy(h.Peer) })
 }
 
+// startRetryAfter returns the least time after which callers should retry while this node
+// has no configuration.
+func (n *Node) startRetryAfter() time.Duration {
+	select {
+	case <-n.joining.get(&n.joining.connected).c:
+		return startRetryAfter(time.Since(n.started), true)
+	default:
+		return startRetryAfter(time.Since(n.started), false)
+	}
+}
+
 // awaitSignal waits until done is closed, for joinWait, or for busyJoinWait while busy
 // reports true.
 func awaitSignal(ctx context.Context, done <-chan struct{}, busy func() bool) {
--- a/mesh/node/joining_test.go
+++ b/mesh/node/joining_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/peer"
+	"balsamtrail.org/mesh/routing"
 	"balsamtrail.org/mesh/settings"
 )
 
@@ -105,3 +109,41 @@
 		t.Errorf("prefers %s, which is in another data centre, after the first one was lost", got)
 	}
 }
+
+// Guards against callers that are sent away for a second or more although the node is about
+// to route, against callers that come back before a starting mesh can serve, and against a
+// fixed time for all of them.
+func TestRetryAfterOfAStartingNode(t *testing.T) {
+	for _, c := range []struct {
+		elapsed    time.Duration
+		connected  bool
+		least, max time.Duration
+	}{
+		{100 * time.Millisecond, false, 900 * time.Millisecond, 1800 * time.Millisecond},
+		{900 * time.Millisecond, false, 400 * time.Millisecond, 800 * time.Millisecond},
+		{500 * time.Millisecond, true, 150 * time.Millisecond, 300 * time.Millisecond},
+		{1200 * time.Millisecond, true, 600 * time.Millisecond, 1200 * time.Millisecond},
+		{time.Minute, false, time.Second, 2 * time.Second},
+	} {
+		n := &Node{started: time.Now().Add(-c.elapsed)}
+		if c.connected {
+			n.joining.connect(time.Now(), "c1")
+		}
+		e := newTestEntry(t, nil, nil)
+		e.table, e.startRetryAfter = func() *routing.Table { return nil }, n.startRetryAfter
+		times := map[string]bool{}
+		for range 20 {
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/cabinets", nil))
+			times[w.Header().Get(HeaderRetryAfter)] = true
+			ms, err := strconv.Atoi(w.Header().Get(HeaderRetryAfter))
+			const tolerance = 50 * time.Millisecond // of the time that the test itself takes
+			if got := time.Duration(ms) * time.Millisecond; err != nil || got < c.least-tolerance || got > c.max+tolerance || w.Header().Get(HeaderNotRun) != reasonNoConfig {
+				t.Errorf("%s after the start, connected %v: retry after %s (%v), want %s to %s", c.elapsed, c.connected, got, err, c.least, c.max)
+			}
+		}
+		if len(times) < 5 {
+			t.Errorf("20 callers were sent %d times to retry after", len(times))
+		}
+	}
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -180,8 +180,8 @@
 		link: n.link, sender: n.callClient, local: n.serving, recorder: n.recorder, position: n.acceptor.Position, onNewerPosition: n.recordNewerPeer,
 	}
 	n.entry = &entry{
-		elapsed: routing.NewElapsedEstimator(),
-		log:     n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
+		elapsed: routing.NewElapsedEstimator(), startRetryAfter: n.startRetryAfter,
+		log: n.log, dispatcher: d, table: n.tableUpdater.current, claims: n.claims, bodyLimit: n.cfg.Limits.BodyBytes,
 		logSampler: logSampler, freshness: n.freshness, service: n.cfg.Backend.Service,
 		callLimiter: semaphore.NewWeighted(int64(n.cfg.Limits.Calls)),
 		memory:      n.bodyMemory, bodyProgress: n.cfg.Timeouts.BodyProgress,
