--- a/mesh/node/entry_test.go
+++ b/mesh/node/entry_test.go
@@ -86,8 +86,9 @@
 		position: func() model.Position { return model.Position{} }, onNewerPosition: func(peer.Identity, model.Position) {},
 	}
 	return &entry{
-		elapsed: routing.NewElapsedEstimator(),
-		log:     log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20, logSampler: telemetry.NewRequestSampler(),
+		startRetryAfter: func() time.Duration { return time.Second },
+		elapsed:         routing.NewElapsedEstimator(),
+		log:             log, dispatcher: d, table: func() *routing.Table { return table }, claims: claims, bodyLimit: 1 << 20, logSampler: telemetry.NewRequestSampler(),
 		freshness:   &distribute.Freshness{Contact: func() time.Time { return time.Now().Add(-100 * time.Millisecond) }},
 		callLimiter: semaphore.NewWeighted(1000), memory: newBodyMemory(16 << 20), bodyProgress: 5 * time.Second,
 	}
--- a/mesh/node/explain_test.go
+++ b/mesh/node/explain_test.go
@@ -10,10 +10,13 @@
 	"testing"
 	"time"
 
+	"balsamtrail.org/mesh/admission"
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/explain"
+	"balsamtrail.org/mesh/link"
 	"balsamtrail.org/mesh/membership"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/routing"
 	"balsamtrail.org/mesh/telemetry"
 )
@@ -121,3 +124,23 @@
 		t.Error("counters changed")
 	}
 }
+
+// Guards against an explained download that leaves out the preference for the backend server
+// on the own host.
+func TestExplainedDownloadGoesToOwnServer(t *testing.T) {
+	e := newTestEntry(t, nil, nil)
+	d := e.dispatcher
+	d.self.Host, d.link = "h2", link.New(1<<20)
+	d.local = &serving{service: "ledger", gate: admission.NewGate(admission.Config{Service: note.Service{Name: "ledger", Slots: 2}})}
+	x := testExplainer(e)
+	route := note.Route{Name: "file", Service: "ledger", Kind: model.KindDownload}
+	part := explain.Part{Service: "ledger"}
+	if next := x.versions(time.Now(), &part, d.picker.Snapshot(route), route); next != "v1" || part.Refusal != nil {
+		t.Fatalf("version %q, %+v", next, part.Refusal)
+	}
+	for _, c := range part.Versions[0].Candidates {
+		if (c.Probability == 1) != (c.Host == "h2") || c.Host == "h2" && c.Reason != "backend server of this host" {
+			t.Errorf("%+v", c)
+		}
+	}
+}
