Let a server that was slow get requests again

The choice by completion time starved servers: one that had been five times as slow for 4 s kept its old figures on all entry nodes, so that none chose it and no report told that it had recovered.

The usual service time and load of a server without reports now lose weight towards the means of the service (2 s), a report after a pause counts more in the usual load, and 2% of the calls go to a server drawn by capacity and usual speed alone.

--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -214,7 +214,7 @@
 // starving them. It returns nil if no server of the group may be chosen.
 func (p *Picker) pickFrom(now time.Time, v *versionState, g *group, exclude []model.HostID, allowEjected bool) *host {
 	mean := v.meanServiceTime()
-	weight := func(h *host) float64 { return p.weight(now, h, exclude, allowEjected) * h.speed(mean) }
+	weight := func(h *host) float64 { return p.weight(now, h, exclude, allowEjected) * h.speed(now, mean) }
 	total := 0.0
 	for _, h := range g.hosts {
 		total += weight(h)
@@ -228,6 +228,9 @@
 		return a
 	}
 	b := p.draw(g, weight, a, remaining)
+	if mean > 0 && p.rand.Float64() < probeFraction {
+		return a
+	}
 	if mean > 0 {
 		return p.earliest(now, v, g, mean, func(h *host) bool { return weight(h) > 0 }, a, b)
 	}
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -13,7 +13,11 @@
 	// lose weight towards the usual ones. Phases of slowness take about 600 ms; values of
 	// 250 ms to 1 s made no difference in the play of mesh/admission.
 	reportTimeConstant = 500 * time.Millisecond
-	// usualLoadWeight is the weight of the newest report in the usual load of a server.
+	// usualTimeConstant is the time constant with which the usual service time and load of a
+	// server without reports lose weight towards the means of its service. A server that has
+	// been slow gets hardly any requests that would tell when it no longer is.
+	usualTimeConstant = 2 * time.Second
+	// usualLoadWeight is the least weight of the newest report in the usual load of a server.
 	usualLoadWeight = 0.2
 	// queueWeight and queueExponent give the expected queue from the load: small while
 	// slots are free, so that the fastest server is chosen, and growing beyond. Weights
@@ -23,6 +27,10 @@
 	// maxServiceTimeRatio caps by how much the usual service time changes the weight of a
 	// server in the draw.
 	maxServiceTimeRatio = 4.0
+	// probeFraction is the fraction of calls that go to a server drawn by capacity and usual
+	// speed alone. In the play of mesh/admission a server that had been slow got 1% of the
+	// mean of the others for 20 s without them, since no report told that it no longer was.
+	probeFraction = 0.02
 	// recentReports is the number of candidates taken from the newest reports, beside those
 	// drawn. An entry node hears of one of many servers every few seconds, but always has
 	// some reports of the last 100 ms.
@@ -31,13 +39,11 @@
 
 // observeReport takes the service times and the load of a response. A server of an older
 // release, or one that has just started, states no service times.
-func (h *host) observeReport(o Outcome) {
+func (h *host) observeReport(now time.Time, o Outcome) {
 	h.recentServiceTime, h.usualServiceTime = o.RecentServiceTime.Seconds(), o.UsualServiceTime.Seconds()
-	if h.reportedAt.IsZero() {
-		h.usualLoad = o.Utilization
-	}
 	h.declined = o.Result == ResultDeclined
-	h.usualLoad += usualLoadWeight * (o.Utilization - h.usualLoad)
+	_, usualWeight := h.weights(now)
+	h.usualLoad += max(usualLoadWeight, 1-usualWeight) * (o.Utilization - h.usualLoad)
 }
 
 // meanServiceTime returns the mean usual service time of the servers in seconds, as far as
@@ -53,47 +59,48 @@
 	return sum / max(known, 1)
 }
 
-// reportWeight returns the weight of the last report, between 0 and 1.
-func (h *host) reportWeight(now time.Time) float64 {
+// weights returns the weight of the last report against the usual values of the server, and
+// that of the usual values against the means of the service.
+func (h *host) weights(now time.Time) (report, usual float64) {
 	if h.reportedAt.IsZero() {
-		return 0
+		return 0, 0
 	}
-	return math.Exp(-now.Sub(h.reportedAt).Seconds() / reportTimeConstant.Seconds())
+	age := now.Sub(h.reportedAt).Seconds()
+	return math.Exp(-age / reportTimeConstant.Seconds()), math.Exp(-age / usualTimeConstant.Seconds())
 }
 
-// serviceTimes returns the recent and the usual service time in seconds; mean is that of
+// serviceTimes returns the expected and the usual service time in seconds; mean is that of
 // the service.
-func (h *host) serviceTimes(mean float64) (recent, usual float64) {
-	recent, usual = h.recentServiceTime, h.usualServiceTime
-	if usual == 0 {
-		usual = mean
+func (h *host) serviceTimes(now time.Time, mean float64) (expected, usual float64) {
+	reportWeight, usualWeight := h.weights(now)
+	usual = mean
+	if h.usualServiceTime > 0 {
+		usual = usualWeight*h.usualServiceTime + (1-usualWeight)*mean
 	}
-	if recent == 0 {
-		recent = usual
+	if h.recentServiceTime == 0 {
+		return usual, usual
 	}
-	return recent, usual
+	return reportWeight*h.recentServiceTime + (1-reportWeight)*usual, usual
 }
 
 // completionTime returns the expected time until a request would be done there, in seconds:
 // the expected service time, longer by the expected queue.
 func (h *host) completionTime(now time.Time, v *versionState, mean float64) float64 {
-	weight := h.reportWeight(now)
-	recent, usual := h.serviceTimes(mean)
+	reportWeight, usualWeight := h.weights(now)
+	expected, _ := h.serviceTimes(now, mean)
 	reportedLoad := max(h.utilization+float64(h.inFlight-h.inFlightAtReport)/h.capacity(now), 0)
-	usualLoad := h.usualLoad
-	if h.reportedAt.IsZero() {
-		usualLoad = v.averageLoad
-	}
-	queue := weight*math.Pow(reportedLoad, queueExponent) + (1-weight)*math.Pow(usualLoad, queueExponent)
-	return (weight*recent + (1-weight)*usual) * (1 + queueWeight*queue)
+	usualLoad := usualWeight*h.usualLoad + (1-usualWeight)*v.averageLoad
+	queue := reportWeight*math.Pow(reportedLoad, queueExponent) + (1-reportWeight)*math.Pow(usualLoad, queueExponent)
+	return expected * (1 + queueWeight*queue)
 }
 
 // speed returns how fast the server usually is relative to the mean of its service.
-func (h *host) speed(mean float64) float64 {
-	if h.usualServiceTime == 0 || mean == 0 {
+func (h *host) speed(now time.Time, mean float64) float64 {
+	if mean == 0 {
 		return 1
 	}
-	return min(max(mean/h.usualServiceTime, 1/maxServiceTimeRatio), maxServiceTimeRatio)
+	_, usual := h.serviceTimes(now, mean)
+	return min(max(mean/usual, 1/maxServiceTimeRatio), maxServiceTimeRatio)
 }
 
 // earliest returns the candidate that is expected to be done first, among those given and
@@ -153,7 +160,6 @@
 // expectedService returns the service times of a backend server of the version.
 func (v *versionState) expectedService(now time.Time, h *host) ServiceTimes {
 	mean := v.meanServiceTime()
-	recent, usual := h.serviceTimes(mean)
-	weight := h.reportWeight(now)
-	return ServiceTimes{Recent: seconds(weight*recent + (1-weight)*usual), Usual: seconds(usual), Mean: seconds(mean)}
+	expected, usual := h.serviceTimes(now, mean)
+	return ServiceTimes{Recent: seconds(expected), Usual: seconds(usual), Mean: seconds(mean)}
 }
--- a/mesh/routing/host.go
+++ b/mesh/routing/host.go
@@ -116,7 +116,7 @@
 	}
 	h.observedAt = now
 	if o.Result != ResultFailed {
-		h.observeReport(o)
+		h.observeReport(now, o)
 		h.limit, h.reportedAt = o.Limit, now
 		h.utilization, h.inFlightAtReport = o.Utilization, h.inFlight
 	}
