Make the first choices of a seeded picker reproducible

The phases of versions that appear together were drawn in the order of a map, so that two pickers with the same seed could differ from the first call on.

--- a/mesh/routing/balancer.go
+++ b/mesh/routing/balancer.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -61,7 +62,10 @@
 		removedLag += e.lag
 		return true
 	})
-	for v, s := range shares {
+	// In order of name, since map order is random: the phases of new versions must be
+	// reproducible.
+	for _, v := range slices.Sorted(maps.Keys(shares)) {
+		s := shares[v]
 		i := slices.IndexFunc(b.entries, func(e entry) bool { return e.version == v })
 		if i < 0 {
 			i = len(b.entries)
