--- a/mesh/distribute/batch_test.go
+++ b/mesh/distribute/batch_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"balsamtrail.org/mesh/note"
 )
 
 // Guards against a frame to each child for each node of a starting fleet, and against a
@@ -36,3 +38,29 @@
 		}
 	})
 }
+
+// Guards against a starting fleet whose control host encodes the whole configuration for
+// each node, and sends it uncompressed.
+func TestChildWithoutAVersionGetsTheSharedSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, child, _, _ := startWatch(t, nil)
+		source.eps.Merge(servingAnnouncement("n2", "ledger", 1))
+		var routes []note.Route
+		for i := range 10 * maxFirstDelta {
+			routes = append(routes, route(fmt.Sprint("r", i), "ledger", 0))
+		}
+		publish(t, source, 1, configOf(routes...))
+		time.Sleep(time.Second)
+		expectPosition(t, child, 1)
+		shared, err := source.store.Snapshot(positionAt(0))
+		if err != nil || source.store.snapshot != shared {
+			t.Fatalf("no snapshot was sent: %v", err)
+		}
+		publish(t, source, 2, configOf(routes[1:]...))
+		time.Sleep(time.Second)
+		expectPosition(t, child, 2)
+		if again, err := source.store.Snapshot(positionAt(0)); err != nil || again != shared {
+			t.Errorf("a small change took another snapshot: %v", err)
+		}
+	})
+}
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -393,13 +393,24 @@
 	if !w.sent.Less(w.store.Position()) {
 		return nil
 	}
-	if u, ok := w.store.deltaSince(w.sent); ok && !w.hello.NeedSnapshot {
+	if u, ok := w.store.deltaSince(w.sent); ok && !w.needsSnapshot(u) {
 		w.sent = u.Position
 		return send(w.st, downFrame{Delta: &u})
 	}
 	return w.pushSnapshot()
 }
 
+// maxFirstDelta is the number of records up to which a child without a version gets a
+// delta. The history of a control host that has just started reaches back to the empty
+// configuration; the delta from there would be encoded for each child anew, and takes ten
+// times the bytes of a compressed snapshot.
+const maxFirstDelta = 16
+
+// needsSnapshot reports whether to send a snapshot instead of the delta.
+func (w *childWriter) needsSnapshot(u deltaFrame) bool {
+	return w.hello.NeedSnapshot || w.sent.IsZero() && recordCount(u.Delta) > maxFirstDelta
+}
+
 // pushSnapshot sends a snapshot if a transfer slot is free. Otherwise the next
 // push tries again; after snapshotWait it returns ErrBusy.
 func (w *childWriter) pushSnapshot() error {
