Confirm the minimum position of nodes that started before without a question

Change: what a node routed by before a restart was accepted before it started again. The node states its uptime with its request, and a confirmation that began since then counts. A control host asks for one as soon as it knows a leader, before it admits nodes, so that it usually has the answer when a fleet starts.

--- a/mesh/control/confirm.go
+++ b/mesh/control/confirm.go
@@ -51,11 +51,11 @@
 	return nil
 }
 
-// confirm returns a position that includes everything accepted before the call. Calls at
-// the same time share a question to the leader: when a fleet starts, one for each node
-// would cost the leader a round of messages each.
-func (c *Control) confirm(ctx context.Context) (model.Position, error) {
-	return c.confirmations.await(ctx, c.confirmNow)
+// confirm returns a position that includes everything accepted before the given time.
+// Calls share questions to the leader: when a fleet starts, one for each node would cost
+// the leader a round of messages each.
+func (c *Control) confirm(ctx context.Context, before time.Time) (model.Position, error) {
+	return c.confirmations.await(ctx, before, c.confirmNow)
 }
 
 func (c *Control) confirmNow() (model.Position, error) {
@@ -69,9 +69,10 @@
 
 // confirmation is one question to the leader. done is closed once the result is set.
 type confirmation struct {
-	done chan struct{}
-	pos  model.Position
-	err  error
+	began time.Time
+	done  chan struct{}
+	pos   model.Position
+	err   error
 }
 
 // sharedConfirmation runs one confirmation at a time. A call that arrives while one runs
@@ -80,20 +81,35 @@
 type sharedConfirmation struct {
 	mu            sync.Mutex
 	running, next *confirmation
+	// last is the last one that succeeded.
+	last *confirmation
 }
 
-// await returns the result of a confirmation that began after the call of await.
-func (s *sharedConfirmation) await(ctx context.Context, confirm func() (model.Position, error)) (model.Position, error) {
+// await returns the result of a confirmation that began at or after the given time, which
+// must not lie in the future.
+func (s *sharedConfirmation) await(ctx context.Context, before time.Time, confirm func() (model.Position, error)) (model.Position, error) {
 	s.mu.Lock()
+	if l := s.last; l != nil && !l.began.Before(before) {
+		s.mu.Unlock()
+		return l.pos, nil
+	}
+	if r := s.running; r != nil && !r.began.Before(before) {
+		s.mu.Unlock()
+		return r.wait(ctx)
+	}
 	if s.next == nil {
 		s.next = &confirmation{done: make(chan struct{})}
 	}
 	c := s.next
 	if s.running == nil {
-		s.running, s.next = c, nil
+		c.began, s.running, s.next = time.Now(), c, nil
 		go s.run(c, confirm)
 	}
 	s.mu.Unlock()
+	return c.wait(ctx)
+}
+
+func (c *confirmation) wait(ctx context.Context) (model.Position, error) {
 	select {
 	case <-c.done:
 		return c.pos, c.err
@@ -108,8 +124,13 @@
 		c.pos, c.err = confirm()
 		close(c.done)
 		s.mu.Lock()
+		if c.err == nil {
+			s.last = c
+		}
 		s.running, s.next = s.next, nil
-		c = s.running
+		if c = s.running; c != nil {
+			c.began = time.Now()
+		}
 		s.mu.Unlock()
 	}
 }
--- a/mesh/control/startorder.go
+++ b/mesh/control/startorder.go
@@ -38,6 +38,8 @@
 			c.startOrder.leaderKnown.Store(true)
 			after := time.Since(c.startOrder.started)
 			metrics.GetOrRegisterGauge("control.leader_known_after_ms", metrics.DefaultRegistry).Update(after.Milliseconds())
+			// Nodes that have started before can then route without a further question.
+			go func() { _, _ = c.confirm(ctx, time.Now()) }()
 			c.log.Info("control host knows a leader after its start", "leader", string(st.Leader), "after", after.String())
 			return nil
 		}
--- a/mesh/control/startorder_test.go
+++ b/mesh/control/startorder_test.go
@@ -44,7 +44,7 @@
 			wg.Go(func() {
 				time.Sleep(time.Duration(i) * time.Millisecond / 10)
 				before := questions
-				if pos, err := s.await(t.Context(), ask); err != nil || pos.Index <= before {
+				if pos, err := s.await(t.Context(), time.Now(), ask); err != nil || pos.Index <= before {
 					t.Errorf("%v %v by question %d, asked after question %d", pos, err, pos.Index, before)
 				}
 			})
@@ -53,5 +53,13 @@
 		if questions != 2 {
 			t.Errorf("%d questions for calls during one question, want 2", questions)
 		}
+		// Of two nodes that ask now, one started before the last question began.
+		began := s.last.began
+		if pos, err := s.await(t.Context(), began, ask); err != nil || pos.Index != 2 {
+			t.Errorf("a node that started before: %v %v", pos, err)
+		}
+		if pos, err := s.await(t.Context(), began.Add(time.Nanosecond), ask); err != nil || pos.Index != 3 {
+			t.Errorf("a node that started since: %v %v", pos, err)
+		}
 	})
 }
--- a/mesh/distribute/attach_test.go
+++ b/mesh/distribute/attach_test.go
@@ -381,7 +381,7 @@
 // confirmed.
 func TestAskPosition(t *testing.T) {
 	source := newProcess(sourceIdentity)
-	source.serve.Confirm = func(context.Context) (model.Position, error) { return positionAt(9), nil }
+	source.serve.Confirm = func(context.Context, time.Time) (model.Position, error) { return positionAt(9), nil }
 	for _, p := range []*process{source, newProcess(nodeIdentity("n1"))} {
 		clientEnd, serverEnd := peer.Pipe(nodeIdentity("n2"), p.id)
 		go func() { _ = ServeExchange(t.Context(), p.store, p.eps, serverEnd, p.serve) }()
--- a/mesh/distribute/exchange.go
+++ b/mesh/distribute/exchange.go
@@ -45,7 +45,7 @@
 		reply.Own = &own
 	}
 	if request.Confirm && o.Confirm != nil {
-		if pos, err := o.Confirm(ctx); err == nil {
+		if pos, err := o.Confirm(ctx, time.Now()); err == nil {
 			reply.Position, reply.Confirmed = pos, true
 		}
 	}
--- a/mesh/distribute/follow.go
+++ b/mesh/distribute/follow.go
@@ -72,8 +72,9 @@
 	// Outdated, if set, receives the parent's source age while that is above
 	// outdatedLimit. It must have room for one value.
 	Outdated chan<- time.Duration
-	// Join reports whether to request a welcome from a control host; nil for never.
-	Join func() bool
+	// Join reports whether to request a welcome from a control host, and how long ago
+	// this process started; nil for never.
+	Join func() (join bool, uptime time.Duration)
 	// OnWelcome is called with each welcome.
 	OnWelcome func(Welcome)
 	Log       *slog.Logger
@@ -217,7 +218,10 @@
 
 // hello returns the frame that tells the parent what this child already has.
 func (r *childReader) hello(needSnapshot bool) *helloFrame {
-	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil, Join: r.o.Join != nil && r.o.Join()}
+	h := &helloFrame{Services: r.o.Services, NeedSnapshot: needSnapshot, EndpointsOnly: r.a == nil}
+	if r.o.Join != nil {
+		h.Join, h.Uptime = r.o.Join()
+	}
 	if r.a != nil {
 		h.Position = r.a.Store().Position()
 		h.Snapshot = r.assembly.resume()
--- a/mesh/distribute/message.go
+++ b/mesh/distribute/message.go
@@ -97,6 +97,9 @@
 	// Join requests a welcome; a node sets it until it knows the minimum position at
 	// which it may route. Parents of earlier releases and nodes send none.
 	Join bool `cbor:"11,keyasint,omitempty"`
+	// Uptime is how long ago the node started, with Join. A position that was confirmed
+	// since then is not older than any that the node routed by before.
+	Uptime time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // upFrame is a frame from the child to the parent. An empty one is a heartbeat.
--- a/mesh/distribute/serve.go
+++ b/mesh/distribute/serve.go
@@ -74,8 +74,8 @@
 	// and NodePlan.
 	Planned func(child peer.Identity) (planned bool, alternatives []Parent)
 	// Confirm returns a position that includes everything accepted before the
-	// call. It is nil on nodes.
-	Confirm func(ctx context.Context) (model.Position, error)
+	// given time. It is nil on nodes.
+	Confirm func(ctx context.Context, before time.Time) (model.Position, error)
 	// ControlHosts returns the control hosts and the log index up to which the list is
 	// complete. It is nil on nodes.
 	ControlHosts func() (hosts []Parent, index uint64)
@@ -141,7 +141,8 @@
 	if hello.Join && o.Confirm != nil {
 		welcomes := make(chan welcomeFrame, 1)
 		w.welcomes = welcomes
-		welcoming.Go(func() { o.welcome(ctx, s, eps, child, welcomes) })
+		started := time.Now().Add(-max(hello.Uptime, 0))
+		welcoming.Go(func() { o.welcome(ctx, s, eps, child, started, welcomes) })
 	}
 	err = w.run(ctx, requests)
 	if err == nil {
--- a/mesh/distribute/welcome.go
+++ b/mesh/distribute/welcome.go
@@ -24,11 +24,11 @@
 
 // welcome sends a welcome to out, and a second one if the position could be confirmed
 // only later. It returns once the position is confirmed or ctx ends. out must have room
-// for one value.
-func (o ServeOptions) welcome(ctx context.Context, s *Store, eps *membership.Table, child peer.Identity, out chan<- welcomeFrame) {
+// for one value. The child started at the given time or before.
+func (o ServeOptions) welcome(ctx context.Context, s *Store, eps *membership.Table, child peer.Identity, started time.Time, out chan<- welcomeFrame) {
 	for first := true; ; first = false {
 		w := welcomeFrame{Position: s.Position()}
-		pos, err := o.Confirm(ctx)
+		pos, err := o.Confirm(ctx, started)
 		if err == nil {
 			w.Position, w.Confirmed = pos, true
 		}
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -339,7 +339,7 @@
 		Follow: distribute.FollowOptions{
 			Subtree: n.subtree, Freshness: n.freshness, Progress: &distribute.Progress{}, Log: n.log,
 			HeartbeatTimeout: n.cfg.Timeouts.ParentSilence,
-			Join:             func() bool { return n.floor.Load() == nil },
+			Join:             func() (bool, time.Duration) { return n.floor.Load() == nil, time.Since(n.started) },
 			OnWelcome:        n.onWelcome,
 		},
 		Candidates: func() []distribute.Parent {
--- a/mesh/node/controlstream_test.go
+++ b/mesh/node/controlstream_test.go
@@ -109,7 +109,7 @@
 				store := distribute.NewStore()
 				e.Handle(distribute.MethodExchange, []peer.Role{peer.RoleNode}, func(ctx context.Context, st peer.Stream) error {
 					asked <- host
-					o := distribute.ServeOptions{Confirm: func(context.Context) (model.Position, error) {
+					o := distribute.ServeOptions{Confirm: func(context.Context, time.Time) (model.Position, error) {
 						if !confirmed {
 							return model.Position{}, errors.New("no leader")
 						}
--- a/mesh/node/joining_test.go
+++ b/mesh/node/joining_test.go
@@ -21,7 +21,7 @@
 )
 
 // joinableHost runs a control host of a remote data centre that serves the distribution tree.
-func joinableHost(t *testing.T, ca *peer.DevCA, host model.HostID, streams *atomic.Int64, confirm func(context.Context) (model.Position, error)) directory.Host {
+func joinableHost(t *testing.T, ca *peer.DevCA, host model.HostID, streams *atomic.Int64, confirm func(context.Context, time.Time) (model.Position, error)) directory.Host {
 	t.Helper()
 	store := distribute.NewStore()
 	if err := store.Publish(model.Position{Epoch: 1, Index: 7}, note.Config{}); err != nil {
@@ -69,7 +69,10 @@
 	}
 	var streams atomic.Int64
 	confirmed := make(chan struct{})
-	host := joinableHost(t, ca, "c1", &streams, func(ctx context.Context) (model.Position, error) {
+	host := joinableHost(t, ca, "c1", &streams, func(ctx context.Context, before time.Time) (model.Position, error) {
+		if uptime := time.Since(before); uptime < 0 || uptime > time.Minute {
+			t.Errorf("the node states an uptime of %s", uptime)
+		}
 		select {
 		case <-confirmed:
 			return model.Position{Epoch: 1, Index: 7}, nil
