Let starting nodes choose among all control hosts before they connect

Change: on a closed network whose settings omit data centres, a node first asks by datagrams which control hosts accept nodes. The answer lists all control hosts. The node connects to one of its own data centre that accepts nodes, by rendezvous among those that answer within 100 ms of the first, or else to any. Answers are not larger than enquiries and not authenticated; elsewhere nothing changes.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -79,13 +79,16 @@
 		return nil, eris.Wrapf(ErrStart, "credentials: %v", err)
 	}
 	order := newStartOrder(time.Now())
-	ep, err := peer.Listen(peer.Config{
-		Listen: cfg.Listen.Peer, Credentials: creds, Handshakes: cfg.Limits.Handshakes, AcceptNodes: order.acceptNodes, Log: log,
-	})
+	var c *Control
+	endpoint := peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Handshakes: cfg.Limits.Handshakes, AcceptNodes: order.acceptNodes, Log: log}
+	if cfg.ClosedNetwork {
+		endpoint.AnswerEnquiry = func() []byte { return c.answerEnquiry() }
+	}
+	ep, err := peer.Listen(endpoint)
 	if err != nil {
 		return nil, eris.Wrapf(ErrStart, "listen.peer: %v", err)
 	}
-	c := &Control{
+	c = &Control{
 		cfg: cfg, log: log, ep: ep, startOrder: order,
 		store: distribute.NewStore(), endpoints: membership.NewTable(), leaseKeeper: membership.NewLeaseKeeperWithDuration(cfg.Timeouts.EndpointLease),
 		admission:   distribute.NewAdmission(admissionConfig(cfg.Limits)),
--- a/mesh/control/hosts.go
+++ b/mesh/control/hosts.go
@@ -132,3 +132,13 @@
 	}
 	return out, l.Index
 }
+
+// answerEnquiry returns the answer to a node that is about to connect.
+func (c *Control) answerEnquiry() []byte {
+	l, _ := c.directory()
+	b, err := directory.EncodeAnswer(directory.Answer{Accepting: c.startOrder.acceptNodes(), List: l})
+	if err != nil {
+		c.log.Error("answer to an enquiry could not be encoded", "reason", err.Error())
+	}
+	return b
+}
--- a/mesh/node/controlstream.go
+++ b/mesh/node/controlstream.go
@@ -334,6 +334,7 @@
 // attach keeps a stream to a parent in the distribution tree, from which this node
 // receives versions of the configuration and endpoints.
 func (n *Node) attach(ctx context.Context) error {
+	n.enquire(ctx)
 	return distribute.Attach(ctx, n.acceptor, n.endpoints, distribute.AttachOptions{
 		Self: n.cfg.Host, DataCentre: n.cfg.DataCentre,
 		Follow: distribute.FollowOptions{
--- a/mesh/node/joining.go
+++ b/mesh/node/joining.go
@@ -38,9 +38,13 @@
 // value is ready for use.
 type joining struct {
 	mu sync.Mutex
-	// host is the first control host. It is preferred until holdUntil.
-	host      model.HostID
-	holdUntil time.Time
+	// host is the control host that the node connected to first, or before that the one
+	// that it has chosen. It is preferred until holdUntil.
+	host        model.HostID
+	holdUntil   time.Time
+	isConnected bool
+	// enquiring is set while the node asks which control hosts accept nodes.
+	enquiring bool
 	answers   []distribute.FloorAnswer
 	// connected, welcomed and routes are closed once a control host has admitted this
 	// node, once one has confirmed a position, and once this node can route. They are
@@ -69,13 +73,35 @@
 // connect records the first control host to which this node has connected.
 func (j *joining) connect(now time.Time, host model.HostID) {
 	j.mu.Lock()
-	if j.host == "" {
+	if !j.isConnected {
+		j.isConnected = true
 		j.host, j.holdUntil = host, now.Add(firstHostHold/2+rand.N(firstHostHold))
 	}
 	j.mu.Unlock()
 	j.get(&j.connected).set()
 }
 
+// choose prefers a control host before this node has connected to one.
+func (j *joining) choose(now time.Time, host model.HostID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.isConnected {
+		j.host, j.holdUntil = host, now.Add(firstHostHold)
+	}
+}
+
+func (j *joining) setEnquiring(on bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.enquiring = on
+}
+
+func (j *joining) isEnquiring() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.enquiring
+}
+
 // release ends the preference for the first control host if it is this one.
 func (j *joining) release(host model.HostID) {
 	j.mu.Lock()
@@ -131,16 +157,20 @@
 	for _, h := range w.ControlHosts {
 		hosts = append(hosts, directory.Host{Host: h.Host, DataCentre: h.DataCentre, Peer: h.Address})
 	}
-	if n.directory.Update(directory.List{Index: w.HostsIndex, Hosts: hosts}) {
+	n.adoptDirectory(directory.List{Index: w.HostsIndex, Hosts: hosts})
+	n.joining.welcome(w.Answer)
+}
+
+func (n *Node) adoptDirectory(l directory.List) {
+	if n.directory.Update(l) {
 		n.logDirectory()
 	}
-	n.joining.welcome(w.Answer)
 }
 
 // awaitFirstHost waits until this node has connected to a control host, if its settings
 // omit their data centres: a stream of its own choice would often go to another one.
 func (n *Node) awaitFirstHost(ctx context.Context) {
-	if slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return h.DataCentre != "" }) {
+	if !n.joining.isEnquiring() && n.knowsDataCentres() {
 		return
 	}
 	awaitSignal(ctx, n.joining.get(&n.joining.connected).c, n.controlHostBusy)
@@ -163,9 +193,54 @@
 	}
 }
 
-// controlHostBusy reports whether a control host has just refused a connection for now.
+// enquire chooses the control host to connect to first, if the settings omit their data
+// centres: one that accepts nodes, in the own data centre if possible. The settings may name
+// some of the control hosts only, which the whole fleet would otherwise connect to.
+func (n *Node) enquire(ctx context.Context) {
+	if !n.cfg.ClosedNetwork || n.knowsDataCentres() {
+		return
+	}
+	n.joining.setEnquiring(true)
+	defer n.joining.setEnquiring(false)
+	q := directory.NewEnquiry(time.Now(), n.cfg.DataCentre)
+	var chosen model.HostID
+	_ = peer.Enquire(ctx, func() (addresses []string) {
+		for _, h := range q.Targets(time.Now(), n.directory.Hosts()) {
+			addresses = append(addresses, h.Peer)
+		}
+		return addresses
+	}, func(target string, payload []byte) {
+		a, err := directory.DecodeAnswer(payload)
+		if err != nil {
+			return
+		}
+		n.adoptDirectory(a.List)
+		hosts := n.directory.Hosts()
+		if i := slices.IndexFunc(hosts, func(h directory.Host) bool { return h.Peer == target }); i >= 0 {
+			q.Record(time.Now(), hosts[i].Host, a.Accepting)
+		}
+	}, func(now time.Time) (done bool) {
+		var hosts []directory.Host
+		for _, p := range n.byPreference(n.directory.Hosts()) {
+			hosts = append(hosts, directory.Host{Host: p.Host, DataCentre: p.DataCentre, Peer: p.Address})
+		}
+		chosen, done = q.Decide(now, hosts)
+		return done
+	})
+	if chosen != "" {
+		n.joining.choose(time.Now(), chosen)
+		n.log.Info("node chose a control host", "host", string(chosen), "after", time.Since(n.started).String())
+	}
+}
+
+func (n *Node) knowsDataCentres() bool {
+	return slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return h.DataCentre != "" })
+}
+
+// controlHostBusy reports whether this node still asks which control hosts accept nodes, or
+// one of them has just refused a connection for now.
 func (n *Node) controlHostBusy() bool {
-	return slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return n.ep.Busy(h.Peer) })
+	return n.joining.isEnquiring() || slices.ContainsFunc(n.directory.Hosts(), func(h directory.Host) bool { return n.ep.Busy(h.Peer) })
 }
 
 // startRetryAfter returns the least time after which callers should retry while this node
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -40,6 +40,10 @@
 	// AcceptNodes reports whether nodes may connect now; nil if always. A refused node
 	// tries again after a delay.
 	AcceptNodes func() bool
+	// AnswerEnquiry returns the payload of the answer to an enquiry; if it is nil,
+	// enquiries are ignored. It is for closed networks, since the answer is not
+	// authenticated.
+	AnswerEnquiry func() []byte
 	// Log receives connections that were made, lost or refused, and refused methods
 	// and ended streams.
 	Log *slog.Logger
@@ -165,6 +169,9 @@
 // Serve accepts connections until ctx ends, then closes all connections and the
 // socket and waits for the goroutines of the connections.
 func (e *Endpoint) Serve(ctx context.Context) error {
+	if e.cfg.AnswerEnquiry != nil {
+		e.wg.Go(func() { e.serveEnquiries(ctx) })
+	}
 	for {
 		conn, err := e.listener.Accept(ctx)
 		if err != nil {
--- /dev/null
+++ b/mesh/peer/enquiry.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	mathrand "math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// An enquiry is a datagram that a starting node sends to control hosts before it connects.
+// The answer costs a control host some microseconds, a handshake milliseconds. It is
+// neither encrypted nor authenticated, and thus only for closed networks. The two highest
+// bits of the first byte are 0, which tells it from a QUIC packet.
+var (
+	enquiryPrefix = []byte{0x07, 'b', 't', 'q', 1}
+	answerPrefix  = []byte{0x07, 'b', 't', 'a', 1}
+)
+
+const (
+	// enquiryBytes is the size of an enquiry and the greatest size of an answer, so that
+	// an enquiry with a forged source cannot be used to send more than it takes.
+	enquiryBytes = 1200
+	nonceBytes   = 16
+	// An enquiry is repeated after enquiryMinInterval at first, and after a time that grows
+	// by enquiryFactor up to enquiryMaxInterval, with jitter. A shorter one finds a host
+	// sooner that starts meanwhile; the answers to a fleet take processor time from it.
+	enquiryMinInterval = 80 * time.Millisecond
+	enquiryMaxInterval = 400 * time.Millisecond
+	enquiryFactor      = 1.3
+)
+
+// serveEnquiries answers enquiries with Config.AnswerEnquiry until the endpoint is closed.
+func (e *Endpoint) serveEnquiries(ctx context.Context) {
+	buf := make([]byte, 2*enquiryBytes)
+	for {
+		n, from, err := e.transport.ReadNonQUICPacket(ctx, buf)
+		if err != nil {
+			return
+		}
+		if n < enquiryBytes || !bytes.HasPrefix(buf, enquiryPrefix) {
+			continue
+		}
+		answer := append(bytes.Clone(answerPrefix), buf[len(enquiryPrefix):len(enquiryPrefix)+nonceBytes]...)
+		if answer = append(answer, e.cfg.AnswerEnquiry()...); len(answer) <= enquiryBytes {
+			_, _ = e.transport.WriteTo(answer, from)
+		}
+	}
+}
+
+// Enquire sends enquiries to the targets until stop returns true or ctx ends. It calls
+// answered with each answer, and stop after each answer and at each repetition. targets
+// may return more addresses after an answer; they are asked at once.
+func Enquire(ctx context.Context, targets func() []string, answered func(target string, payload []byte), stop func(now time.Time) bool) error {
+	sock, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return eris.Wrapf(ErrUnreachable, "enquiry: %v", err)
+	}
+	defer sock.Close()
+	defer context.AfterFunc(ctx, func() { _ = sock.SetReadDeadline(time.Unix(1, 0)) })()
+	packet := make([]byte, enquiryBytes)
+	copy(packet, enquiryPrefix)
+	nonce := packet[len(enquiryPrefix) : len(enquiryPrefix)+nonceBytes]
+	_, _ = rand.Read(nonce)
+	want := append(bytes.Clone(answerPrefix), nonce...)
+	buf := make([]byte, 2*enquiryBytes)
+	asked := map[string]string{} // targets by resolved address
+	next, interval := time.Now(), enquiryMinInterval
+	for ctx.Err() == nil && !stop(time.Now()) {
+		repeat := !time.Now().Before(next)
+		if repeat {
+			next = time.Now().Add(interval/2 + mathrand.N(interval))
+			interval = min(time.Duration(float64(interval)*enquiryFactor), enquiryMaxInterval)
+		}
+		for _, target := range targets() {
+			addr, err := net.ResolveUDPAddr("udp", target)
+			if err != nil {
+				continue
+			}
+			if _, known := asked[addr.String()]; repeat || !known {
+				asked[addr.String()] = target
+				_, _ = sock.WriteToUDP(packet, addr)
+			}
+		}
+		if ctx.Err() != nil || sock.SetReadDeadline(next) != nil {
+			break
+		}
+		n, from, err := sock.ReadFromUDP(buf)
+		if err != nil || !bytes.HasPrefix(buf[:n], want) {
+			continue
+		}
+		if target, ok := asked[(&net.UDPAddr{IP: from.IP.To16(), Port: from.Port}).String()]; ok {
+			answered(target, bytes.Clone(buf[len(want):n]))
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/mesh/peer/enquiry_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against a node that finds a control host late that starts after it, that does not
+// ask hosts that an answer names, or that takes an answer to another enquiry; and against a
+// control host that answers short datagrams, which could be used to send more than they take.
+func TestEnquiries(t *testing.T) {
+	control := Identity{Role: RoleControl, DataCentre: "d", Host: "c"}
+	var answers atomic.Int64
+	answer := func(text string) func() []byte {
+		return func() []byte { answers.Add(1); return []byte(text) }
+	}
+	second := startLimited(t, control, Config{AnswerEnquiry: answer("second")})
+	reserved, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	targets := []string{reserved.LocalAddr().String()}
+	_ = reserved.Close()
+	time.AfterFunc(200*time.Millisecond, func() {
+		startLimited(t, control, Config{Listen: targets[0], AnswerEnquiry: answer(second.Addr().String())})
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var got []string
+	began := time.Now()
+	err = Enquire(ctx, func() []string { return targets }, func(target string, payload []byte) {
+		if target == targets[0] && len(targets) == 1 {
+			targets = append(targets, string(payload))
+		}
+		got = append(got, string(payload))
+	}, func(time.Time) bool { return slices.Contains(got, "second") })
+	if took := time.Since(began); err != nil || took > time.Second {
+		t.Fatalf("%v after %s, answers %v", err, took, got)
+	}
+	conn, err := net.Dial("udp", second.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	before := answers.Load()
+	for _, size := range []int{1, 30, enquiryBytes - 1} {
+		packet := make([]byte, size)
+		copy(packet, enquiryPrefix)
+		if _, err := conn.Write(packet); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n := answers.Load() - before; n != 0 {
+		t.Errorf("%d short datagrams were answered", n)
+	}
+	if err := callEcho(t.Context(), startLimited(t, Identity{Role: RoleNode, DataCentre: "d", Host: "n"}, Config{}), second, control); err != nil {
+		t.Errorf("connections beside enquiries: %v", err)
+	}
+}
