Scale the expected service time by the stated slowness

A backend server may now state how long work takes on its machine. The service time measured from slots follows a phase of 600 ms only after some requests.

The measured service times have gauges, and abandoned requests a counter.

--- a/mesh/admission/gate.go
+++ b/mesh/admission/gate.go
@@ -38,8 +38,9 @@
 // Gate admits requests to one backend server, queues them or refuses them. It is safe
 // for concurrent use.
 type Gate struct {
-	log        *slog.Logger
-	limitGauge metrics.Gauge
+	log                     *slog.Logger
+	limitGauge              metrics.Gauge
+	recentGauge, usualGauge metrics.Gauge
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -66,10 +67,11 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Gate{
-		log:        cfg.Log.With("service", string(cfg.Service.Name)),
-		limitGauge: telemetry.Gauge(MetricLimit),
-		sched:      newScheduler(cfg),
-		waiting:    map[*Waiter]chan decision{},
+		log:         cfg.Log.With("service", string(cfg.Service.Name)),
+		limitGauge:  telemetry.Gauge(MetricLimit),
+		recentGauge: telemetry.Gauge(MetricRecentServiceTime), usualGauge: telemetry.Gauge(MetricUsualServiceTime),
+		sched:   newScheduler(cfg),
+		waiting: map[*Waiter]chan decision{},
 	}
 }
 
@@ -218,6 +220,9 @@
 	before := g.sched.limiter.Limit()
 	g.deliver(g.sched.finish(now, s)...)
 	g.armPaceTimer(now)
+	if s.Abandoned {
+		telemetry.Counter(MetricAbandoned).Inc(1)
+	}
 	if last := g.sched.abandoned.last(); s.Abandoned && last.After(now) {
 		time.AfterFunc(last.Sub(now), func() { g.dispatch(time.Now()) })
 	}
@@ -376,7 +381,10 @@
 func (g *Gate) ServiceTimes() (recent, usual time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sched.serviceTimes(time.Now())
+	recent, usual = g.sched.serviceTimes(time.Now())
+	g.recentGauge.Update(recent.Microseconds())
+	g.usualGauge.Update(usual.Microseconds())
+	return recent, usual
 }
 
 // Load returns the numbers of running and of queued requests.
--- a/mesh/admission/message.go
+++ b/mesh/admission/message.go
@@ -95,6 +95,13 @@
 	MetricRefused = "admission.refused."
 	// MetricLimit is the gauge of the concurrency limit.
 	MetricLimit = "admission.limit"
+	// MetricRecentServiceTime and MetricUsualServiceTime are the gauges of the mean service
+	// times of the backend server, in microseconds; 0 while unknown.
+	MetricRecentServiceTime = "admission.service_time_recent"
+	MetricUsualServiceTime  = "admission.service_time_usual"
+	// MetricAbandoned counts requests that ended before an answer of the backend server,
+	// which may still run them.
+	MetricAbandoned = "admission.abandoned"
 )
 
 // metricNames holds the suffix of the refusal counter of each reason.
--- a/mesh/admission/play_test.go
+++ b/mesh/admission/play_test.go
@@ -38,6 +38,8 @@
 	length time.Duration
 	// slowUntil is for how long the first server takes five times its time.
 	slowUntil time.Duration
+	// stating servers state their slowness.
+	stating bool
 	// loadOnly leaves the service times out of the responses, like an older release, so
 	// that the entry nodes choose by load only.
 	loadOnly bool
@@ -319,7 +321,14 @@
 	s.p.after(s.serviceTime(a.call.work), func() {
 		s.running--
 		if !s.p.silent {
-			s.sched.observeLoad(s.p.now, ServerLoad{Running: s.running + 1, Waiting: len(s.queue), Slots: s.p.slots})
+			l := ServerLoad{Running: s.running + 1, Waiting: len(s.queue), Slots: s.p.slots}
+			if s.p.stating {
+				l.Slowness = 100
+				if i, _ := slices.BinarySearchFunc(s.changes, s.p.now, time.Time.Compare); i%2 == 1 {
+					l.Slowness = int(100 * s.p.slowness)
+				}
+			}
+			s.sched.observeLoad(s.p.now, l)
 		}
 		for len(s.queue) > 0 && s.running < s.p.slots {
 			next := s.queue[0]
@@ -398,6 +407,13 @@
 	return p
 }
 
+// statingClinic is the clinic with servers that state their slowness.
+func statingClinic(load float64) play {
+	p := clinic(load)
+	p.stating = true
+	return p
+}
+
 // silentClinic is the clinic with servers five times as slow that never respond when full.
 func silentClinic(load float64) play {
 	p := clinic(load)
@@ -418,7 +434,7 @@
 // docs/design/load-balancing.md compares.
 func TestPlay(t *testing.T) {
 	for _, load := range []float64{0.4, 0.7, 0.95, 1.2} {
-		for name, p := range map[string]play{"clinic": clinic(load), "small site": smallSite(load), "cold": afterPowerLoss(load), "silent": silentClinic(load)} {
+		for name, p := range map[string]play{"clinic": clinic(load), "small site": smallSite(load), "cold": afterPowerLoss(load), "silent": silentClinic(load), "stating": statingClinic(load)} {
 			t.Run(fmt.Sprintf("%s %.0f%%", name, 100*load), func(t *testing.T) {
 				t.Parallel()
 				byLoad := p
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -321,7 +321,12 @@
 }
 
 // observeLoad takes a load that the backend server states.
-func (s *scheduler) observeLoad(now time.Time, l ServerLoad) { s.unknown.observe(now, l, s.inFlight) }
+func (s *scheduler) observeLoad(now time.Time, l ServerLoad) {
+	s.unknown.observe(now, l, s.inFlight)
+	if l.Slowness > 0 {
+		s.times.observeSlowness(now, l.Slowness)
+	}
+}
 
 // start accepts requests for a backend server that has just registered and stated its
 // slots and for how long it is cold.
--- a/mesh/admission/servicetime.go
+++ b/mesh/admission/servicetime.go
@@ -21,6 +21,8 @@
 	// minServiceTimeSeconds is the time in slots, in seconds, from which it is known of a
 	// server that ends hardly any request.
 	minServiceTimeSeconds = 10.0
+	// maxSlownessAge is how long a slowness that the backend server states counts.
+	maxSlownessAge = 200 * time.Millisecond
 	// coldRatioPrior is the assumed ratio of the service times of a cold server and of a
 	// warm one, and maxColdRatio the greatest that is learned.
 	coldRatioPrior, maxColdRatio = 2.0, 4.0
@@ -41,6 +43,10 @@
 	coldUntil time.Time
 	// coldRatio is the learned ratio of cold and usual service times; 0 before the first.
 	coldRatio float64
+	// stated is the slowness that the backend server last stated, meanStated its mean over
+	// the time of the usual service time, and statedAt the time of the last one.
+	stated, meanStated float64
+	statedAt           time.Time
 }
 
 // decayedMean is the time in slots and the number of ended requests, both decayed.
@@ -98,6 +104,17 @@
 	}
 }
 
+// observeSlowness takes how long work takes on the machine of the backend server at the
+// moment, as it states itself; 100 is usual.
+func (s *serviceTime) observeSlowness(now time.Time, slowness int) {
+	s.stated = float64(slowness)
+	if s.meanStated == 0 {
+		s.meanStated = s.stated
+	}
+	s.meanStated += (1 - math.Exp(-now.Sub(s.statedAt).Seconds()/usualServiceTimeConstant.Seconds())) * (s.stated - s.meanStated)
+	s.statedAt = now
+}
+
 func (s *serviceTime) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
 // ratio returns the assumed ratio of cold and usual service times.
@@ -108,7 +125,8 @@
 	return s.coldRatio
 }
 
-// means returns the recent and the usual mean; 0 while they are not known. During the cold
+// means returns the recent and the usual mean; 0 while they are not known. A stated slowness
+// tells the recent one better than the requests that have ended since. During the cold
 // time both are the mean of the cold server, as it will stay so for longer than a report
 // counts.
 func (s *serviceTime) means(now time.Time) (recent, usual time.Duration) {
@@ -125,6 +143,9 @@
 	default:
 		u = s.usual.mean()
 		r = (s.recent.seconds + recentPriorRequests*u) / (s.recent.ended + recentPriorRequests)
+		if now.Sub(s.statedAt) <= maxSlownessAge {
+			r = u * s.stated / s.meanStated
+		}
 	}
 	return time.Duration(r * float64(time.Second)), time.Duration(u * float64(time.Second))
 }
--- a/mesh/admission/servicetime_test.go
+++ b/mesh/admission/servicetime_test.go
@@ -133,3 +133,18 @@
 		t.Errorf("limit %d although the server states one running request, want 4", got)
 	}
 }
+
+// Guards against a stated slowness that is not used, or is used when it is old.
+func TestStatedSlownessScalesTheServiceTime(t *testing.T) {
+	s, now := newTargetScheduler(time.Unix(1000, 0)), time.Unix(1001, 0)
+	s.times.usual, s.times.at = decayedMean{seconds: 10, ended: 100}, now
+	s.observeLoad(now, ServerLoad{Slots: 1, Slowness: 100})
+	now = now.Add(10 * time.Millisecond)
+	s.observeLoad(now, ServerLoad{Slots: 1, Slowness: 250})
+	if got := s.times.slowness(now); got < 2.4 || got > 2.5 {
+		t.Errorf("slowness %.2f, want 2.5 as stated", got)
+	}
+	if got := s.times.slowness(now.Add(210 * time.Millisecond)); got > 1.1 {
+		t.Errorf("slowness %.2f after 210 ms, want the measured one", got)
+	}
+}
