Bound what the kernel buffers of a connection between nodes

The kernel takes all bytes that the windows of the calls allow, 64 KiB for each, and a head queued later waits for them, whatever the order of the queue.

Tests of callmux (also with the race detector) and node pass.

--- a/mesh/callmux/client.go
+++ b/mesh/callmux/client.go
@@ -331,6 +331,9 @@
 		_ = raw.Close()
 		return nil, eris.Wrapf(ErrConnection, "deadline: %v", err)
 	}
+	if err := limitUnsent(raw); err != nil {
+		cfg.Log.Warn("kernel does not bound unsent bytes", "peer", id.String(), "reason", err.Error())
+	}
 	cn, err := newConnection(cfg, raw, rw, id, isClient)
 	if err == nil {
 		err = raw.SetDeadline(time.Time{})
