End the connection after an answer to an unread body

Cause: entry.ServeHTTP enables full duplex for each request with a body. After a handler that has not read all of it, net/http discards the rest and, at its end, starts the background read of the connection just before it reads the next request, and panics ("invalid concurrent Body.Read call"). This held for refusals before the route is known and for the answers to long writes without a claim.

Change: one writer of answers sets "Connection: close" on each that begins before the body has been received; refusals are sent before the body is read. After the handler, net/http has 1 s to discard the rest, since a connection that is closed with unread bytes is reset and can lose the answer. The log of the HTTP servers goes to the node's log, and panics are counted in entry.panics.

--- a/mesh/node/callerbody.go
+++ b/mesh/node/callerbody.go
@@ -26,6 +26,11 @@
 	bodyReserveBytes = 16 << 10
 )
 
+// unreadBodyTimeout bounds the time for which a caller may go on sending a body that is not
+// used. Within it the caller reads the answer; a connection that is closed with unread bytes is
+// reset, which can discard the answer.
+const unreadBodyTimeout = time.Second
+
 var (
 	errTooManyBodies   = errors.New(reasonTooManyBodies)
 	errBodyNotReceived = errors.New(reasonBodyNotReceived)
@@ -64,30 +69,31 @@
 	onFailure func()
 }
 
-// receiveBody reads the body of a request, or the start of a long one. A body above limit
+// receive reads the body of a request, or the start of a long one. A body above limit
 // is refused by its stated length, or else as soon as the limit is passed. withDigest is
 // set for a body whose digest is needed. Without memory the body is refused unread.
-func receiveBody(r *http.Request, limit int64, withDigest bool, memory *bodyMemory, progress *callerProgress) (*callerBody, error) {
-	b := &callerBody{length: r.ContentLength, memory: memory, err: io.EOF}
+func (b *callerBody) receive(r *http.Request, limit int64, withDigest bool, memory *bodyMemory, progress *callerProgress) error {
+	b.length, b.memory = r.ContentLength, memory
 	if withDigest {
 		b.hash = sha256.New()
 	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return b, nil
+		b.err = io.EOF
+		return nil
 	}
 	if r.ContentLength > limit {
-		return nil, ErrBodyTooLarge
+		return ErrBodyTooLarge
 	}
-	b.rest, b.err = &limitedBody{progress.reader(r.Body), limit}, nil
+	b.rest = &limitedBody{progress.reader(r.Body), limit}
 	if !b.reserve(b.minReserve()) {
-		return nil, errTooManyBodies
+		return errTooManyBodies
 	}
 	if err := b.receiveStart(); err != nil {
 		b.release()
-		return nil, err
+		return err
 	}
 	b.releaseSurplus()
-	return b, nil
+	return nil
 }
 
 // minReserve returns the memory without which the body is not read.
@@ -329,6 +335,51 @@
 	b.release()
 }
 
+// unreadBodyWriter sends an answer to a request with a body. An answer that begins before the
+// caller has sent the whole body ends the connection: net/http discards the rest of the body
+// after the handler, and its reader of the connection is not ready for another request then.
+type unreadBodyWriter struct {
+	http.ResponseWriter
+	body  *callerBody
+	wrote bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *unreadBodyWriter) WriteHeader(status int) {
+	if !w.wrote && !w.body.isReceived() {
+		w.Header().Set("Connection", "close")
+	}
+	w.wrote = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *unreadBodyWriter) Write(p []byte) (int, error) {
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom, by that of net/http if there is one.
+func (w *unreadBodyWriter) ReadFrom(r io.Reader) (int64, error) {
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	return io.Copy(w.ResponseWriter, r)
+}
+
+// receiveRest lets net/http discard the rest of a body, for a limited time, once nothing else
+// reads it.
+func (w *unreadBodyWriter) receiveRest() {
+	if !w.body.isReceived() {
+		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
+// Unwrap gives http.ResponseController access to the wrapped writer.
+func (w *unreadBodyWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // limitedBody reads a body and returns ErrBodyTooLarge once it is longer than left.
 type limitedBody struct {
 	r    io.Reader
--- a/mesh/node/callerbody_test.go
+++ b/mesh/node/callerbody_test.go
@@ -176,8 +176,8 @@
 	r := httptest.NewRequest(http.MethodPost, "/", node)
 	r.ContentLength = int64(len(sent))
 	go func() { _, _ = caller.Write(sent[:maxKeptBodyBytes/2]) }()
-	b, err := receiveBody(r, 1<<30, false, newBodyMemory(maxKeptBodyBytes/2), nil) // room to keep half
-	if err != nil {
+	b := &callerBody{}
+	if err := b.receive(r, 1<<30, false, newBodyMemory(maxKeptBodyBytes/2), nil); err != nil { // room to keep half
 		t.Fatal(err)
 	}
 	b.onFailure = func() {}
--- a/mesh/node/entry.go
+++ b/mesh/node/entry.go
@@ -88,9 +88,13 @@
 	if !r.ProtoAtLeast(1, 1) {
 		defer resetOnAbort(w)
 	}
+	body := &callerBody{}
 	if r.ContentLength != 0 {
 		// net/http would otherwise read the body, or some of it, before it sends an answer.
 		_ = http.NewResponseController(w).EnableFullDuplex()
+		u := &unreadBodyWriter{ResponseWriter: w, body: body}
+		defer u.receiveRest()
+		w = u
 	}
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -115,8 +119,7 @@
 	}
 	progress := newCallerProgress(w, e.bodyProgress)
 	limits, keyed := e.limitsOf(table), isKeyed(route)
-	body, err := receiveBody(r, limits.BodyBytes, keyed, e.memory, progress)
-	if err != nil {
+	if err := body.receive(r, limits.BodyBytes, keyed, e.memory, progress); err != nil {
 		e.refuseUnrouted(w, r, unroutedRefusal{bodyStatus(err), err.Error()})
 		return
 	}
@@ -290,9 +293,6 @@
 
 // respond sends the answer of a request without a claim, or an error if there is none.
 func (e *entry) respond(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) {
-	if !c.body.isReceived() {
-		w.Header().Set("Connection", "close") // the rest of the body is not read
-	}
 	switch {
 	case a.answered():
 		a.resp.Body = e.dispatcher.link.Pace(ctx, a.resp.Body, bodySize(a.resp.BodyLength))
--- a/mesh/node/http.go
+++ b/mesh/node/http.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"log"
+	"log/slog"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -54,9 +57,39 @@
 	srv := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(bypassRouter))
 	srv.ReadHeaderTimeout = n.cfg.Timeouts.HeaderRead
 	srv.MaxHeaderBytes = n.cfg.Limits.HeaderBytes
+	srv.ErrorLog = httpErrorLog(n.log, name)
 	return &httpServer{name: name, srv: srv}
 }
 
+// MetricPanics counts panics of the HTTP servers of a node, in handlers and in net/http itself.
+// Those with http.ErrAbortHandler, which end a connection on purpose, do not count.
+const MetricPanics = "entry.panics"
+
+// panicPrefix begins the line that net/http logs for a panic.
+const panicPrefix = "http: panic serving"
+
+// httpErrors logs the errors of an HTTP server and counts its panics. net/http recovers panics
+// of handlers and of its own, and reports them in its log only.
+type httpErrors struct {
+	log    *slog.Logger
+	server string
+}
+
+func httpErrorLog(l *slog.Logger, server string) *log.Logger {
+	return log.New(httpErrors{l, server}, "", 0)
+}
+
+// Write implements io.Writer. It is called once for each error.
+func (e httpErrors) Write(line []byte) (int, error) {
+	if bytes.HasPrefix(line, []byte(panicPrefix)) {
+		telemetry.Counter(MetricPanics).Inc(1)
+		e.log.Error("panic of an HTTP server", "server", e.server, "error", string(line))
+	} else {
+		e.log.Info("error of an HTTP server", "server", e.server, "error", string(line))
+	}
+	return len(line), nil
+}
+
 // serve serves until stop is called, or until ctx ends because another task of the
 // node has failed.
 func (s *httpServer) serve(ctx context.Context) error {
--- a/mesh/node/write.go
+++ b/mesh/node/write.go
@@ -154,14 +154,10 @@
 		case bodyErr == nil:
 			err = claim.ErrBodyMismatch
 		default:
-			w.Header().Set("Connection", "close")
 			refuse(w, brokenBodyStatus(bodyErr), outcomeAnswered, "a write with this key has run; the body could not be compared: "+bodyErr.Error())
 			return
 		}
 	}
-	if !c.body.isReceived() {
-		w.Header().Set("Connection", "close") // the rest of the body is not read
-	}
 	switch {
 	case errors.Is(err, claim.ErrInProgress):
 		w.Header().Set("Retry-After", "1")
