Send invalid answers in the soak

The stand-in sends answers that are not HTTP or break off to a share of its requests, and resets the connection of an upload that it answers unread. The soak lets one stand-in after the other do so, sends uploads of 400 KB, and fails on a caller that gets such an answer as complete, on a line about a panic and on entry.panics. The recorder of refusals gives access to the writer below, which the stand-in takes over.

--- a/bench/demo/logs.go
+++ b/bench/demo/logs.go
@@ -36,7 +36,7 @@
 	sc.Buffer(nil, maxLogLine)
 	for sc.Scan() {
 		line := sc.Text()
-		if strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") ||
+		if strings.Contains(line, "invariant violated") || strings.Contains(line, "http: panic serving") || strings.HasPrefix(line, "panic:") ||
 			strings.HasPrefix(line, "fatal error:") || strings.HasPrefix(line, "WARNING: DATA RACE") {
 			findings = append(findings, fmt.Sprintf("%s: %s", filepath.Base(file), line))
 		}
--- a/bench/experiment/runs.go
+++ b/bench/experiment/runs.go
@@ -58,6 +58,9 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
+// Unwrap gives http.ResponseController access to the wrapped writer.
+func (r *refusalRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
 // ReadRuns adds the number of runs of each key in the file to runs. A missing file
 // counts as empty.
 func ReadRuns(file string, runs map[string]int) error {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -73,6 +73,9 @@
 	startTimeout = 30 * time.Second
 	// recoveryTimeout bounds the time from the last repair until all processes serve again.
 	recoveryTimeout = 20 * time.Second
+	// uploadBytes is the size of a long write, which is still being sent when a stand-in that
+	// sends invalid answers resets its connection.
+	uploadBytes = 400_000
 	// maxViolations bounds the number of recorded violations.
 	maxViolations = 40
 )
@@ -117,6 +120,7 @@
 	callers.Go(func() { r.watchNodes(loadCtx) })
 	callers.Go(func() { load.New(r.report).Run(loadCtx, r.flows()) })
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Length)
+	callers.Go(func() { r.sendInvalidAnswers(faultCtx) })
 	j.injectRounds(faultCtx, NewPlan(o.Seed))
 	endFaults()
 	if ctx.Err() != nil {
@@ -125,6 +129,7 @@
 	r.awaitRecovery(ctx)
 	endLoad()
 	callers.Wait()
+	r.checkPanics()
 	return r.result(j.counts)
 }
 
@@ -197,11 +202,14 @@
 		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate * rateFactor,
 			BodyBytes: 256, Timeout: 2 * time.Second, Targets: targets, MaxResends: 5}
 	}
+	uploads := flow("uploads", model.KindWrite, "ledger", http.MethodPost, "/restocks", 2)
+	uploads.BodyBytes = uploadBytes
 	return []load.Flow{
 		flow("lookups", model.KindLookup, "ledger", http.MethodGet, "/cabinets/7", 100),
 		flow("rosters", model.KindLookup, "roster", http.MethodGet, "/rosters/3", 40),
 		flow("writes", model.KindWrite, "ledger", http.MethodPost, "/restocks", 30),
 		flow("urgent", model.KindUrgent, "ledger", http.MethodGet, "/urgent/1", 10),
+		uploads,
 	}
 }
 
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// checkPanics records the panics that the nodes have counted since their start; the logs tell
+// of those of former processes.
+func (r *run) checkPanics() {
+	for _, s := range r.fleet.Servers {
+		m, err := s.Metrics()
+		if n := m["entry.panics"].Count; err == nil && n > 0 {
+			r.recordViolation("node %s counted %d panics of its HTTP servers", s.Host, n)
+		}
+	}
+}
+
 // checkShowsAcknowledged returns an error unless a control host shows the newest
 // acknowledged note.
 func (r *run) checkShowsAcknowledged(ctx context.Context, h *demo.ControlHost) error {
--- a/bench/standin/server.go
+++ b/bench/standin/server.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,6 +42,8 @@
 	slots  chan struct{}
 	state  serverState
 	client *http.Client
+	// invalid decides which requests get an invalid answer; nil for none.
+	invalid atomic.Pointer[invalidShare]
 }
 
 // New returns a stand-in that does not listen yet.
@@ -75,6 +78,7 @@
 	mux.HandleFunc("GET /_standin/keys", s.serveKeys)
 	mux.HandleFunc("POST /_standin/drain", s.serveDrain)
 	mux.HandleFunc("POST /_standin/cold", s.serveCold)
+	mux.HandleFunc("POST /_standin/invalid", s.serveInvalid)
 	mux.HandleFunc("GET /healthz", s.serveHealth)
 	mux.HandleFunc(BodiesPrefix, s.serveBodies)
 	mux.HandleFunc("/", s.serveRequest)
@@ -147,6 +151,12 @@
 
 // serveInSlot runs a request that has a slot and writes its answer.
 func (s *Server) serveInSlot(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	if s.drawInvalid(time.Now()) {
+		s.state.beginRun(s.cfg, r.Header.Get(HeaderIdempotencyKey))
+		defer s.state.endRun(true, false)
+		sendInvalid(w, r)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	coldFactor := s.state.beginRun(s.cfg, r.Header.Get(HeaderIdempotencyKey))
 	if err != nil {
--- a/bench/standin/server_test.go
+++ b/bench/standin/server_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,3 +80,37 @@
 		}
 	}
 }
+
+// Guards against a share of invalid answers that is not kept, and against one of them that
+// net/http's client takes for the body of a healthy answer: the soak would miss it.
+func TestStandinSendsInvalidAnswers(t *testing.T) {
+	s := New(testConfig())
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	set := func(share string) {
+		resp, err := http.Post(srv.URL+"/_standin/invalid?for=10000&share="+share, "", nil)
+		if err != nil || resp.StatusCode != http.StatusNoContent {
+			t.Fatal(resp, err)
+		}
+	}
+	get := func() (string, error) {
+		resp, err := http.Get(srv.URL + "/cabinets/7")
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		return string(b), err
+	}
+	healthy := Answer("ledger", http.MethodGet, "/cabinets/7", "", nil)
+	set("0")
+	if got, err := get(); err != nil || got != healthy {
+		t.Errorf("%q, %v", got, err)
+	}
+	set("100")
+	for range 100 {
+		if got, err := get(); err == nil && got == healthy {
+			t.Errorf("%q", got)
+		}
+	}
+}
