Adapt the capacity stub to the confirmation of a position

Confirm takes the time before which a position counts as confirmed; the stub of the control host ignores it.

--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -191,7 +191,7 @@
 
 // register registers the peer methods that a node calls on a control host.
 func (s *controlHostStub) register(ep *peer.Endpoint) {
-	position := func(context.Context) (model.Position, error) { return s.store.Position(), nil }
+	position := func(context.Context, time.Time) (model.Position, error) { return s.store.Position(), nil }
 	options := distribute.ServeOptions{
 		Subtree: distribute.NewSubtree(nil), Freshness: s.freshness, Log: discardLog, Confirm: position,
 		Admission: distribute.NewAdmission(distribute.SourceAdmission()),
