Answer waiting enquiries as soon as a control host accepts nodes

Cause: a node that had been told to wait learned only with its next enquiry, up to 0.6 s later, that a control host accepts nodes.

Change: a control host answers all waiting enquiries again once it knows a leader. Enquiries are repeated after at most 0.3 s; silence of all hosts is waited for 1.5 s; further hosts of the own data centre for 60 ms.

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -82,7 +82,7 @@
 	var c *Control
 	endpoint := peer.Config{Listen: cfg.Listen.Peer, Credentials: creds, Handshakes: cfg.Limits.Handshakes, AcceptNodes: order.acceptNodes, Log: log}
 	if cfg.ClosedNetwork {
-		endpoint.AnswerEnquiry = func() []byte { return c.answerEnquiry() }
+		endpoint.AnswerEnquiry = func() ([]byte, bool) { return c.answerEnquiry() }
 	}
 	ep, err := peer.Listen(endpoint)
 	if err != nil {
--- a/mesh/control/hosts.go
+++ b/mesh/control/hosts.go
@@ -133,12 +133,14 @@
 	return out, l.Index
 }
 
-// answerEnquiry returns the answer to a node that is about to connect.
-func (c *Control) answerEnquiry() []byte {
+// answerEnquiry returns the answer to a node that is about to connect. It is final once
+// this host accepts nodes.
+func (c *Control) answerEnquiry() ([]byte, bool) {
 	l, _ := c.directory()
-	b, err := directory.EncodeAnswer(directory.Answer{Accepting: c.startOrder.acceptNodes(), List: l})
+	accepting := c.startOrder.acceptNodes()
+	b, err := directory.EncodeAnswer(directory.Answer{Accepting: accepting, List: l})
 	if err != nil {
 		c.log.Error("answer to an enquiry could not be encoded", "reason", err.Error())
 	}
-	return b
+	return b, accepting
 }
--- a/mesh/control/startorder.go
+++ b/mesh/control/startorder.go
@@ -40,6 +40,7 @@
 			metrics.GetOrRegisterGauge("control.leader_known_after_ms", metrics.DefaultRegistry).Update(after.Milliseconds())
 			// Nodes that have started before can then route without a further question.
 			go func() { _, _ = c.confirm(ctx, time.Now()) }()
+			c.ep.AnswerEnquirers()
 			c.log.Info("control host knows a leader after its start", "leader", string(st.Leader), "after", after.String())
 			return nil
 		}
--- a/mesh/directory/enquiry.go
+++ b/mesh/directory/enquiry.go
@@ -38,14 +38,14 @@
 const (
 	// silenceWait is how long a node waits for the first answer. Control hosts of an
 	// earlier release do not answer; a longer wait delays nodes beside them.
-	silenceWait = time.Second
+	silenceWait = 1500 * time.Millisecond
 	// answerWait is how long it waits for a control host that accepts nodes while others
 	// answer. It is as long as a control host without a leader keeps nodes waiting.
 	answerWait = 5 * time.Second
 	// settleWait is how long it waits for further hosts of its data centre after the
 	// first host that accepts it. Without it, all nodes of a data centre would connect to the
 	// host that has started first.
-	settleWait = 100 * time.Millisecond
+	settleWait = 60 * time.Millisecond
 )
 
 // NewEnquiry returns an Enquiry of a node in the data centre.
@@ -67,7 +67,7 @@
 }
 
 // Targets returns the hosts to ask now: those that are not known to accept nodes, and for
-// the first second only those of the node's data centre once they are known.
+// silenceWait only those of the node's data centre once they are known.
 func (e *Enquiry) Targets(now time.Time, hosts []Host) []Host {
 	waiting := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return e.accepting[h.Host] })
 	here := slices.DeleteFunc(slices.Clone(waiting), func(h Host) bool { return h.DataCentre != e.dc })
--- a/mesh/peer/endpoint.go
+++ b/mesh/peer/endpoint.go
@@ -40,10 +40,10 @@
 	// AcceptNodes reports whether nodes may connect now; nil if always. A refused node
 	// tries again after a delay.
 	AcceptNodes func() bool
-	// AnswerEnquiry returns the payload of the answer to an enquiry; if it is nil,
-	// enquiries are ignored. It is for closed networks, since the answer is not
-	// authenticated.
-	AnswerEnquiry func() []byte
+	// AnswerEnquiry returns the payload of the answer to an enquiry, and whether it is
+	// final; see AnswerEnquirers. If it is nil, enquiries are ignored. It is for closed
+	// networks, since the answer is not authenticated.
+	AnswerEnquiry func() (payload []byte, final bool)
 	// Log receives connections that were made, lost or refused, and refused methods
 	// and ended streams.
 	Log *slog.Logger
@@ -89,6 +89,7 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	gate      *handshakeGate
+	enquirers enquirers
 	wg        sync.WaitGroup
 	// accepted and dialled count the handshakes.
 	accepted, dialled handshakeCounters
--- a/mesh/peer/enquiry.go
+++ b/mesh/peer/enquiry.go
@@ -6,6 +6,8 @@
 	"crypto/rand"
 	mathrand "math/rand/v2"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,10 +31,25 @@
 	// by enquiryFactor up to enquiryMaxInterval, with jitter. A shorter one finds a host
 	// sooner that starts meanwhile; the answers to a fleet take processor time from it.
 	enquiryMinInterval = 80 * time.Millisecond
-	enquiryMaxInterval = 400 * time.Millisecond
+	enquiryMaxInterval = 200 * time.Millisecond
 	enquiryFactor      = 1.3
 )
 
+// maxEnquirers bounds the number of processes that wait for a final answer.
+const maxEnquirers = 1024
+
+// enquirers holds the last enquiry of each process that has no final answer yet. One mutex
+// guards it.
+type enquirers struct {
+	mu      sync.Mutex
+	waiting map[string]enquirer
+}
+
+type enquirer struct {
+	from  net.Addr
+	nonce []byte
+}
+
 // serveEnquiries answers enquiries with Config.AnswerEnquiry until the endpoint is closed.
 func (e *Endpoint) serveEnquiries(ctx context.Context) {
 	buf := make([]byte, 2*enquiryBytes)
@@ -44,10 +61,48 @@
 		if n < enquiryBytes || !bytes.HasPrefix(buf, enquiryPrefix) {
 			continue
 		}
-		answer := append(bytes.Clone(answerPrefix), buf[len(enquiryPrefix):len(enquiryPrefix)+nonceBytes]...)
-		if answer = append(answer, e.cfg.AnswerEnquiry()...); len(answer) <= enquiryBytes {
-			_, _ = e.transport.WriteTo(answer, from)
+		q := enquirer{from: from, nonce: bytes.Clone(buf[len(enquiryPrefix) : len(enquiryPrefix)+nonceBytes])}
+		payload, final := e.cfg.AnswerEnquiry()
+		e.enquirers.record(q, final)
+		e.answer(q, payload)
+	}
+}
+
+// record keeps an enquiry until the final answer.
+func (s *enquirers) record(q enquirer, final bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case final:
+		delete(s.waiting, q.from.String())
+	case len(s.waiting) < maxEnquirers:
+		if s.waiting == nil {
+			s.waiting = map[string]enquirer{}
 		}
+		s.waiting[q.from.String()] = q
+	}
+}
+
+func (e *Endpoint) answer(q enquirer, payload []byte) {
+	packet := slices.Concat(answerPrefix, q.nonce, payload)
+	if len(packet) <= enquiryBytes {
+		_, _ = e.transport.WriteTo(packet, q.from)
+	}
+}
+
+// AnswerEnquirers answers all processes that wait for a final answer, so that they need not
+// repeat their enquiries often.
+func (e *Endpoint) AnswerEnquirers() {
+	e.enquirers.mu.Lock()
+	waiting := e.enquirers.waiting
+	e.enquirers.waiting = nil
+	e.enquirers.mu.Unlock()
+	if len(waiting) == 0 {
+		return
+	}
+	payload, _ := e.cfg.AnswerEnquiry()
+	for _, q := range waiting {
+		e.answer(q, payload)
 	}
 }
 
--- a/mesh/peer/enquiry_test.go
+++ b/mesh/peer/enquiry_test.go
@@ -15,10 +15,17 @@
 func TestEnquiries(t *testing.T) {
 	control := Identity{Role: RoleControl, DataCentre: "d", Host: "c"}
 	var answers atomic.Int64
-	answer := func(text string) func() []byte {
-		return func() []byte { answers.Add(1); return []byte(text) }
+	answer := func(text string) func() ([]byte, bool) {
+		return func() ([]byte, bool) { answers.Add(1); return []byte(text), true }
 	}
-	second := startLimited(t, control, Config{AnswerEnquiry: answer("second")})
+	var final atomic.Bool
+	second := startLimited(t, control, Config{AnswerEnquiry: func() ([]byte, bool) {
+		answers.Add(1)
+		if final.Load() {
+			return []byte("second"), true
+		}
+		return []byte("wait"), false
+	}})
 	reserved, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -31,13 +38,20 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	var got []string
+	var waited time.Time
 	began := time.Now()
 	err = Enquire(ctx, func() []string { return targets }, func(target string, payload []byte) {
 		if target == targets[0] && len(targets) == 1 {
 			targets = append(targets, string(payload))
 		}
-		got = append(got, string(payload))
+		if got = append(got, string(payload)); string(payload) == "wait" && !final.Swap(true) {
+			second.AnswerEnquirers() // this node has just been told to wait
+			waited = time.Now()
+		}
 	}, func(time.Time) bool { return slices.Contains(got, "second") })
+	if took := time.Since(waited); took > enquiryMinInterval/2 {
+		t.Errorf("the final answer came after %s, with a repeated enquiry", took)
+	}
 	if took := time.Since(began); err != nil || took > time.Second {
 		t.Fatalf("%v after %s, answers %v", err, took, got)
 	}
