Count the minimum share of a priority in slot time

A priority with waiting requests now gains a twentieth of the expected time of each slot that is given, and pays the expected time of its own requests, at most a second in advance. The expected time is the mean of the route.

--- a/mesh/admission/distribution.go
+++ b/mesh/admission/distribution.go
@@ -32,6 +32,8 @@
 type distribution struct {
 	counts [numBuckets]float32
 	total  float32
+	// seconds is the sum of the service times.
+	seconds float64
 	// target is the greatest time to the latency target that a request of the route had
 	// at its arrival; 0 if none had one.
 	target time.Duration
@@ -47,10 +49,11 @@
 // add adds the service time of a request.
 func (d *distribution) add(t time.Duration) {
 	d.counts[bucketOf(t)]++
+	d.seconds += t.Seconds()
 	if d.total++; d.total < maxDistributionCount {
 		return
 	}
-	d.total = 0
+	d.total, d.seconds = 0, d.seconds/2
 	for i := range d.counts {
 		d.counts[i] /= 2
 		d.total += d.counts[i]
@@ -75,6 +78,14 @@
 	return time.Duration(float64(firstBucket) * math.Pow(bucketRatio, numBuckets-1))
 }
 
+// mean returns the mean; 0 while there are too few requests.
+func (d *distribution) mean() time.Duration {
+	if d.total < minDistributionCount {
+		return 0
+	}
+	return time.Duration(d.seconds / float64(d.total) * float64(time.Second))
+}
+
 func (d *distribution) median() time.Duration { return d.quantile(0.5) }
 
 // distributions holds the distribution of each route. The empty name holds the one shared
--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -69,10 +69,19 @@
 	numClasses = firstPriorityClass + 2*MaxPriority
 )
 
-// minPriorityShare is the share of the slots that each priority gets at least while it has
-// requests waiting.
+// minPriorityShare is the share of the time in slots that each priority gets at least while
+// it has requests waiting. As a share of the number of slots it would let long requests of
+// a low priority take a third of a server from short nested calls of a high one.
 const minPriorityShare = 0.05
 
+const (
+	// unknownSlotTime stands for the time in a slot while nothing is known of it.
+	unknownSlotTime = 100 * time.Millisecond
+	// maxCredit bounds the time in slots that is due to a priority, and so how many of its
+	// requests follow each other.
+	maxCredit = time.Second
+)
+
 // Constants of the estimate of waiting times.
 const (
 	// intervalWeight is the weight of the newest interval in the moving average of
@@ -94,7 +103,7 @@
 //     be late anyway;
 //   - then requests with a priority, by priority; within one priority those that can
 //     still meet their latency target first, then by expiry. Each priority with waiters
-//     gets at least minPriorityShare of the slots.
+//     gets at least minPriorityShare of the time in slots.
 //
 // It is not safe for concurrent use; Gate owns it.
 type Queue struct {
@@ -109,9 +118,14 @@
 	size int
 	// arrivals counts the waiters pushed so far.
 	arrivals uint64
-	// credits holds for each priority from 1 the part of the next slot that is due to it
-	// whatever else waits.
-	credits [MaxPriority]float64
+	// slotTime returns how long a waiter is expected to hold its slot; nil if all waiters
+	// hold it for the same time.
+	slotTime func(now time.Time, w *Waiter) time.Duration
+	// minShare is minPriorityShare, except in tests.
+	minShare float64
+	// credits holds for each priority from 1 the time in slots that is due to it whatever
+	// else waits.
+	credits [MaxPriority]time.Duration
 	// nonEmptySince is when a waiter was last pushed to the empty queue.
 	nonEmptySince time.Time
 }
@@ -119,7 +133,7 @@
 // NewQueue returns a queue of at most limit waiters. It counts as overloaded once it
 // has been non-empty for overloadAfter.
 func NewQueue(limit int, overloadAfter time.Duration) *Queue {
-	return &Queue{limit: limit, overloadAfter: overloadAfter}
+	return &Queue{limit: limit, overloadAfter: overloadAfter, minShare: minPriorityShare}
 }
 
 // Len returns the number of waiters.
@@ -224,17 +238,38 @@
 		if q.waitersOf(p) == 0 {
 			continue
 		}
-		credit := &q.credits[p-1]
-		*credit = min(*credit+minPriorityShare, 1)
-		if priority == 0 || *credit == 1 && q.credits[priority-1] < 1 {
+		if priority == 0 {
 			priority = p
+		} else if next := q.nextOfPriority(now, p); q.credits[p-1] >= q.timeInSlot(now, q.classes[next].byExpiry[0]) {
+			priority = p
+			break
 		}
 	}
 	if priority == 0 {
 		return -1
 	}
-	q.credits[priority-1] = max(q.credits[priority-1]-1, 0)
-	return q.nextOfPriority(now, priority)
+	next := q.nextOfPriority(now, priority)
+	q.charge(priority, q.timeInSlot(now, q.classes[next].byExpiry[0]))
+	return next
+}
+
+// charge gives all priorities with waiters their share of a slot that goes to one of them
+// for the given time, which that one pays.
+func (q *Queue) charge(priority int, taken time.Duration) {
+	for p := 1; p <= MaxPriority; p++ {
+		if q.waitersOf(p) > 0 {
+			q.credits[p-1] = min(q.credits[p-1]+time.Duration(q.minShare*float64(taken)), maxCredit)
+		}
+	}
+	q.credits[priority-1] = max(q.credits[priority-1]-taken, 0)
+}
+
+// timeInSlot returns how long a waiter is expected to hold its slot.
+func (q *Queue) timeInSlot(now time.Time, w *Waiter) time.Duration {
+	if q.slotTime == nil {
+		return unknownSlotTime
+	}
+	return min(q.slotTime(now, w), maxCredit)
 }
 
 // classOfPriority returns the index of the first class of a priority.
--- a/mesh/admission/scheduler.go
+++ b/mesh/admission/scheduler.go
@@ -68,7 +68,7 @@
 		pacer:       pacer{cold: rateLimit{rate: cfg.Service.ColdRate * cfg.ColdLoad, burstTime: coldBurstTime}},
 		coldLoad:    cfg.ColdLoad,
 	}
-	s.queue.missesTarget = s.missesTarget
+	s.queue.missesTarget, s.queue.slotTime = s.missesTarget, s.slotTime
 	return s
 }
 
@@ -131,6 +131,17 @@
 	return !w.Target.IsZero() && now.Add(s.scaled(now, s.routes.of(w.Route).medianOrPrior())).After(w.Target)
 }
 
+// slotTime returns how long a request is expected to hold its slot, relative to others.
+func (s *scheduler) slotTime(now time.Time, w *Waiter) time.Duration {
+	if m := s.routes.of(w.Route).mean(); m > 0 {
+		return m
+	}
+	if _, usual := s.serviceTimes(now); usual > 0 {
+		return usual
+	}
+	return unknownSlotTime
+}
+
 // scaled returns a usual service time as it is expected now, with the slowness or the
 // coldness of the backend server.
 func (s *scheduler) scaled(now time.Time, usual time.Duration) time.Duration {
--- a/mesh/admission/target_test.go
+++ b/mesh/admission/target_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"container/heap"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -107,3 +109,61 @@
 		}
 	}
 }
+
+// Guards against long requests of a low priority that take the slots of short nested calls
+// by their minimum share, so that the runs that made the calls fail.
+func TestMinimumShareDoesNotDisplaceNestedCalls(t *testing.T) {
+	type load struct {
+		route model.RouteName
+		share float64 // of the capacity
+		taken time.Duration
+	}
+	loads := []load{{"nested", 0.9, 15 * time.Millisecond}, {"second", 0.2, 150 * time.Millisecond}, {"third", 0.2, 150 * time.Millisecond}}
+	served := func(minShare float64) (inTime []int) {
+		p := &play{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(3, 5))}
+		end := p.now.Add(20 * time.Second)
+		s := newScheduler(Config{ColdLoad: 1, OverloadAfter: DefaultOverloadAfter, Service: note.Service{
+			Name: "called", Slots: 17, QueueLimit: 12, QueueTimeout: 300 * time.Millisecond,
+		}})
+		s.start(p.now, 17, 0)
+		s.queue.minShare = minShare
+		inTime = make([]int, len(loads))
+		var apply func([]decision)
+		apply = func(decided []decision) {
+			for _, d := range decided {
+				if d.refused != "" {
+					continue
+				}
+				i, started := int(d.waiter.Priority)-1, p.now
+				taken := time.Duration(p.rand.ExpFloat64() * float64(loads[i].taken))
+				p.after(taken, func() {
+					inTime[i]++
+					apply(s.finish(p.now, Sample{Route: loads[i].route, Started: started, Result: ResultOK, Latency: taken}))
+				})
+			}
+		}
+		for i, l := range loads {
+			var arrive func()
+			arrive = func() {
+				w := &Waiter{Request: Request{Kind: model.KindLookup, Route: l.route, Priority: uint8(i + 1)}}
+				apply(s.arrive(p.now, w))
+				p.after(time.Duration(p.rand.ExpFloat64()*l.taken.Seconds()/(17*l.share)*float64(time.Second)), arrive)
+			}
+			arrive()
+		}
+		for p.events[0].at.Before(end) {
+			e := heap.Pop(&p.events).(event)
+			p.now = e.at
+			e.do()
+		}
+		return inTime
+	}
+	with, without := served(minPriorityShare), served(0)
+	t.Logf("served by priority with the minimum share %v, without it %v", with, without)
+	if float64(with[0]) < 0.95*float64(without[0]) {
+		t.Errorf("%d nested calls served, %d without the minimum share", with[0], without[0])
+	}
+	if with[2] < without[2] || with[2] < 80 { // 5% of 17 slots for 20 s would be 113
+		t.Errorf("%d requests of priority 3 served, %d without the minimum share", with[2], without[2])
+	}
+}
