Read large heads of answers into shared buffers

Cause: a head above 4 KiB grew its buffer in steps, and left three times its size to be collected.

Change: such heads are read into buffers of a pool.

--- a/mesh/serverconn/answer.go
+++ b/mesh/serverconn/answer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -51,7 +52,7 @@
 // answerReader reads answers from a connection.
 type answerReader struct {
 	r *bufio.Reader
-	// buf holds the head that is being read.
+	// buf is kept for heads of up to maxKeptHeadBytes.
 	buf []byte
 	// beforeTrailers is called before the trailers of an answer are read, to bound them;
 	// may be nil.
@@ -84,32 +85,39 @@
 	return resp, b, err
 }
 
+// largeHeads holds buffers for heads above maxKeptHeadBytes. A faulty server that sends such
+// heads all the time would otherwise leave several times their size to be collected.
+var largeHeads = sync.Pool{New: func() any { return new([maxHeadBytes + bufferBytes]byte) }}
+
 // readLines reads lines up to and including an empty one, and returns them without the empty
 // one. Each line ends with CR LF.
 func (a *answerReader) readLines() (string, error) {
-	a.buf = a.buf[:0]
-	defer func() {
-		if cap(a.buf) > maxKeptHeadBytes {
-			a.buf = nil
-		}
-	}()
+	buf := a.buf[:0]
 	for start := 0; ; {
 		part, err := a.r.ReadSlice('\n')
-		a.buf = append(a.buf, part...)
+		if before := len(buf); before <= maxKeptHeadBytes && before+len(part) > maxKeptHeadBytes {
+			large, _ := largeHeads.Get().(*[maxHeadBytes + bufferBytes]byte)
+			defer largeHeads.Put(large)
+			buf = append(large[:0], buf...)
+		}
+		buf = append(buf, part...)
+		if len(buf) <= maxKeptHeadBytes {
+			a.buf = buf
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
 			return "", unexpected(err)
 		}
-		line := a.buf[start:]
+		line := buf[start:]
 		if len(line) < len(crlf) || line[len(line)-len(crlf)] != '\r' {
 			return "", invalid("line %.40q ends without CR", line)
 		}
 		if len(line) == len(crlf) {
-			return string(a.buf[:start]), nil
+			return string(buf[:start]), nil
 		}
-		start = len(a.buf)
+		start = len(buf)
 	}
 }
 
