Send no crowds to a server that declines with a short queue

A slow or cold server declines requests with few waiting, so that its reports showed less load than those of full ones, and all entry nodes sent it what others had declined: up to 254 requests in 100 ms in the play with cold servers.

A server whose last response was a declined attempt counts with a load of at least 2, and is no candidate by its new report alone. The play prints the value of the responses, and its callers come back after a loss of power.

--- a/mesh/admission/play_test.go
+++ b/mesh/admission/play_test.go
@@ -30,7 +30,10 @@
 	slowness       float64       // factor of the service time in such a phase
 	slowPhase      time.Duration // mean length of such a phase
 	// cold is for how long all servers, which have just started, take twice their time.
-	cold          time.Duration
+	cold time.Duration
+	// backlog is for how long callers have waited when the play begins; they come back
+	// within half a second.
+	backlog       time.Duration
 	target, limit time.Duration
 	// silent servers state no load and never respond to a request that finds them full.
 	silent bool
@@ -72,8 +75,9 @@
 func (r *playResult) String() string {
 	slices.Sort(r.latencies)
 	share := func(n int) float64 { return 100 * float64(n) / float64(r.requests) }
-	return fmt.Sprintf("p50 %4d ms, p99 %4d ms, in target %5.1f%%, refused %4.1f%%, failed %4.1f%%, declined attempts %5.1f%%, at most %d arrivals in 100 ms and %d in flight, %d dropped",
-		r.quantile(0.5).Milliseconds(), r.quantile(0.99).Milliseconds(), share(r.inTarget), share(r.refused), share(r.failed), share(r.declined), r.mostArrivals, r.mostInFlight, r.dropped)
+	value := 100 * (float64(r.inTarget) + 0.1*float64(len(r.latencies)-r.inTarget)) / float64(r.requests)
+	return fmt.Sprintf("value %4.1f%%, p50 %4d ms, p99 %4d ms, in target %5.1f%%, refused %4.1f%%, failed %4.1f%%, declined attempts %5.1f%%, at most %d arrivals in 100 ms and %d in flight, %d dropped",
+		value, r.quantile(0.5).Milliseconds(), r.quantile(0.99).Milliseconds(), share(r.inTarget), share(r.refused), share(r.failed), share(r.declined), r.mostArrivals, r.mostInFlight, r.dropped)
 }
 
 func (r *playResult) quantile(q float64) time.Duration {
@@ -160,6 +164,7 @@
 	node     int
 	work     time.Duration
 	began    time.Time
+	since    time.Time // when the caller began, which the target counts from
 	attempts *routing.Attempts
 	open     bool
 }
@@ -216,6 +221,10 @@
 		p.after(time.Duration(p.rand.ExpFloat64()/(capacity*p.load)*float64(time.Second)), arrive)
 	}
 	arrive()
+	for i := range int(capacity * p.load * p.backlog.Seconds()) {
+		waited := time.Duration(float64(p.backlog) * float64(i) / (capacity * p.load * p.backlog.Seconds()))
+		p.after(time.Duration(p.rand.Float64()*float64(500*time.Millisecond)), func() { p.callSince(p.now.Add(-waited)) })
+	}
 	for len(p.events) > 0 && p.events[0].at.Before(end) {
 		e := heap.Pop(&p.events).(event)
 		p.now = e.at
@@ -234,9 +243,12 @@
 	return time.Duration(w)
 }
 
-func (p *play) call() {
+func (p *play) call() { p.callSince(p.now) }
+
+// callSince starts a call whose caller has waited since the given time.
+func (p *play) callSince(since time.Time) {
 	route := note.Route{Name: "r", Service: "s", Kind: model.KindLookup, Priority: 2, LatencyTarget: p.target, MaxRetries: 2, Timeout: p.limit}
-	c := &playCall{node: p.rand.IntN(p.entries), work: p.drawWork(), began: p.now, open: true}
+	c := &playCall{node: p.rand.IntN(p.entries), work: p.drawWork(), began: p.now, since: since, open: true}
 	c.attempts = routing.NewAttempts(route, p.now.Add(p.limit), routing.NewBudget(route.MaxRetries), p.bucket[c.node])
 	p.result.requests++
 	p.attempt(c)
@@ -253,7 +265,7 @@
 	}
 	c.attempts.Started(choice.Host)
 	a := &playAttempt{call: c, server: p.hosts[choice.Host], waiter: &Waiter{Request: Request{
-		Kind: model.KindLookup, Route: "r", Priority: 2, Deadline: c.began.Add(p.limit), Target: c.began.Add(p.target), MaxWait: p.target / 4,
+		Kind: model.KindLookup, Route: "r", Priority: 2, Deadline: c.began.Add(p.limit), Target: c.since.Add(p.target), MaxWait: p.target / 4,
 	}}}
 	p.after(playHop, func() { a.server.arrive(a) })
 	p.at(c.began.Add(p.limit), func() { a.expire() })
@@ -361,7 +373,7 @@
 		o.Latency = p.now.Sub(c.began)
 		p.nodes[c.node].Observe(p.now, s.host, o)
 		if r == routing.ResultOK {
-			latency := p.now.Sub(c.began)
+			latency := p.now.Sub(c.since)
 			p.result.latencies = append(p.result.latencies, latency)
 			if latency <= p.target {
 				p.result.inTarget++
@@ -400,10 +412,11 @@
 	}
 }
 
-// afterPowerLoss is the clinic while all servers are cold.
+// afterPowerLoss is the clinic while all servers are cold and callers that have waited come
+// back.
 func afterPowerLoss(load float64) play {
 	p := clinic(load)
-	p.cold, p.length = 3*time.Second, 3*time.Second
+	p.cold, p.length, p.backlog = 3*time.Second, 3*time.Second, 1500*time.Millisecond
 	return p
 }
 
@@ -452,7 +465,8 @@
 				if r.mostInFlight > 2*p.slots || r.dropped > 0 {
 					t.Error("more requests in flight at a server than it has slots, beside those it can still end")
 				}
-				if name == "clinic" && load < 1 && r.mostArrivals > p.slots+12 { // slots and queue
+				room := p.slots + 12 // slots and queue
+				if r.mostArrivals > 3*room || name == "clinic" && load < 1 && r.mostArrivals > room {
 					t.Errorf("%d requests reached one server in 100 ms", r.mostArrivals)
 				}
 			})
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -24,6 +24,10 @@
 	// from 1 to 4 and exponents from 4 to 8 differ by at most 0.3% of the requests in target.
 	queueWeight   = 2.0
 	queueExponent = 4.0
+	// declinedLoad is the least load that is assumed of a server whose last response was a
+	// declined attempt. A slow server declines with a short queue; without this bound many
+	// nodes sent it what the others had declined, 254 requests in 100 ms in the play.
+	declinedLoad = 2.0
 	// maxServiceTimeRatio caps by how much the usual service time changes the weight of a
 	// server in the draw.
 	maxServiceTimeRatio = 4.0
@@ -89,6 +93,9 @@
 	reportWeight, usualWeight := h.weights(now)
 	expected, _ := h.serviceTimes(now, mean)
 	reportedLoad := max(h.utilization+float64(h.inFlight-h.inFlightAtReport)/h.capacity(now), 0)
+	if h.declined {
+		reportedLoad = max(reportedLoad, declinedLoad)
+	}
 	usualLoad := usualWeight*h.usualLoad + (1-usualWeight)*v.averageLoad
 	queue := reportWeight*math.Pow(reportedLoad, queueExponent) + (1-reportWeight)*math.Pow(usualLoad, queueExponent)
 	return expected * (1 + queueWeight*queue)
@@ -104,12 +111,12 @@
 }
 
 // earliest returns the candidate that is expected to be done first, among those given and
-// the servers of the group with the newest reports. A server whose last answer was an error
-// is taken only if it was drawn: one that fails at once would look free.
+// the servers of the group with the newest reports. A server whose last answer was an error or
+// that has declined a call is taken only if it was drawn: one that fails at once would look free.
 func (p *Picker) earliest(now time.Time, v *versionState, g *group, mean float64, eligible func(*host) bool, candidates ...*host) *host {
 	var newest [recentReports]*host
 	for _, h := range g.hosts {
-		if h.reportedAt.IsZero() || h.consecutiveErrors+h.consecutiveFailures > 0 || !eligible(h) {
+		if h.reportedAt.IsZero() || h.declined || h.consecutiveErrors+h.consecutiveFailures > 0 || !eligible(h) {
 			continue
 		}
 		for i, n := range newest {
