--- a/mesh/node/invalid_test.go
+++ b/mesh/node/invalid_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"balsamtrail.org/mesh/callmux"
 	"balsamtrail.org/mesh/peer"
@@ -72,3 +74,19 @@
 		t.Errorf("complete after %d bytes", n)
 	}
 }
+
+// Guards against a backend server that is taken out of work because its health answer is
+// invalid: only the outcomes of requests decide.
+func TestInvalidHealthAnswerShowsAReachableServer(t *testing.T) {
+	for answer, want := range map[string]bool{"HTTP/1.1 200 OK\r\nX Bad: 1\r\n\r\n": true, "HTTP/1.1 500 No\r\n\r\n": true, "": false} {
+		n := newUnregisteredNode(t, &url.URL{Scheme: "http", Host: acceptConnections(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, answer)
+			}
+		})})
+		n.cfg.Timeouts.Health, n.cfg.Backend.HealthPath = time.Second, "/healthz"
+		if got := n.probe(t.Context()); got != want {
+			t.Errorf("%q: reachable %v", answer, got)
+		}
+	}
+}
