--- a/mesh/node/joining_test.go
+++ b/mesh/node/joining_test.go
@@ -150,3 +150,47 @@
 		}
 	}
 }
+
+// Guards against a node that routes by a part of an exchange whose control host was killed
+// in the middle of it, or that does not go on to another control host.
+func TestControlHostLostDuringTheExchange(t *testing.T) {
+	ca, err := peer.OpenDevCA(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first, second atomic.Int64
+	lost := joinableHost(t, ca, "c1", &first, func(ctx context.Context, _ time.Time) (model.Position, error) {
+		<-ctx.Done()
+		return model.Position{}, ctx.Err()
+	})
+	other := joinableHost(t, ca, "c2", &second, func(context.Context, time.Time) (model.Position, error) {
+		return model.Position{Epoch: 1, Index: 8}, nil // newer than the configuration that c1 sent
+	})
+	n := newJoiningNode(t, ca, lost)
+	watch, stop := context.WithCancel(t.Context())
+	attached := make(chan error, 1)
+	go func() { attached <- n.attach(watch) }()
+	for n.acceptor.Position().IsZero() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	stop() // as if c1 was killed: its stream ends before the welcome
+	<-attached
+	if n.floor.Load() != nil || n.routable() {
+		t.Fatal("routes by a part of the exchange")
+	}
+	n.directory.SetSettings([]directory.Host{other})
+	n.directory.Update(directory.List{Index: 9, Hosts: []directory.Host{other}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 2)
+	go func() { done <- n.attach(ctx) }()
+	go func() { done <- n.learnFloor(ctx) }()
+	defer func() { cancel(); <-done; <-done }()
+	for deadline := time.Now().Add(5 * time.Second); n.floor.Load() == nil; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the other control host is not asked")
+		}
+	}
+	if got := *n.floor.Load(); got.Index != 8 || n.routable() {
+		t.Errorf("floor %s, routable %v with a configuration at %s", got, n.routable(), n.acceptor.Position())
+	}
+}
