Ask for longer which control hosts accept nodes, and admit more nodes of others

Cause: with 270 nodes on this machine the control hosts came up to 12 s after the first nodes. Nodes that had stopped asking after 1.5 s found them only after backoffs of seconds (the last one 3.96 s after the last control host). 54 nodes were refused since a control host takes only two unplanned children of a data centre, while the nodes that the tree names had nothing to serve yet.

Change: a node asks for 4 s. A control host takes a quarter of limits.children as unplanned children of a data centre, at least 2 as before (8 on the platform).

--- a/mesh/control/control.go
+++ b/mesh/control/control.go
@@ -118,11 +118,18 @@
 	_ = metrics.NewRegisteredFunctionalGauge("control.bytes_received", nil, func() int64 { _, received := peer.Traffic(); return received })
 }
 
+// unplannedChildrenDivisor is the ratio of limits.children to the unplanned children of a
+// data centre. It leaves the default of limits.children with SourceUnplannedChildren.
+const unplannedChildrenDivisor = 4
+
 // admissionConfig returns the limits on the nodes that this host serves
 // directly.
 func admissionConfig(l settings.ControlLimits) distribute.AdmissionConfig {
 	a := distribute.SourceAdmission()
 	a.PerDataCentre, a.Snapshots = l.Children, l.Snapshots
+	// Where a host serves many nodes directly, it also has room for more that the tree
+	// gives to other nodes, which have nothing to serve yet when a whole fleet starts.
+	a.UnplannedPerDataCentre = max(a.UnplannedPerDataCentre, l.Children/unplannedChildrenDivisor)
 	a.Children = max(a.Children, l.Children+a.UnplannedPerDataCentre)
 	return a
 }
--- a/mesh/directory/enquiry.go
+++ b/mesh/directory/enquiry.go
@@ -36,9 +36,13 @@
 }
 
 const (
-	// silenceWait is how long a node waits for the first answer. Control hosts of an
-	// earlier release do not answer; a longer wait delays nodes beside them.
-	silenceWait = 1500 * time.Millisecond
+	// silenceWait is how long a node waits for the first answer. Control hosts may get
+	// power later than nodes, and a node that has given up finds them only after its
+	// backoff of seconds. Control hosts of an earlier release do not answer; a longer wait
+	// delays nodes beside them.
+	silenceWait = 4 * time.Second
+	// localOnlyWait is how long it asks only the hosts of its data centre once it knows them.
+	localOnlyWait = time.Second
 	// answerWait is how long it waits for a control host that accepts nodes while others
 	// answer. It is as long as a control host without a leader keeps nodes waiting.
 	answerWait = 5 * time.Second
@@ -67,11 +71,11 @@
 }
 
 // Targets returns the hosts to ask now: those that are not known to accept nodes, and for
-// silenceWait only those of the node's data centre once they are known.
+// localOnlyWait only those of the node's data centre once they are known.
 func (e *Enquiry) Targets(now time.Time, hosts []Host) []Host {
 	waiting := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return e.accepting[h.Host] })
 	here := slices.DeleteFunc(slices.Clone(waiting), func(h Host) bool { return h.DataCentre != e.dc })
-	if len(here) > 0 && now.Sub(e.started) < silenceWait {
+	if len(here) > 0 && now.Sub(e.started) < localOnlyWait {
 		return here
 	}
 	return waiting
