Read long responses ahead within a quarter of the memory for bodies

Read-ahead took all of the memory for bodies, 16 MiB in that test, and uploads would have been refused for it too.

Beyond 256 KiB a response is now read ahead only while less than a quarter of the memory is in use.

--- a/mesh/node/answerbuffer.go
+++ b/mesh/node/answerbuffer.go
@@ -110,8 +110,11 @@
 		b.blocks, b.spare = append(b.blocks, b.spare[:0]), nil
 		return true
 	}
-	n := b.nextBlockBytes()
-	if b.held+n > b.memory.maxForAnswer() || !b.memory.take(n) {
+	n, take := b.nextBlockBytes(), b.memory.take
+	if b.held > 0 && max(b.length, b.size) > maxBufferedAnswerBytes {
+		take = b.memory.takeAhead
+	}
+	if b.held+n > b.memory.maxForAnswer() || !take(n) {
 		return false
 	}
 	b.held += n
--- a/mesh/node/bodymemory.go
+++ b/mesh/node/bodymemory.go
@@ -30,10 +30,20 @@
 }
 
 // take reserves n bytes and reports whether there was room.
-func (m *bodyMemory) take(n int64) bool {
+func (m *bodyMemory) take(n int64) bool { return m.takeBelow(m.limit, n) }
+
+// aheadDivisor divides the limit to give what may be in use when an answer is read further
+// ahead than a retry needs. Long answers so leave room to request bodies, which are refused
+// without it.
+const aheadDivisor = 4
+
+// takeAhead reserves n bytes to read an answer further ahead than a retry needs.
+func (m *bodyMemory) takeAhead(n int64) bool { return m.takeBelow(m.limit/aheadDivisor, n) }
+
+func (m *bodyMemory) takeBelow(limit, n int64) bool {
 	for {
 		used := m.used.Load()
-		if used+n > m.limit {
+		if used+n > limit {
 			telemetry.Counter(metricBodyMemoryFull).Inc(1)
 			return false
 		}
