Compute the weights of backend servers once for each choice

The weight of a server in the draw, which now depends on its usual service time with an exponential, was computed three times for each server of the group. A choice among 66 servers with known service times took 15.1 us and takes 7.6 us; without them, as before the choice by completion time, 4.5 and 2.6 us. The choices are the same.

--- a/mesh/routing/choose.go
+++ b/mesh/routing/choose.go
@@ -214,27 +214,29 @@
 // starving them. It returns nil if no server of the group may be chosen.
 func (p *Picker) pickFrom(now time.Time, v *versionState, g *group, exclude []model.HostID, allowEjected bool) *host {
 	mean := v.meanServiceTime()
-	weight := func(h *host) float64 { return p.weight(now, h, exclude, allowEjected) * h.speed(now, mean) }
-	total := 0.0
-	for _, h := range g.hosts {
-		total += weight(h)
+	weights, total := make([]float64, len(g.hosts)), 0.0
+	for i, h := range g.hosts {
+		if weights[i] = p.weight(now, h, exclude, allowEjected); weights[i] > 0 {
+			weights[i] *= h.speed(now, mean)
+		}
+		total += weights[i]
 	}
 	if total == 0 {
 		return nil
 	}
-	a := p.draw(g, weight, nil, total)
-	remaining := total - weight(a)
+	first := p.draw(weights, -1, total)
+	a, remaining := g.hosts[first], total-weights[first]
 	if remaining <= total*1e-9 {
 		return a
 	}
-	b := p.draw(g, weight, a, remaining)
+	b := g.hosts[p.draw(weights, first, remaining)]
 	if mean > 0 && p.rand.Float64() < probeFraction {
 		return a
 	}
 	if mean > 0 {
-		return p.earliest(now, v, g, mean, func(h *host) bool { return weight(h) > 0 }, a, b)
+		return p.earliest(now, v, g, mean, weights, a, b)
 	}
-	if b == nil || cost(now, v, a, b) <= cost(now, v, b, a) {
+	if cost(now, v, a, b) <= cost(now, v, b, a) {
 		return a
 	}
 	return b
@@ -249,19 +251,18 @@
 	return h.capacity(now) * p.rampFraction(now, h.DataCentre)
 }
 
-// draw returns a random backend server other than skip. total is the sum of the
-// weights of all servers that may be drawn.
-func (p *Picker) draw(g *group, weight func(*host) float64, skip *host, total float64) *host {
+// draw returns a random index other than skip, with the given weights, of which at least one
+// is not 0. total is their sum without that of skip.
+func (p *Picker) draw(weights []float64, skip int, total float64) int {
 	x := p.rand.Float64() * total
-	var last *host
-	for _, h := range g.hosts {
-		w := weight(h)
-		if h == skip || w == 0 {
+	last := 0
+	for i, w := range weights {
+		if i == skip || w == 0 {
 			continue
 		}
-		last = h
+		last = i
 		if x -= w; x < 0 {
-			return h
+			return i
 		}
 	}
 	return last // reached only through rounding errors in total
--- a/mesh/routing/completion.go
+++ b/mesh/routing/completion.go
@@ -113,10 +113,11 @@
 // earliest returns the candidate that is expected to be done first, among those given and
 // the servers of the group with the newest reports. A server whose last answer was an error or
 // that has declined a call is taken only if it was drawn: one that fails at once would look free.
-func (p *Picker) earliest(now time.Time, v *versionState, g *group, mean float64, eligible func(*host) bool, candidates ...*host) *host {
+// weights are those of the group in the draw, 0 for servers that must not be chosen.
+func (p *Picker) earliest(now time.Time, v *versionState, g *group, mean float64, weights []float64, candidates ...*host) *host {
 	var newest [recentReports]*host
-	for _, h := range g.hosts {
-		if h.reportedAt.IsZero() || h.declined || h.consecutiveErrors+h.consecutiveFailures > 0 || !eligible(h) {
+	for i, h := range g.hosts {
+		if weights[i] == 0 || h.reportedAt.IsZero() || h.declined || h.consecutiveErrors+h.consecutiveFailures > 0 {
 			continue
 		}
 		for i, n := range newest {
