Announce the first commit of a new leader at once

Cause: a leader sent its commit index with its next heartbeat or entry.

Change: the leader broadcasts when it commits the first entry of its term.

Measured: TestNewLeaderAnnouncesWhatIsCommitted; without the change the other hosts know a commit index of 0 until the heartbeat.

--- a/mesh/replog/log_test.go
+++ b/mesh/replog/log_test.go
@@ -506,3 +506,28 @@
 		}
 	})
 }
+
+// Guards against control hosts that start together and learn only with the next heartbeat
+// of a new leader what is committed, so that they confirm no position until then.
+func TestNewLeaderAnnouncesWhatIsCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.delay = 4 * time.Millisecond
+		cfg := Config{ElectionTimeout: 10 * time.Second, Heartbeat: 2 * time.Second}
+		disks, _, logs := n.openGroup(t, cfg, threeHosts...)
+		propose(t, waitLeader(t, logs...), "before")
+		n.closeAll(t)
+		cfg.Voters, logs = nil, nil
+		for _, h := range threeHosts {
+			cfg.Self, cfg.Dir, cfg.FS = h, simDir, disks[h]
+			logs = append(logs, n.open(t, cfg, &listMachine{}))
+		}
+		leader := waitLeader(t, logs...)
+		time.Sleep(3 * n.delay)
+		for _, l := range logs {
+			if got, want := l.Status().Commit, leader.Status().Commit; got != want {
+				t.Errorf("%s knows a commit index of %d, the leader of %d", l.Status().Self, got, want)
+			}
+		}
+	})
+}
--- a/mesh/replog/replication.go
+++ b/mesh/replog/replication.go
@@ -269,7 +269,13 @@
 	if index <= c.commit || c.log.term(index) != c.term {
 		return
 	}
+	isFirst := !c.committedInTerm()
 	c.setCommit(index)
+	if isFirst {
+		// Hosts that have started apply nothing, and confirm no position, before they
+		// know a commit index; the next heartbeat may be a while away.
+		c.broadcast()
+	}
 	c.stepDownIfRemoved()
 }
 
