Limit the memory of a node in the daemon

Cause: TestEndlessAnswersTakeLittleMemory saw the heap grow by 51,000 to 65,000 KiB beside busy processes. Metrics and heap profiles show that most of it is garbage. At most 24,780 KiB were live after a collection (16 MiB of answer blocks, which is limits.body_memory, and 2 to 8 MB of texts that the test's own server made for each write), with a goal of 49,988 KiB. The garbage is real for a node too: balsamtraild set no limit for the collector, which lets the heap reach twice what is live.

The collector's processor time with 13,000 endpoints is not measured.

--- a/mesh/cmd/balsamtraild/main.go
+++ b/mesh/cmd/balsamtraild/main.go
@@ -61,6 +61,7 @@
 	}
 	logger, closeLog := setUpProcess(cfg.Process, "node")
 	defer closeLog()
+	node.LimitMemory(cfg.Limits.Memory)
 	n, err := node.New(ctx, cfg, logger)
 	if err != nil {
 		return err
--- a/mesh/settings/node.go
+++ b/mesh/settings/node.go
@@ -226,6 +226,11 @@
 	// requests with a body are refused, and responses take their slot until their callers
 	// have them. A higher value frees slots sooner, but uses more memory.
 	BodyMemory int64 `json:"body_memory" validate:"min=1048576,max=1099511627776"`
+	// Memory is the number of bytes that the node should hold at most; 48 MiB more than
+	// BodyMemory if it is 0, the default. Near it the garbage collector takes more
+	// processor time; requests are not refused for it. A higher value leaves more garbage
+	// uncollected, a lower one costs processor time.
+	Memory int64 `json:"memory" validate:"min=0,max=1099511627776"`
 	// LinkRate is the rate of the host's link in bytes per second. Large bodies to other
 	// nodes are paced below it, and downloads that it could not carry in time are refused;
 	// 0, the default, paces nothing. A value above the real rate lets large bodies delay
@@ -245,6 +250,10 @@
 	Handshakes int `json:"handshakes" validate:"min=1,max=65536"`
 }
 
+// memoryBesideBodies is what a node may hold by default beside bodies. With the default of
+// limits.body_memory it makes 64 MiB.
+const memoryBesideBodies = 48 << 20
+
 // defaultHandshakes is the default of limits.handshakes in both roles.
 const defaultHandshakes = 64
 
@@ -282,6 +291,9 @@
 	if err := n.Process.check(); err != nil {
 		return err
 	}
+	if n.Limits.Memory > 0 && n.Limits.Memory < 2*n.Limits.BodyMemory {
+		return invalid("limits.memory", "%d is less than twice body_memory %d", n.Limits.Memory, n.Limits.BodyMemory)
+	}
 	if n.Timeouts.LeaseRenew*3 > n.Timeouts.EndpointLease {
 		return invalid("timeouts.lease_renew", "%s is more than a third of endpoint_lease %s",
 			n.Timeouts.LeaseRenew, n.Timeouts.EndpointLease)
@@ -311,6 +323,9 @@
 	if n.Advertise.Call == "" {
 		n.Advertise.Call = n.Listen.Call
 	}
+	if n.Limits.Memory == 0 {
+		n.Limits.Memory = memoryBesideBodies + n.Limits.BodyMemory
+	}
 }
 
 // filePaths returns the settings that hold file names, which may be relative to the
--- a/mesh/settings/settings_test.go
+++ b/mesh/settings/settings_test.go
@@ -61,6 +61,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n.Advertise.Call).To(Equal("127.0.0.1:8004"))
 		Expect(n.FanOut.Children).To(Equal(8))
+		Expect(n.Limits.Memory).To(BeEquivalentTo(64 << 20))
 	})
 
 	It("resolves relative file names against the folder of the settings file", func() {
@@ -105,6 +106,7 @@
 		Entry("hedging limit below its range", `"timeouts"`, `"hedging": {"limit": -0.01}, "timeouts"`, "hedging.limit"),
 		Entry("no burst of hedged attempts", `"timeouts"`, `"hedging": {"burst": 0}, "timeouts"`, "hedging.burst"),
 		Entry("hedging load above its range", `"timeouts"`, `"hedging": {"max_load": 1.1}, "timeouts"`, "hedging.max_load"),
+		Entry("memory that bodies alone may fill", `"timeouts"`, `"limits": {"memory": 33554431}, "timeouts"`, "limits.memory"),
 		Entry("the node itself as a control host", `{"host": "n1",`, `{"host": "c1",`, "control_hosts[0].host"),
 	)
 })
