--- a/mesh/admission/queue.go
+++ b/mesh/admission/queue.go
@@ -71,8 +71,9 @@
 
 // minPriorityShare is the share of the time in slots that each priority gets at least while
 // it has requests waiting. As a share of the number of slots it would let long requests of
-// a low priority take a third of a server from short nested calls of a high one.
-const minPriorityShare = 0.05
+// a low priority take a third of a server from short nested calls of a high one. A larger
+// share of the time refuses nested calls at overload, and the runs that made them fail.
+const minPriorityShare = 0.01
 
 const (
 	// unknownSlotTime stands for the time in a slot while nothing is known of it.
