Play uploads, downloads and a split route in the soak

Cause: the soak had no requests of the kinds with large bodies and no split, so that faults during their transfer were never played.

Change: the load tool sends bodies of a random size that depend on the nonce, asks for answers of a random size, compares answers by digest, and counts the answers of each service of a split. The stand-in follows an answer with as many bytes as asked for, and its runs are recorded for uploads too, by nonce. The long writes that were called uploads are called long writes.

--- a/bench/experiment/runs.go
+++ b/bench/experiment/runs.go
@@ -19,7 +19,7 @@
 	return serveHTTP(ctx, cfg.Listen, h)
 }
 
-// RecordRuns returns a handler that appends the idempotency key of each request to a
+// RecordRuns returns a handler that appends the standin.RunKey of each request to a
 // file, so that the runs of a stand-in are known even after it is killed. It writes a
 // line "+key" before the request runs, and a line "-key" if the stand-in then refuses
 // the request as not run.
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key := r.Header.Get(standin.HeaderIdempotencyKey)
+		key := standin.RunKey(r)
 		if key == "" {
 			next.ServeHTTP(w, r)
 			return
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -6,10 +6,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,8 +30,15 @@
 	Path    string
 	// Rate is the number of requests per second, over all targets.
 	Rate float64
-	// BodyBytes is the size of the request body of a write.
-	BodyBytes int
+	// Split holds the weights of the services of a split route, one of which answers a
+	// request; empty for a route with one service.
+	Split map[string]int
+	// BodyBytes is the size of the request body of a write or upload. If MinBodyBytes is not
+	// 0, the size is random between the two.
+	MinBodyBytes, BodyBytes int
+	// AnswerBytes is the size that a download asks for; random from MinAnswerBytes if that is
+	// not 0.
+	MinAnswerBytes, AnswerBytes int
 	// Timeout is sent with each request. An answer after it is late, except for a write,
 	// which may be sent several times.
 	Timeout time.Duration
@@ -129,6 +139,14 @@
 	}
 }
 
+// randomSize returns a size between least and most, or most if least is 0.
+func randomSize(least, most int) int64 {
+	if least == 0 {
+		return int64(most)
+	}
+	return int64(least + rand.IntN(most-least+1))
+}
+
 // request sends one request. It sends a write again with the same idempotency key
 // while its outcome is not definite, up to f.MaxResends times.
 func (g *Generator) request(f Flow, target string, due time.Time) {
@@ -139,12 +157,16 @@
 		key = fmt.Sprintf("%d-%s", due.Unix(), "key"+nonce+"0000")
 	}
 	if !f.Kind.Idempotent() {
-		body = bytes.Repeat([]byte(nonce[:1]), f.BodyBytes)
+		body, _ = io.ReadAll(standin.NoncePattern(nonce, randomSize(f.MinBodyBytes, f.BodyBytes)))
+	}
+	runKey, answerBytes := key, randomSize(f.MinAnswerBytes, f.AnswerBytes)
+	if f.Kind == model.KindUpload {
+		runKey = standin.UploadKey(nonce)
 	}
 	var res result
 	for attempt := 0; ; attempt++ {
-		res = g.send(f, target, nonce, key, body)
-		g.report.recordWrite(key, res.outcome, attempt)
+		res = g.send(f, target, nonce, key, body, answerBytes)
+		g.report.recordWrite(runKey, res.outcome, attempt)
 		resend := key != "" && (res.outcome == OutcomeUnknown || res.outcome == OutcomeNoConnection || res.outcome == OutcomeLate)
 		if !resend || attempt >= f.MaxResends {
 			break
@@ -164,16 +186,21 @@
 	outcome Outcome
 	version string
 	host    string
+	service string
 	status  int
 	latency time.Duration
 	detail  string
 }
 
 // send sends one attempt of a request and classifies its answer.
-func (g *Generator) send(f Flow, target, nonce, key string, body []byte) result {
+func (g *Generator) send(f Flow, target, nonce, key string, body []byte, answerBytes int64) result {
 	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, f.Method, target+f.Path, bytes.NewReader(body))
+	url := target + f.Path
+	if answerBytes > 0 {
+		url += "?" + standin.ParamAnswer + "=" + strconv.FormatInt(answerBytes, 10)
+	}
+	req, err := http.NewRequestWithContext(ctx, f.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return result{outcome: OutcomeFailed, detail: err.Error()}
 	}
@@ -191,7 +218,18 @@
 	if err != nil {
 		return result{outcome: OutcomeUnknown, detail: err.Error()}
 	}
-	return classify(f, resp, string(got), standin.Answer(f.Service, f.Method, f.Path, nonce, body))
+	services := []string{f.Service}
+	if len(f.Split) > 0 {
+		services = slices.Sorted(maps.Keys(f.Split))
+	}
+	wanted := map[string][sha256.Size]byte{}
+	for _, service := range services {
+		h := sha256.New()
+		_, _ = io.WriteString(h, standin.Answer(service, f.Method, f.Path, nonce, body))
+		_, _ = io.Copy(h, standin.NoncePattern(nonce, answerBytes))
+		wanted[service] = [sha256.Size]byte(h.Sum(nil))
+	}
+	return classify(f, resp, got, wanted)
 }
 
 // transportOutcome returns the outcome of an attempt that failed without an answer.
@@ -202,30 +240,36 @@
 	return OutcomeNoConnection
 }
 
-// classify compares an answer with the expected body and returns the result without
-// its latency.
-func classify(f Flow, resp *http.Response, got, want string) result {
+// maxDetailBytes bounds the part of a body that the detail of a result shows.
+const maxDetailBytes = 200
+
+// classify compares the digest of an answer with those that the services of the route give,
+// and returns the result without its latency.
+func classify(f Flow, resp *http.Response, got []byte, wanted map[string][sha256.Size]byte) result {
+	digest := sha256.Sum256(got)
 	res := result{
 		version: resp.Header.Get(standin.HeaderVersion),
 		host:    resp.Header.Get(standin.HeaderHost),
 		status:  resp.StatusCode,
 	}
+	for service, want := range wanted {
+		if resp.StatusCode == http.StatusOK && digest == want {
+			res.service, res.outcome = service, OutcomeOK
+			return res
+		}
+	}
+	res.detail = string(got[:min(len(got), maxDetailBytes)])
 	switch {
-	case resp.StatusCode == http.StatusOK && got == want:
-		res.outcome = OutcomeOK
 	case resp.StatusCode == http.StatusOK:
 		res.outcome = OutcomeWrong
-		res.detail = fmt.Sprintf("flow %s: got %q, want %q", f.Name, got, want)
+		res.detail = fmt.Sprintf("flow %s: got %d bytes with digest %x that begin with %q, want %x", f.Name, len(got), digest, res.detail, wanted)
 	case resp.Header.Get(standin.HeaderNotRun) != "":
 		res.outcome = OutcomeNotRun
-		res.detail = got
 	case resp.Header.Get(headerOutcome) == "unknown" || resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusGatewayTimeout ||
 		resp.StatusCode == http.StatusBadGateway:
 		res.outcome = OutcomeUnknown
-		res.detail = got
 	default:
 		res.outcome = OutcomeFailed
-		res.detail = got
 	}
 	return res
 }
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -46,6 +46,8 @@
 	Second   int64             `json:"second"`
 	Versions map[string]int64  `json:"versions"`
 	Outcomes map[Outcome]int64 `json:"outcomes"`
+	// Services counts the requests that were ok by the service that answered.
+	Services map[string]int64 `json:"services"`
 }
 
 // Report collects the results of all flows. The mutex guards the fields below it.
@@ -112,6 +114,7 @@
 	if res.outcome == OutcomeOK {
 		fr.Versions[res.version]++
 		second.Versions[res.version]++
+		second.Services[res.service]++
 		_ = fr.hist.RecordValue(max(res.latency.Microseconds(), minLatencyMicros))
 	}
 	if res.outcome != OutcomeOK {
@@ -123,12 +126,32 @@
 func (f *FlowReport) second(n int64) *SecondReport {
 	s, ok := f.seconds[n]
 	if !ok {
-		s = &SecondReport{Second: n, Versions: map[string]int64{}, Outcomes: map[Outcome]int64{}}
+		s = &SecondReport{Second: n, Versions: map[string]int64{}, Outcomes: map[Outcome]int64{}, Services: map[string]int64{}}
 		f.seconds[n] = s
 	}
 	return s
 }
 
+// ServicesSince returns how many requests of a flow each service answered in the full
+// seconds of the report since a time.
+func (r *Report) ServicesSince(flow string, since time.Time) map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int64{}
+	if r.flows[flow] == nil {
+		return out
+	}
+	for n, second := range r.flows[flow].seconds {
+		if time.Duration(n)*time.Second < since.Sub(r.start) {
+			continue
+		}
+		for service, count := range second.Services {
+			out[service] += count
+		}
+	}
+	return out
+}
+
 // Flows returns the reports of all flows in order of name, with their latencies and
 // seconds filled in.
 func (r *Report) Flows() []FlowReport {
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"balsamtrail.org/bench/demo"
 	"balsamtrail.org/mesh/model"
 	"balsamtrail.org/mesh/note"
 	"balsamtrail.org/mesh/operator"
@@ -31,7 +30,7 @@
 // of a route.
 func noteText(number uint64, title string) string {
 	if number == 1 {
-		return demo.FirstNote
+		return firstNote()
 	}
 	return fmt.Sprintf(`{"number": %d, "title": %q, "routes": {"changed": [
     {"name": "rosters", "path_prefix": "/rosters", "methods": ["GET"], "service": "roster", "kind": "lookup",
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -73,9 +73,9 @@
 	startTimeout = 30 * time.Second
 	// recoveryTimeout bounds the time from the last repair until all processes serve again.
 	recoveryTimeout = 20 * time.Second
-	// uploadBytes is the size of a long write, which is still being sent when a stand-in that
+	// longWriteBytes is the size of a long write, which is still being sent when a stand-in that
 	// sends invalid answers resets its connection.
-	uploadBytes = 400_000
+	longWriteBytes = 400_000
 	// maxViolations bounds the number of recorded violations.
 	maxViolations = 40
 )
@@ -127,6 +127,7 @@
 		return nil, ctx.Err()
 	}
 	r.awaitRecovery(ctx)
+	r.checkSplit(ctx)
 	endLoad()
 	callers.Wait()
 	r.checkPanics()
@@ -202,15 +203,14 @@
 		return load.Flow{Name: name, Kind: kind, Service: service, Method: method, Path: path, Rate: rate * rateFactor,
 			BodyBytes: 256, Timeout: 2 * time.Second, Targets: targets, MaxResends: 5}
 	}
-	uploads := flow("uploads", model.KindWrite, "ledger", http.MethodPost, "/restocks", 2)
-	uploads.BodyBytes = uploadBytes
-	return []load.Flow{
+	longWrites := flow("long writes", model.KindWrite, "ledger", http.MethodPost, "/restocks", 2)
+	longWrites.BodyBytes = longWriteBytes
+	return append(largeFlows(flow),
 		flow("lookups", model.KindLookup, "ledger", http.MethodGet, "/cabinets/7", 100),
 		flow("rosters", model.KindLookup, "roster", http.MethodGet, "/rosters/3", 40),
 		flow("writes", model.KindWrite, "ledger", http.MethodPost, "/restocks", 30),
 		flow("urgent", model.KindUrgent, "ledger", http.MethodGet, "/urgent/1", 10),
-		uploads,
-	}
+		longWrites)
 }
 
 // RunSeeds runs several seeds in turn and writes a result line for each. It removes the
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -4,12 +4,15 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"balsamtrail.org/bench/demo"
 	"balsamtrail.org/bench/load"
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/note"
 )
 
 // Guards against a plan that differs between two runs of a seed, and against a kind of
@@ -88,3 +91,33 @@
 		t.Errorf("found %q", found)
 	}
 }
+
+// Guards against a first note that lacks the routes of the flows, which would leave them
+// refused without a violation.
+func TestFirstNoteHasTheRoutesOfAllFlows(t *testing.T) {
+	n, err := note.ParseNote([]byte(firstNote()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &run{fleet: &demo.Fleet{}}
+	for _, f := range r.flows() {
+		if !slices.ContainsFunc(n.Routes.Added, func(route note.Route) bool {
+			return strings.HasPrefix(f.Path, route.PathPrefix) && route.Kind == f.Kind && (len(f.Split) == 0) == (len(route.Split) == 0)
+		}) {
+			t.Errorf("no route for flow %s", f.Name)
+		}
+	}
+}
+
+// Guards against a check of the split that finds nothing, or finds fault with shares by weight.
+func TestSplitDeviations(t *testing.T) {
+	for _, c := range []struct {
+		ledger, roster int64
+		found          int
+	}{{210, 90, 0}, {237, 63, 0}, {243, 57, 2}, {150, 150, 2}, {0, 300, 2}, {70, 30, 1}, {0, 0, 1}} {
+		counts := map[string]int64{"ledger": c.ledger, "roster": c.roster}
+		if found := splitDeviations(counts, splitWeights); len(found) != c.found {
+			t.Errorf("%v: found %q", counts, found)
+		}
+	}
+}
--- a/bench/standin/bodies.go
+++ b/bench/standin/bodies.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,7 +13,8 @@
 
 // Query parameters under BodiesPrefix.
 const (
-	// ParamAnswer is the number of bytes of the answer.
+	// ParamAnswer is the number of bytes of the answer; of any other request than those under
+	// BodiesPrefix, the number of bytes that follow its answer.
 	ParamAnswer = "answer"
 	// ParamFraming is FramingLength, FramingChunked or FramingClose.
 	ParamFraming = "framing"
@@ -47,6 +49,14 @@
 	_, _ = io.Copy(w, Paced(Pattern(size), rate))
 }
 
+// NoncePattern returns a reader of size bytes that depend on a nonce, so that a part of one
+// body is not taken for a part of another.
+func NoncePattern(nonce string, size int64) io.Reader {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, nonce)
+	return io.LimitReader(&pattern{n: h.Sum64()}, size)
+}
+
 // Pattern returns a reader of size bytes that do not repeat within 64 KiB.
 func Pattern(size int64) io.Reader { return io.LimitReader(&pattern{}, size) }
 
--- a/bench/standin/server.go
+++ b/bench/standin/server.go
@@ -141,6 +141,21 @@
 	s.serveInSlot(ctx, w, r)
 }
 
+// RunKey returns what identifies the run of a request: its idempotency key or, for an upload,
+// which has none, UploadKey of its nonce. It is empty for a request that may run again.
+func RunKey(r *http.Request) string {
+	if key := r.Header.Get(HeaderIdempotencyKey); key != "" {
+		return key
+	}
+	if nonce := r.Header.Get(HeaderNonce); nonce != "" && r.Method == http.MethodPost {
+		return UploadKey(nonce)
+	}
+	return ""
+}
+
+// UploadKey returns the RunKey of an upload.
+func UploadKey(nonce string) string { return "upload-" + nonce }
+
 // requestContext returns a context with the timeout in the header of the request.
 func requestContext(r *http.Request) (context.Context, context.CancelFunc) {
 	if ms, err := strconv.Atoi(r.Header.Get(HeaderTimeout)); err == nil && ms > 0 {
@@ -180,13 +195,17 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
-	answer := Answer(s.cfg.Service, r.Method, r.URL.Path, r.Header.Get(HeaderNonce), body) + nested
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	nonce := r.Header.Get(HeaderNonce)
+	answer := Answer(s.cfg.Service, r.Method, r.URL.Path, nonce, body) + nested
+	more, _ := strconv.ParseInt(r.URL.Query().Get(ParamAnswer), 10, 64)
+	w.Header().Set("Content-Length", strconv.FormatInt(int64(len(answer))+more, 10))
 	_, _ = io.WriteString(w, answer)
+	_, _ = io.Copy(w, NoncePattern(nonce, more))
 }
 
 // Answer returns the body of a healthy stand-in's answer to a request without nested
-// calls. The load generator compares the answers that it receives with it.
+// calls. If the request has ParamAnswer, that many bytes of NoncePattern follow. The load
+// generator compares the answers that it receives with it.
 func Answer(service, method, path, nonce string, body []byte) string {
 	sum := sha256.Sum256(body)
 	return fmt.Sprintf("%s %s %s %s %s\n", service, method, path, nonce, hex.EncodeToString(sum[:8]))
