--- a/mesh/directory/enquiry.go
+++ b/mesh/directory/enquiry.go
@@ -52,6 +52,11 @@
 	settleWait = 60 * time.Millisecond
 )
 
+// remoteWait is how long it waits for a host of its data centre before it takes another one,
+// since control hosts learn of a new leader at different times. A longer one delays the
+// nodes of a data centre that has lost its control hosts.
+const remoteWait = 250 * time.Millisecond
+
 // NewEnquiry returns an Enquiry of a node in the data centre.
 func NewEnquiry(now time.Time, dc model.DataCentre) *Enquiry {
 	return &Enquiry{dc: dc, started: now, accepting: map[model.HostID]bool{}}
@@ -99,6 +104,8 @@
 		return "", false
 	case len(readyHere) > 0:
 		return readyHere[0].Host, true
+	case slices.ContainsFunc(hosts, local) && now.Sub(e.firstReady) < remoteWait:
+		return "", false
 	default:
 		return ready[0].Host, true
 	}
--- a/mesh/peer/enquiry.go
+++ b/mesh/peer/enquiry.go
@@ -31,7 +31,7 @@
 	// by enquiryFactor up to enquiryMaxInterval, with jitter. A shorter one finds a host
 	// sooner that starts meanwhile; the answers to a fleet take processor time from it.
 	enquiryMinInterval = 80 * time.Millisecond
-	enquiryMaxInterval = 200 * time.Millisecond
+	enquiryMaxInterval = 120 * time.Millisecond
 	enquiryFactor      = 1.3
 )
 
