Share the choice of a backend server between its three callers

Change: stateOfVersion and choose serve all three.

Result: the tests of mesh/routing and mesh/node pass.

--- a/mesh/routing/hedgeserver.go
+++ b/mesh/routing/hedgeserver.go
@@ -40,14 +40,10 @@
 func (p *Picker) PickHedgeServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID, suits func(load float64, times ServiceTimes) bool) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v, err := p.stateOf(service)
+	v, state, err := p.stateOfVersion(service, version)
 	if err != nil {
 		return Choice{}, err
 	}
-	state := v.versions[version]
-	if state == nil {
-		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
-	}
 	exclude = slices.Clone(exclude)
 	for range maxHedgeDraws {
 		h, _ := p.pick(now, state, exclude)
@@ -55,9 +51,7 @@
 			break
 		}
 		if suits(h.load(now, state.averageLoad), state.expectedService(now, h)) {
-			p.checkInvariants(h, service)
-			h.inFlight++
-			return Choice{Announcement: h.Announcement, Reason: "hedged attempt", ColdTime: v.builtFrom.coldTime}, nil
+			return p.choose(v, h, service, "hedged attempt"), nil
 		}
 		exclude = append(exclude, h.Host)
 	}
--- a/mesh/routing/ownhost.go
+++ b/mesh/routing/ownhost.go
@@ -12,16 +12,14 @@
 func (p *Picker) PickHost(now time.Time, service model.ServiceName, version model.ServiceVersion, id model.HostID, exclude []model.HostID) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v, err := p.stateOf(service)
-	if err != nil || v.versions[version] == nil {
+	v, state, err := p.stateOfVersion(service, version)
+	if err != nil {
 		return Choice{}, false
 	}
-	all := v.versions[version].all
+	all := state.all
 	i := slices.IndexFunc(all, func(h *host) bool { return h.Host == id })
 	if i < 0 || p.weight(now, all[i], exclude, false) == 0 {
 		return Choice{}, false
 	}
-	p.checkInvariants(all[i], service)
-	all[i].inFlight++
-	return Choice{Announcement: all[i].Announcement, Reason: "backend server of this host", ColdTime: v.builtFrom.coldTime}, true
+	return p.choose(v, all[i], service, "backend server of this host"), true
 }
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -308,14 +308,10 @@
 func (p *Picker) PickBackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v, err := p.stateOf(service)
+	v, state, err := p.stateOfVersion(service, version)
 	if err != nil {
 		return Choice{}, err
 	}
-	state := v.versions[version]
-	if state == nil {
-		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
-	}
 	if len(exclude) > 0 && state.refusesAll(now, exclude) {
 		telemetry.Counter(MetricNoRoom).Inc(1)
 		return Choice{}, eris.Wrapf(ErrNoRoom, "%s %s: %d tried", service, version, len(exclude))
@@ -324,9 +320,28 @@
 	if h == nil {
 		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
 	}
+	return p.choose(v, h, service, reason), nil
+}
+
+// stateOfVersion returns the states of a service and of one of its versions. The caller holds
+// mu.
+func (p *Picker) stateOfVersion(service model.ServiceName, version model.ServiceVersion) (*serviceState, *versionState, error) {
+	v, err := p.stateOf(service)
+	if err != nil {
+		return nil, nil, err
+	}
+	state := v.versions[version]
+	if state == nil {
+		return nil, nil, eris.Wrapf(ErrNoBackendServer, "%s %s", service, version)
+	}
+	return v, state, nil
+}
+
+// choose counts an attempt as in flight at h and returns the choice. The caller holds mu.
+func (p *Picker) choose(v *serviceState, h *host, service model.ServiceName, reason string) Choice {
 	p.checkInvariants(h, service)
 	h.inFlight++
-	return Choice{Announcement: h.Announcement, Reason: reason, ColdTime: v.builtFrom.coldTime}, nil
+	return Choice{Announcement: h.Announcement, Reason: reason, ColdTime: v.builtFrom.coldTime}
 }
 
 // checkInvariants asserts that the chosen backend server may get calls.
