Wait for events in tests in place of sleeping

Cause: sleeps in tests are too short on a busy machine and too long otherwise.

Change, each as strict as before: - TestFormerAttemptLeavesTheBodyToTheNext runs in a synctest bubble and waits until the former attempt is blocked. - TestCallerThatStopsSendingIsGivenUp waits until the server has the request. - TestRestartedNodeLearnsARateLimitFromCallers holds the first answer until the requests are counted. The 100 ms that it took could end before the count, which ends the limit. - TestIdleConnectionsAreReused sets back the time since which the connection is idle. It fails without the check of that time. - TestUnexpectedBytesCloseTheConnection and TestResendAfterAClosedConnection wait until the connection is unusable. - TestLostRequestsAreNotSentAgain holds its connection until it is closed. - TestStandinMisbehaves sets back the start, and checks that a server that fails later works before.

These real sleeps stay: - Polls of a condition with a deadline: answerbuffer, answers, callerprogress (last), hedge, joining in mesh/node; peer/unused (last), replog waitLeader, awaitUnusable. - Time in which nothing may happen over real connections: TestWaitingBodyIsNotReadBeyondWhatIsKept, the 50 ms in TestRestartedNodeLearnsARateLimitFromCallers, TestStreamsStayDuringAnElection, TestEnquiries, TestOnlyUnusedConnectionsAreClosed. - Behaviour of the kernel, of TCP or of QUIC, which no bubble has: TestAnswersThatEndWithTheirConnection, TestEarlyAnswerToALongRequest, TestPeerThatStartsLaterIsFoundSoon, TestHandshakesAreServedFewAtATime, TestSlowHandshakeServesLaterCalls, TestRefusalsOfUnreadBodiesDoNotPanic. - Rates and progress over real connections: TestStatedRateLimitIsKept, TestCallerWithoutProgressIsGivenUp, the slow readers of endless_test. - resetOnWrite holds a mutex of the product while it sleeps; a goroutine that waits for a mutex keeps the time of a bubble from going on. - Measurements: mesh/distribute/fleet, platform/attach_bench_test.

--- a/bench/standin/server_test.go
+++ b/bench/standin/server_test.go
@@ -69,9 +69,12 @@
 func TestStandinMisbehaves(t *testing.T) {
 	for _, bad := range []Misbehaviour{BadAtOnce, BadLater, BadOneRoute} {
 		c := testConfig()
-		c.Bad, c.BadAfter, c.BadRoute = bad, time.Nanosecond, "/cabinets"
+		c.Bad, c.BadAfter, c.BadRoute = bad, time.Minute, "/cabinets"
 		s := New(c)
-		time.Sleep(time.Millisecond)
+		if w := send(t, s.Handler(), http.MethodGet, "/cabinets/7", ""); (w.Code == http.StatusOK) != (bad == BadLater) {
+			t.Errorf("%s at the start: status %d", bad, w.Code)
+		}
+		s.state.startedAt = s.state.startedAt.Add(-2 * c.BadAfter)
 		if w := send(t, s.Handler(), http.MethodGet, "/cabinets/7", ""); w.Code != http.StatusInternalServerError {
 			t.Errorf("%s: status %d", bad, w.Code)
 		}
--- a/mesh/node/callerbody_test.go
+++ b/mesh/node/callerbody_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"balsamtrail.org/mesh/callmux"
@@ -170,52 +171,55 @@
 // Guards against two attempts that read the same body: a former one that is still waiting for
 // the caller must leave what it gets to the present one.
 func TestFormerAttemptLeavesTheBodyToTheNext(t *testing.T) {
-	caller, node := net.Pipe()
-	defer caller.Close()
-	sent := pattern(maxKeptBodyBytes * 2)
-	r := httptest.NewRequest(http.MethodPost, "/", node)
-	r.ContentLength = int64(len(sent))
-	go func() { _, _ = caller.Write(sent[:maxKeptBodyBytes/2]) }()
-	b := &callerBody{}
-	if err := b.receive(r, 1<<30, false, newBodyMemory(maxKeptBodyBytes/2), nil); err != nil { // room to keep half
-		t.Fatal(err)
-	}
-	b.onFailure = func() {}
-	former, _ := b.open()
-	if _, err := io.CopyN(io.Discard, former, maxKeptBodyBytes/2); err != nil {
-		t.Fatal(err)
-	}
-	formerDone := make(chan error, 1)
-	go func() {
-		_, err := former.Read(make([]byte, 100))
-		formerDone <- err
-	}()
-	time.Sleep(10 * time.Millisecond) // the former attempt waits for the caller
-	next, _ := b.open()
-	got := make(chan []byte, 1)
-	go func() {
-		all := make([]byte, len(sent))
-		n, _ := io.ReadFull(next, all)
-		got <- all[:n]
-	}()
-	_, _ = caller.Write(sent[maxKeptBodyBytes/2:])
-	if err := <-formerDone; !errors.Is(err, errFormerAttempt) {
-		t.Errorf("former attempt: %v", err)
-	}
-	if all := <-got; !bytes.Equal(all, sent) {
-		t.Errorf("the next attempt got %d of %d bytes, or others", len(all), len(sent))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		caller, node := net.Pipe()
+		defer caller.Close()
+		sent := pattern(maxKeptBodyBytes * 2)
+		r := httptest.NewRequest(http.MethodPost, "/", node)
+		r.ContentLength = int64(len(sent))
+		go func() { _, _ = caller.Write(sent[:maxKeptBodyBytes/2]) }()
+		b := &callerBody{}
+		if err := b.receive(r, 1<<30, false, newBodyMemory(maxKeptBodyBytes/2), nil); err != nil { // room to keep half
+			t.Fatal(err)
+		}
+		b.onFailure = func() {}
+		former, _ := b.open()
+		if _, err := io.CopyN(io.Discard, former, maxKeptBodyBytes/2); err != nil {
+			t.Fatal(err)
+		}
+		formerDone := make(chan error, 1)
+		go func() {
+			_, err := former.Read(make([]byte, 100))
+			formerDone <- err
+		}()
+		synctest.Wait() // the former attempt waits for the caller
+		next, _ := b.open()
+		got := make(chan []byte, 1)
+		go func() {
+			all := make([]byte, len(sent))
+			n, _ := io.ReadFull(next, all)
+			got <- all[:n]
+		}()
+		_, _ = caller.Write(sent[maxKeptBodyBytes/2:])
+		if err := <-formerDone; !errors.Is(err, errFormerAttempt) {
+			t.Errorf("former attempt: %v", err)
+		}
+		if all := <-got; !bytes.Equal(all, sent) {
+			t.Errorf("the next attempt got %d of %d bytes, or others", len(all), len(sent))
+		}
+	})
 }
 
 // Guards against a caller that stops in the middle of its body and holds the request, and
 // its backend server, beyond the deadline or after it has left.
 func TestCallerThatStopsSendingIsGivenUp(t *testing.T) {
-	ended := make(chan time.Time, 4)
+	begun, ended := make(chan struct{}, 4), make(chan time.Time, 4)
 	n := startTwoNodes(t, func(_ net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
+		begun <- struct{}{}
 		_, _ = io.Copy(io.Discard, req.Body)
 		ended <- time.Now()
 	})
@@ -229,13 +233,14 @@
 		resp.Header.Get(HeaderOutcome) != outcomeUnknown || resp.Header.Get(HeaderNotRun) != "" || time.Since(began) > 3*time.Second {
 		t.Errorf("stalled caller: %+v, %v after %s", resp, err, time.Since(began))
 	}
+	<-begun
 	<-ended
 	conn, err := net.Dial("tcp", n.address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _ = io.WriteString(conn, head)
-	time.Sleep(100 * time.Millisecond)
+	<-begun
 	left := time.Now()
 	_ = conn.Close()
 	if at := <-ended; at.Sub(left) > 500*time.Millisecond {
--- a/mesh/node/notice_test.go
+++ b/mesh/node/notice_test.go
@@ -199,19 +199,24 @@
 // nodes know of, and against a node that lets them override what it knows itself.
 func TestRestartedNodeLearnsARateLimitFromCallers(t *testing.T) {
 	var arrived atomic.Int64
+	first, counted := make(chan struct{}), make(chan struct{})
 	n := startServing(t, func(http.ResponseWriter, *http.Request) {
-		arrived.Add(1)
-		time.Sleep(100 * time.Millisecond)
+		if arrived.Add(1) == 1 {
+			close(first)
+		}
+		<-counted // the first answer ends the limit
 	})
 	known := &callmux.ServerNotice{Instance: "a", Started: 1, RateLimit: 2}
 	var wg sync.WaitGroup
 	for range 10 {
 		wg.Go(func() { n.call(t, known) })
 	}
-	time.Sleep(50 * time.Millisecond) // before the first answer, which ends the limit
+	<-first
+	time.Sleep(50 * time.Millisecond) // in which the others would arrive
 	if got := arrived.Load(); got != 1 {
 		t.Errorf("%d requests at once with a limit of 2 a second", got)
 	}
+	close(counted)
 	wg.Wait()
 	for range 5 { // the server no longer states a limit
 		n.call(t, known)
--- a/mesh/serverconn/client_test.go
+++ b/mesh/serverconn/client_test.go
@@ -85,7 +85,7 @@
 	if conns.Load() != 1 {
 		t.Errorf("%d connections", conns.Load())
 	}
-	time.Sleep(maxIdleForSingleSend + 50*time.Millisecond)
+	c.idle[0].idleSince = c.idle[0].idleSince.Add(-maxIdleForSingleSend - 50*time.Millisecond)
 	if _, err := send(t.Context(), c, http.MethodPost, "b", strings.NewReader("x")); err != nil || conns.Load() != 2 {
 		t.Errorf("%v, %d connections", err, conns.Load())
 	}
@@ -113,6 +113,16 @@
 	}
 }
 
+// awaitUnusable waits until the only idle connection has got its end or unexpected bytes.
+func awaitUnusable(t *testing.T, c *Client) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); len(c.idle) > 0 && c.idle[0].isReusable(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the idle connection stays usable")
+		}
+	}
+}
+
 // Guards against the reuse of a connection on which unexpected bytes follow an answer.
 func TestUnexpectedBytesCloseTheConnection(t *testing.T) {
 	var conns atomic.Int64
@@ -126,7 +136,7 @@
 		if got, err := send(t.Context(), c, http.MethodGet, "a", nil); got != "ok" || err != nil {
 			t.Errorf("%q, %v", got, err)
 		}
-		time.Sleep(20 * time.Millisecond)
+		awaitUnusable(t, c)
 	}
 	if conns.Load() != 3 {
 		t.Errorf("%d connections", conns.Load())
@@ -146,7 +156,9 @@
 		if got, err := send(AllowResend(t.Context()), c, http.MethodGet, "a", nil); got != "ok" || err != nil {
 			t.Errorf("request %d: %q, %v", i, got, err)
 		}
-		time.Sleep(20 * time.Millisecond)
+		if i != 1 { // the second connection is closed at the third request
+			awaitUnusable(t, c)
+		}
 	}
 }
 
@@ -166,8 +178,7 @@
 		t.Errorf("sent %d times", seen.Load())
 	}
 	stalledServer := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
-		_, _ = http.ReadRequest(r)
-		time.Sleep(time.Second)
+		_, _ = io.Copy(io.Discard, r) // ends when the client closes the connection
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
