--- a/mesh/control/startorder.go
+++ b/mesh/control/startorder.go
@@ -17,7 +17,7 @@
 // whole mesh starts, the handshakes of the nodes would otherwise delay the votes that
 // end their waiting. It is safe for concurrent use.
 type startOrder struct {
-	started     time.Time
+	started   time.Time
 	confirmed atomic.Bool
 }
 
