Ask control hosts in one sequential loop before the first connection

The enquiries of a starting node were sent by a function with three callbacks, which decided and changed the node's state between its reads. An Enquirer with Ask and Receive lets the node's task do that straight down. A socket that fails ends the enquiries with a log line in place of reading it again at once, and answers that cannot be decoded are logged.

--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -215,7 +215,8 @@
 	return d.sender.Do(ctx, server.CallAddress, want, req)
 }
 
-// observe reports the outcome of an attempt to the picker and the release evidence. It also reports a peer that has a newer position.
+// observe reports the outcome of an attempt to the picker and the release evidence. It also
+// reports a peer that has a newer position.
 func (d *dispatcher) observe(c *call, a *attempt) {
 	now := time.Now()
 	outcome := routing.Outcome{Result: a.result, Latency: a.latency, Limit: a.limit(), Utilization: a.utilization()}
--- a/mesh/node/joining.go
+++ b/mesh/node/joining.go
@@ -202,35 +202,75 @@
 	}
 	n.joining.setEnquiring(true)
 	defer n.joining.setEnquiring(false)
-	q := directory.NewEnquiry(time.Now(), n.cfg.DataCentre)
-	var chosen model.HostID
-	_ = peer.Enquire(ctx, func() (addresses []string) {
-		for _, h := range q.Targets(time.Now(), n.directory.Hosts()) {
-			addresses = append(addresses, h.Peer)
-		}
-		return addresses
-	}, func(target string, payload []byte) {
-		a, err := directory.DecodeAnswer(payload)
-		if err != nil {
+	enquirer, err := peer.NewEnquirer()
+	if err != nil {
+		n.log.Warn("control hosts not asked before the first connection", "reason", err.Error())
+		return
+	}
+	defer enquirer.Close()
+	decision := directory.NewEnquiry(time.Now(), n.cfg.DataCentre)
+	for {
+		now := time.Now()
+		if chosen, done := decision.Decide(now, n.hostsByPreference()); done {
+			n.chooseFirstHost(now, chosen)
 			return
 		}
-		n.adoptDirectory(a.List)
-		hosts := n.directory.Hosts()
-		if i := slices.IndexFunc(hosts, func(h directory.Host) bool { return h.Peer == target }); i >= 0 {
-			q.Record(time.Now(), hosts[i].Host, a.Accepting)
+		enquirer.Ask(now, peerAddresses(decision.Targets(now, n.directory.Hosts())))
+		target, payload, err := enquirer.Receive(ctx)
+		if ctx.Err() != nil {
+			return
 		}
-	}, func(now time.Time) (done bool) {
-		var hosts []directory.Host
-		for _, p := range n.byPreference(n.directory.Hosts()) {
-			hosts = append(hosts, directory.Host{Host: p.Host, DataCentre: p.DataCentre, Peer: p.Address})
+		if err != nil {
+			n.log.Warn("control hosts not asked before the first connection", "reason", err.Error())
+			return
 		}
-		chosen, done = q.Decide(now, hosts)
-		return done
-	})
-	if chosen != "" {
-		n.joining.choose(time.Now(), chosen)
-		n.log.Info("node chose a control host", "host", string(chosen), "after", time.Since(n.started).String())
+		n.recordAnswer(decision, target, payload)
+	}
+}
+
+// recordAnswer takes over the answer of a control host to an enquiry; target is its address,
+// empty if there was no answer.
+func (n *Node) recordAnswer(decision *directory.Enquiry, target string, payload []byte) {
+	if target == "" {
+		return
+	}
+	a, err := directory.DecodeAnswer(payload)
+	if err != nil {
+		n.log.Warn("answer of a control host ignored", "address", target, "reason", err.Error())
+		return
+	}
+	n.adoptDirectory(a.List)
+	hosts := n.directory.Hosts()
+	if i := slices.IndexFunc(hosts, func(h directory.Host) bool { return h.Peer == target }); i >= 0 {
+		decision.Record(time.Now(), hosts[i].Host, a.Accepting)
+	}
+}
+
+// chooseFirstHost makes a control host the one to connect to first; empty if none has
+// answered in time, so that the node has to try them.
+func (n *Node) chooseFirstHost(now time.Time, host model.HostID) {
+	if host == "" {
+		return
+	}
+	n.joining.choose(now, host)
+	n.log.Info("node chose a control host", "host", string(host), "after", time.Since(n.started).String())
+}
+
+// hostsByPreference returns the known control hosts in this node's order of preference.
+func (n *Node) hostsByPreference() []directory.Host {
+	var hosts []directory.Host
+	for _, p := range n.byPreference(n.directory.Hosts()) {
+		hosts = append(hosts, directory.Host{Host: p.Host, DataCentre: p.DataCentre, Peer: p.Address})
+	}
+	return hosts
+}
+
+func peerAddresses(hosts []directory.Host) []string {
+	var addresses []string
+	for _, h := range hosts {
+		addresses = append(addresses, h.Peer)
 	}
+	return addresses
 }
 
 func (n *Node) knowsDataCentres() bool {
--- a/mesh/peer/enquiry.go
+++ b/mesh/peer/enquiry.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"errors"
 	mathrand "math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -106,50 +108,76 @@
 	}
 }
 
-// Enquire sends enquiries to the targets until stop returns true or ctx ends. It calls
-// answered with each answer, and stop after each answer and at each repetition. targets
-// may return more addresses after an answer; they are asked at once.
-func Enquire(ctx context.Context, targets func() []string, answered func(target string, payload []byte), stop func(now time.Time) bool) error {
+// Enquirer sends enquiries of a starting process and receives the answers. One goroutine
+// uses it.
+type Enquirer struct {
+	sock *net.UDPConn
+	// packet is the enquiry, and want the start of each answer to it.
+	packet, want []byte
+	buf          []byte
+	// asked holds the targets by resolved address.
+	asked map[string]string
+	// next is when all targets are asked again, and interval the mean time between that.
+	next     time.Time
+	interval time.Duration
+}
+
+// NewEnquirer returns an Enquirer, which the caller closes.
+func NewEnquirer() (*Enquirer, error) {
 	sock, err := net.ListenUDP("udp", nil)
 	if err != nil {
-		return eris.Wrapf(ErrUnreachable, "enquiry: %v", err)
+		return nil, eris.Wrapf(ErrUnreachable, "enquiry: %v", err)
 	}
-	defer sock.Close()
-	defer context.AfterFunc(ctx, func() { _ = sock.SetReadDeadline(time.Unix(1, 0)) })()
-	packet := make([]byte, enquiryBytes)
-	copy(packet, enquiryPrefix)
-	nonce := packet[len(enquiryPrefix) : len(enquiryPrefix)+nonceBytes]
-	_, _ = rand.Read(nonce)
-	want := append(bytes.Clone(answerPrefix), nonce...)
-	buf := make([]byte, 2*enquiryBytes)
-	asked := map[string]string{} // targets by resolved address
-	next, interval := time.Now(), enquiryMinInterval
-	for ctx.Err() == nil && !stop(time.Now()) {
-		repeat := !time.Now().Before(next)
-		if repeat {
-			next = time.Now().Add(interval/2 + mathrand.N(interval))
-			interval = min(time.Duration(float64(interval)*enquiryFactor), enquiryMaxInterval)
-		}
-		for _, target := range targets() {
-			addr, err := net.ResolveUDPAddr("udp", target)
-			if err != nil {
-				continue
-			}
-			if _, known := asked[addr.String()]; repeat || !known {
-				asked[addr.String()] = target
-				_, _ = sock.WriteToUDP(packet, addr)
-			}
-		}
-		if ctx.Err() != nil || sock.SetReadDeadline(next) != nil {
-			break
-		}
-		n, from, err := sock.ReadFromUDP(buf)
-		if err != nil || !bytes.HasPrefix(buf[:n], want) {
+	q := &Enquirer{sock: sock, packet: make([]byte, enquiryBytes), buf: make([]byte, 2*enquiryBytes), asked: map[string]string{}, interval: enquiryMinInterval}
+	copy(q.packet, enquiryPrefix)
+	nonce := q.packet[len(enquiryPrefix) : len(enquiryPrefix)+nonceBytes]
+	_, _ = rand.Read(nonce) // never fails
+	q.want = append(bytes.Clone(answerPrefix), nonce...)
+	return q, nil
+}
+
+// Close closes the socket.
+func (q *Enquirer) Close() { _ = q.sock.Close() }
+
+// Ask sends an enquiry to the targets that have none yet, and to all of them when they are due
+// again. A lost datagram and an address that cannot be resolved look like a silent host.
+func (q *Enquirer) Ask(now time.Time, targets []string) {
+	repeat := !now.Before(q.next)
+	if repeat {
+		q.next = now.Add(q.interval/2 + mathrand.N(q.interval))
+		q.interval = min(time.Duration(float64(q.interval)*enquiryFactor), enquiryMaxInterval)
+	}
+	for _, target := range targets {
+		addr, err := net.ResolveUDPAddr("udp", target)
+		if err != nil {
 			continue
 		}
-		if target, ok := asked[(&net.UDPAddr{IP: from.IP.To16(), Port: from.Port}).String()]; ok {
-			answered(target, bytes.Clone(buf[len(want):n]))
+		if _, known := q.asked[addr.String()]; repeat || !known {
+			q.asked[addr.String()] = target
+			_, _ = q.sock.WriteToUDP(q.packet, addr)
 		}
 	}
-	return ctx.Err()
+}
+
+// Receive waits for an answer until the targets are due again or ctx ends, and returns the
+// target that gave it. target is empty if there is none.
+func (q *Enquirer) Receive(ctx context.Context) (target string, payload []byte, err error) {
+	defer context.AfterFunc(ctx, func() { _ = q.sock.SetReadDeadline(time.Unix(1, 0)) })()
+	if err := q.sock.SetReadDeadline(q.next); err != nil {
+		return "", nil, eris.Wrapf(ErrUnreachable, "enquiry: %v", err)
+	}
+	if ctx.Err() != nil {
+		return "", nil, ctx.Err() // the deadline set for its end may have been replaced
+	}
+	n, from, err := q.sock.ReadFromUDP(q.buf)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "", nil, ctx.Err()
+	case err != nil:
+		return "", nil, eris.Wrapf(ErrUnreachable, "enquiry: %v", err)
+	case !bytes.HasPrefix(q.buf[:n], q.want):
+		return "", nil, nil
+	}
+	source := net.UDPAddr{IP: from.IP.To16(), Port: from.Port}
+	return q.asked[source.String()], bytes.Clone(q.buf[len(q.want):n]), nil
 }
--- a/mesh/peer/enquiry_test.go
+++ b/mesh/peer/enquiry_test.go
@@ -40,7 +40,18 @@
 	var got []string
 	var waited time.Time
 	began := time.Now()
-	err = Enquire(ctx, func() []string { return targets }, func(target string, payload []byte) {
+	q, err := NewEnquirer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer q.Close()
+	for err == nil && !slices.Contains(got, "second") {
+		q.Ask(time.Now(), targets)
+		var target string
+		var payload []byte
+		if target, payload, err = q.Receive(ctx); target == "" {
+			continue
+		}
 		if target == targets[0] && len(targets) == 1 {
 			targets = append(targets, string(payload))
 		}
@@ -48,7 +59,7 @@
 			second.AnswerEnquirers() // this node has just been told to wait
 			waited = time.Now()
 		}
-	}, func(time.Time) bool { return slices.Contains(got, "second") })
+	}
 	if took := time.Since(waited); took > enquiryMinInterval/2 {
 		t.Errorf("the final answer came after %s, with a repeated enquiry", took)
 	}
