Try nested calls again when the servers that report are full

A call of the highest priority that a full server declined was refused at once if fresh reports said that the others are as full. Such calls are made by runs of other services, which fail with them, and a full server serves them next. Picker.CheckRoom is asked before another attempt of all other calls.

--- a/mesh/admission/play_test.go
+++ b/mesh/admission/play_test.go
@@ -255,7 +255,11 @@
 }
 
 func (p *play) attempt(c *playCall) {
-	choice, err := p.nodes[c.node].PickBackendServer(p.now, "s", "v1", c.attempts.Tried())
+	var choice routing.Choice
+	err := p.nodes[c.node].CheckRoom(p.now, "s", "v1", c.attempts.Tried())
+	if err == nil {
+		choice, err = p.nodes[c.node].PickBackendServer(p.now, "s", "v1", c.attempts.Tried())
+	}
 	if err != nil {
 		if !errors.Is(err, routing.ErrNoBackendServer) && !errors.Is(err, routing.ErrNoRoom) {
 			panic(err)
--- a/mesh/node/dispatcher.go
+++ b/mesh/node/dispatcher.go
@@ -131,10 +131,12 @@
 		c.attempts.Started(own.Host)
 		return own, nil
 	}
-	server, err := d.picker.PickBackendServer(now, c.service, v, c.attempts.Tried())
-	if errors.Is(err, routing.ErrNoRoom) {
-		return routing.Choice{}, err
+	if c.route.Priority != highestPriority {
+		if err := d.picker.CheckRoom(now, c.service, v, c.attempts.Tried()); err != nil {
+			return routing.Choice{}, err
+		}
 	}
+	server, err := d.picker.PickBackendServer(now, c.service, v, c.attempts.Tried())
 	if err != nil {
 		return routing.Choice{}, eris.Wrapf(ErrNotRun, "%v", err)
 	}
--- a/mesh/routing/overload.go
+++ b/mesh/routing/overload.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"balsamtrail.org/mesh/model"
+	"balsamtrail.org/mesh/telemetry"
 )
 
 // Constants of the refusal of calls that no backend server has room for.
@@ -55,3 +58,20 @@
 	}
 	return declined && full >= minFreshReports
 }
+
+// CheckRoom returns ErrNoRoom if one of the servers that a call has tried has just declined it
+// and no other one has room. It is not asked for calls of the highest priority: a full server
+// serves those next, and the run that makes a nested call would fail with it.
+func (p *Picker) CheckRoom(now time.Time, service model.ServiceName, version model.ServiceVersion, tried []model.HostID) error {
+	if len(tried) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, err := p.stateOf(service)
+	if err != nil || v.versions[version] == nil || !v.versions[version].refusesAll(now, tried) {
+		return nil //nolint:nilerr // an unknown service or version is reported by the choice that follows
+	}
+	telemetry.Counter(MetricNoRoom).Inc(1)
+	return eris.Wrapf(ErrNoRoom, "%s %s: %d tried", service, version, len(tried))
+}
--- a/mesh/routing/overload_test.go
+++ b/mesh/routing/overload_test.go
@@ -36,11 +36,11 @@
 			_ = must(p.PickBackendServer(start, "s", "v1", nil))
 			p.Observe(start, list[i].Host, o)
 		}
-		_, err := p.PickBackendServer(start.Add(c.age), "s", "v1", []model.HostID{list[0].Host})
+		err := p.CheckRoom(start.Add(c.age), "s", "v1", []model.HostID{list[0].Host})
 		if got := errors.Is(err, ErrNoRoom); got != c.want {
 			t.Errorf("%s: %v", c.name, err)
 		}
-		if _, err := p.PickBackendServer(start.Add(c.age), "s", "v1", nil); err != nil {
+		if err := p.CheckRoom(start.Add(c.age), "s", "v1", nil); err != nil {
 			t.Errorf("%s, first attempt: %v", c.name, err)
 		}
 	}
--- a/mesh/routing/picker.go
+++ b/mesh/routing/picker.go
@@ -303,8 +303,7 @@
 
 // PickBackendServer chooses the backend server for an attempt and counts the attempt as
 // in flight there until Observe, which must be called exactly once. exclude lists the
-// hosts of earlier attempts of the same call. The error is ErrNoRoom if one of these has just
-// declined the call and no other server has room.
+// hosts of earlier attempts of the same call.
 func (p *Picker) PickBackendServer(now time.Time, service model.ServiceName, version model.ServiceVersion, exclude []model.HostID) (Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -312,10 +311,6 @@
 	if err != nil {
 		return Choice{}, err
 	}
-	if len(exclude) > 0 && state.refusesAll(now, exclude) {
-		telemetry.Counter(MetricNoRoom).Inc(1)
-		return Choice{}, eris.Wrapf(ErrNoRoom, "%s %s: %d tried", service, version, len(exclude))
-	}
 	h, reason := p.pick(now, state, exclude)
 	if h == nil {
 		return Choice{}, eris.Wrapf(ErrNoBackendServer, "%s %s: %d tried", service, version, len(exclude))
