Give a handshake 800 ms before a dial begins it anew

A dial gave up a handshake that was not complete after 300, 480 and 768 ms, also one that was going forward.

TestPeerThatStartsLaterIsFoundSoon still passes.

--- a/mesh/peer/outbound.go
+++ b/mesh/peer/outbound.go
@@ -215,8 +215,9 @@
 	// firstDialAttempt bounds the first handshake of a dial, and dialAttemptFactor is the
 	// growth of the bound. QUIC repeats an unanswered first packet after 200, 600 and
 	// 1,400 ms, so that a peer that starts meanwhile would be found late. A shorter bound
-	// repeats handshakes with a peer that is only slow.
-	firstDialAttempt  = 300 * time.Millisecond
+	// ends handshakes with a peer that is only slow: behind full links round trips take
+	// over half a second.
+	firstDialAttempt  = 800 * time.Millisecond
 	dialAttemptFactor = 1.6
 )
 
