Show that requests with a body in chunks are run with a changed body

A kept connection on which extra bytes arrive makes the request be sent again with the rest of its body.

--- a/review/kit-2/departure.go
+++ b/review/kit-2/departure.go
@@ -10,7 +10,7 @@
 // are killed and start again. A report that the server sent before it left arrives late. No
 // request may reach the server later than the drain time after the confirmation.
 func departure(rec *record, trouble bool) (broken bool, err error) {
-	m, err := newMesh(rec, []int{2, 2, 1}, []int{2, 2, 2}, "huvo11a")
+	m, err := newMesh(rec, stewards, []int{2, 2, 1}, []int{2, 2, 2}, "huvo11a")
 	if err != nil {
 		return false, err
 	}
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -10,6 +10,8 @@
 // cases maps the names of the cases to their plays. A play reports whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"departure": departure,
+	"starved":   starved,
+	"upload":    upload,
 }
 
 // Exit codes of a case.
--- a/review/kit-2/mesh.go
+++ b/review/kit-2/mesh.go
@@ -23,7 +23,25 @@
 	heartbeat     = 1500 * time.Millisecond
 )
 
-var zoneNames = []string{"thun", "bern-altstadt", "burgdorf"}
+// site is what the settings of a deployment's machines say of it.
+type site struct {
+	region string
+	zones  []string
+	// machines and lostZones are what may be lost at the same time.
+	machines, lostZones int
+	contracts           []string
+	memoryMb, linkMbps  float64
+	bounds              map[string]any
+}
+
+var stewards = site{
+	region: "bern-mittelland", zones: []string{"thun", "bern-altstadt", "burgdorf"}, machines: 1, lostZones: 1,
+	contracts: []string{"base", "drain", "config", "cost", "retry", "recover", "rollout", "places"}, memoryMb: 284, linkMbps: 1000,
+	bounds: map[string]any{"seedLagS": 3, "reuseAfterS": 2, "contactWindowMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
+		"graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "stretchMaxMs": 5000, "retryBudgetRatio": 0.2,
+		"budgetWindowS": 10, "retryBudgetSlack": 60, "exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000,
+		"coldFactor": 1.5, "coldSlack": 5, "evacuationMs": 5000, "recoveryS": 15},
+}
 
 // machine is one machine of the deployment with its only process.
 type machine struct {
@@ -41,7 +59,7 @@
 	rec          *record
 	ports        ports
 	core, side   []*machine
-	tolerate     int
+	site         site
 }
 
 // ports are the same on all machines.
@@ -70,7 +88,7 @@
 }
 
 // newMesh lays out a deployment: cores and sides hold the number of machines of each zone.
-func newMesh(rec *record, cores, sides []int, service string) (*mesh, error) {
+func newMesh(rec *record, st site, cores, sides []int, service string) (*mesh, error) {
 	program, err := filepath.Abs("target/platform")
 	if err != nil {
 		return nil, err
@@ -79,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &mesh{dir: dir, program: program, rec: rec, tolerate: 1}
+	m := &mesh{dir: dir, program: program, rec: rec, site: st}
 	for range 50 {
 		net16 := fmt.Sprintf("127.%d", 20+rand.IntN(200))
 		base := 20000 + rand.IntN(20000)
@@ -103,8 +121,9 @@
 }
 
 func (m *mesh) machine(class string, zone int, ip string, i int, service string) *machine {
-	name := fmt.Sprintf("%s-%s-%d", class, zoneNames[zone], i+1)
-	return &machine{name: name, class: class, zone: zoneNames[zone], ip: ip, service: service, mesh: m,
+	z := m.site.zones[zone]
+	name := fmt.Sprintf("%s-%s-%d", class, z, i+1)
+	return &machine{name: name, class: class, zone: z, ip: ip, service: service, mesh: m,
 		dir: filepath.Join(m.dir, name), firstStart: true}
 }
 
@@ -129,10 +148,10 @@
 	m, p := h.mesh, h.mesh.ports
 	var seeds []string
 	zones := map[string]string{}
-	for _, z := range zoneNames {
-		zones[z] = "bern-mittelland"
+	for _, z := range m.site.zones {
+		zones[z] = m.site.region
 		for _, c := range m.core {
-			if c.zone == z {
+			if c.zone == z && len(seeds) < 3 {
 				seeds = append(seeds, c.addr(p.control))
 				break
 			}
@@ -140,15 +159,11 @@
 	}
 	s := map[string]any{
 		"nodeName": h.name, "role": "node", "machineClass": "sidecar", "serves": []string{"sidecar"}, "ip": h.ip, "zone": h.zone,
-		"region": "bern-mittelland", "internalPorts": []int{p.internal, p.internal + 15}, "seeds": seeds, "firstStart": h.firstStart,
+		"region": m.site.region, "internalPorts": []int{p.internal, p.internal + 15}, "seeds": seeds, "firstStart": h.firstStart,
 		"lossCounts": h.class == "core", "discovery": "static", "entry": "static", "heartbeatMs": heartbeat.Milliseconds(),
-		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "rollout", "places"}, "zones": zones,
-		"faultTolerance": map[string]any{"machines": m.tolerate, "zones": 1, "regions": 0},
-		"limits":         map[string]any{"cpuShare": 0.32, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
-		"bounds": map[string]any{"seedLagS": 3, "reuseAfterS": 2, "contactWindowMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
-			"graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "stretchMaxMs": 5000, "retryBudgetRatio": 0.2,
-			"budgetWindowS": 10, "retryBudgetSlack": 60, "exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000,
-			"coldFactor": 1.5, "coldSlack": 5, "evacuationMs": 5000, "recoveryS": 15},
+		"contracts": m.site.contracts, "zones": zones, "bounds": m.site.bounds,
+		"faultTolerance": map[string]any{"machines": m.site.machines, "zones": m.site.lostZones, "regions": 0},
+		"limits":         map[string]any{"cpuShare": 0.32, "cores": 1, "memoryMb": m.site.memoryMb, "maxFds": 4100, "linkMbps": m.site.linkMbps, "diskMb": 0},
 	}
 	if h.class == "core" {
 		s["role"], s["machineClass"], s["serves"], s["dataDir"] = "control", "core", []string{"control_plane"}, filepath.Join(h.dir, "data")
@@ -321,7 +336,7 @@
 	return resp.StatusCode, b.String(), nil
 }
 
-// configuration returns a configuration with one idempotent and one other route.
+// configuration returns a configuration with a route of each kind.
 func configuration(version int, service string, timeoutMs int) map[string]any {
 	route := func(prefix, kind string) map[string]any {
 		return map[string]any{"host": "ficu95.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 200,
@@ -329,7 +344,8 @@
 	}
 	return map[string]any{
 		"version": fmt.Sprintf("%08x", version),
-		"routes":  map[string]any{"r-look": route("/look/", "idempotent"), "r-write": route("/write/", "non_idempotent")},
+		"routes": map[string]any{"r-look": route("/look/", "idempotent"), "r-write": route("/write/", "non_idempotent"),
+			"r-upload": route("/upload/", "upload")},
 		"services": map[string]any{service: map[string]any{"healthPath": "/health", "maxConnections": 120, "protocol": "h1", "tls": false,
 			"coldStartS": 3.0, "coldPerS": 52.0}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
