--- a/review/kit-2/mesh.go
+++ b/review/kit-2/mesh.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,6 +62,7 @@
 	ports        ports
 	core, side   []*machine
 	site         site
+	closed       atomic.Bool
 }
 
 // ports are the same on all machines.
@@ -114,6 +117,7 @@
 			}
 		}
 		if m.free() {
+			m.closeOnSignal()
 			return m, nil
 		}
 	}
@@ -176,6 +180,17 @@
 	return s
 }
 
+// closeOnSignal ends all processes if this one is told to end.
+func (m *mesh) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		m.close()
+		os.Exit(impossible)
+	}()
+}
+
 // start starts the process of the machine with the command of the deploy file.
 func (h *machine) start() error {
 	if err := os.MkdirAll(filepath.Join(h.dir, "data"), 0o750); err != nil {
@@ -201,13 +216,16 @@
 	cmd.Env = []string{"BALSAMTRAIL_BOOT=" + boot, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	exited := make(chan struct{})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.mesh.closed.Load() {
+		return errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	h.mu.Lock()
 	h.cmd, h.exited = cmd, exited
-	h.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
@@ -263,6 +281,7 @@
 
 // close ends all processes and removes the folder, which is kept if KEEP is set.
 func (m *mesh) close() {
+	m.closed.Store(true)
 	m.killAll()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(m.dir)
--- a/review/kit-2/starved.go
+++ b/review/kit-2/starved.go
@@ -13,7 +13,7 @@
 // lagos is the deployment that bears the loss of two machines with their disks.
 var lagos = site{
 	region: "ng-lagos", zones: []string{"ikeja", "apapa", "ikorodu", "epe"}, machines: 2, lostZones: 0,
-	contracts: []string{"base", "drain", "config", "cost", "retry", "recover"}, memoryMb: 184, linkMbps: 13,
+	contracts: []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "rollout", "pressure"}, memoryMb: 184, linkMbps: 13,
 	bounds: map[string]any{"seedLagS": 3, "reuseAfterS": 2, "contactWindowMs": 3000, "ackMs": 4000, "catchUpS": 6, "drainMs": 2000,
 		"graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "stretchMaxMs": 5000, "retryBudgetRatio": 0.2,
 		"budgetWindowS": 10, "retryBudgetSlack": 206, "exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000, "recoveryS": 15},
--- a/review/kit-2/upload.go
+++ b/review/kit-2/upload.go
@@ -16,6 +16,7 @@
 
 const (
 	// extraShare is the part of the answers of a faulty server that extra bytes follow.
+	// It is not exceeded at any time.
 	extraShare = 0.03
 	// faultFor is how long the servers are faulty at a time, faultPause the time between.
 	faultFor, faultPause = 5 * time.Second, time.Second
@@ -24,8 +25,8 @@
 	// uploadBytes is the size of a body.
 	uploadBytes = 18_000
 	// uploadInterval is the least time between two requests of a consumer, of which there
-	// are two: 1,500 requests a second at most.
-	uploadInterval = time.Second / 750
+	// are two: 900 requests a second at most, as the site has without a burst.
+	uploadInterval = time.Second / 450
 	// keptGaps is the number of recent gaps between an answer and the next request on the
 	// same connection that a server remembers.
 	keptGaps = 64
@@ -59,6 +60,21 @@
 	faulty func() bool
 	mu     sync.Mutex
 	gaps   []time.Duration
+	// answers and extras count the answers while the server is faulty, and those of them that
+	// extra bytes followed.
+	answers, extras int
+}
+
+// mayAdd counts an answer and reports whether extra bytes follow it.
+func (s *uploadServer) mayAdd() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers++
+	if rand.IntN(3) > 0 || float64(s.extras+1) > extraShare*float64(s.answers) {
+		return false
+	}
+	s.extras++
+	return true
 }
 
 func (s *uploadServer) listen() error {
@@ -105,7 +121,7 @@
 		if err != nil {
 			return
 		}
-		extra := s.faulty() && rand.Float64() < extraShare
+		extra := s.faulty() && s.mayAdd()
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Instance-Id: %s\r\nContent-Length: 4\r\n\r\ndone", id, s.id, id, s.id)
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
